--- /dev/null
+++ b/crates/tamarackdock_weights/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
