Add types, HTTP transport, platform clients and configuration types

Cause: contributors need the shared types and borders before the parts can be built side by side. The encoder of monoio-http holds back up to 8 KiB of a stream, so that streamed responses are framed by the server's own writer.

--- /dev/null
+++ b/crates/tamarackdock_platform/src/client.rs
@@ -0,0 +1,205 @@
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use http::{Method, Request, StatusCode, header};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tamarackdock_types::{DataCentreName, ServiceName, call::Ran, fence::Epoch};
+use tamarackdock_wire::client::{Deadlines, Pool, Whole};
+
+use crate::{Call, Error, host, object, order, report, table, weight};
+
+const DEADLINES: Deadlines = Deadlines {
+    connect: Duration::from_millis(500),
+    first_byte: Duration::from_secs(2),
+    between_bytes: Duration::from_secs(2),
+};
+
+/// Client of the platform's HTTP interface.
+pub struct Client {
+    address: SocketAddr,
+    pool: Rc<Pool>,
+}
+
+#[derive(Serialize)]
+struct Keys {
+    keys: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct Prefix {
+    prefix: String,
+}
+
+#[derive(Deserialize)]
+struct Rows {
+    rows: Vec<table::Row>,
+}
+
+#[derive(Deserialize)]
+struct Committed {
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Refused {
+    conflict: Option<table::Condition>,
+    stale_epoch: Option<Epoch>,
+}
+
+#[derive(Deserialize)]
+struct Targets {
+    targets: Vec<order::Listed>,
+}
+
+#[derive(Deserialize)]
+struct HostList {
+    hosts: Vec<host::Host>,
+}
+
+impl Client {
+    /// Makes a client of the platform at an address.
+    #[must_use]
+    pub fn new(address: SocketAddr, pool: Rc<Pool>) -> Self {
+        Self { address, pool }
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Whole, Error> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, self.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(body)
+            .map_err(|_| Error::Malformed)?;
+        let answer = self.pool.call(self.address, request, DEADLINES).await;
+        let answer = answer.map_err(|error| match error.ran() {
+            Ran::No => Error::Unreachable,
+            Ran::Unknown | Ran::Yes => Error::Unknown,
+        })?;
+        match answer.status {
+            status if status.is_success() || status == StatusCode::NOT_FOUND => Ok(answer),
+            StatusCode::CONFLICT => Err(refused(path, &answer.body)),
+            StatusCode::SERVICE_UNAVAILABLE if path.starts_with("/orders/") => {
+                Err(Error::Unavailable)
+            }
+            status if status.is_server_error() => Err(Error::Unknown),
+            _ => Err(Error::Malformed),
+        }
+    }
+
+    async fn post<T: Serialize, R: DeserializeOwned>(
+        &self,
+        path: &str,
+        value: &T,
+    ) -> Result<R, Error> {
+        let body = serde_json::to_vec(value).map_err(|_| Error::Malformed)?;
+        decode(&self.call(Method::POST, path, body.into()).await?)
+    }
+
+    async fn get<R: DeserializeOwned>(&self, path: &str) -> Result<R, Error> {
+        decode(&self.call(Method::GET, path, Bytes::new()).await?)
+    }
+}
+
+fn decode<R: DeserializeOwned>(answer: &Whole) -> Result<R, Error> {
+    serde_json::from_slice(&answer.body).map_err(|_| Error::Malformed)
+}
+
+fn refused(path: &str, body: &[u8]) -> Error {
+    match serde_json::from_slice(body) {
+        Ok(Refused { stale_epoch: Some(epoch), .. }) => Error::StaleEpoch(epoch),
+        Ok(Refused { conflict: Some(condition), .. }) => Error::Conflict { key: condition.key },
+        Ok(_) | Err(_) => Error::Conflict { key: path.into() },
+    }
+}
+
+impl table::Table for Client {
+    fn read(&self, keys: Vec<String>) -> Call<'_, BTreeMap<String, table::Row>> {
+        async move {
+            let rows: Rows = self.post("/table/read", &Keys { keys }).await?;
+            Ok(rows.rows.into_iter().map(|row| (row.key.clone(), row)).collect())
+        }
+        .boxed_local()
+    }
+
+    fn scan(&self, prefix: String) -> Call<'_, Vec<table::Row>> {
+        async move {
+            let rows: Rows = self.post("/table/scan", &Prefix { prefix }).await?;
+            Ok(rows.rows)
+        }
+        .boxed_local()
+    }
+
+    fn commit(&self, commit: table::Commit) -> Call<'_, u64> {
+        async move {
+            let committed: Committed = self.post("/table/commit", &commit).await?;
+            Ok(committed.revision)
+        }
+        .boxed_local()
+    }
+}
+
+impl object::Store for Client {
+    fn put(&self, name: String, bytes: Bytes) -> Call<'_, ()> {
+        async move {
+            self.call(Method::PUT, &format!("/objects/{name}"), bytes).await?;
+            Ok(())
+        }
+        .boxed_local()
+    }
+
+    fn get(&self, name: String) -> Call<'_, Option<Bytes>> {
+        async move {
+            let path = format!("/objects/{name}");
+            let answer = self.call(Method::GET, &path, Bytes::new()).await?;
+            Ok((answer.status != StatusCode::NOT_FOUND).then_some(answer.body))
+        }
+        .boxed_local()
+    }
+}
+
+impl order::Orders for Client {
+    fn send(&self, data_centre: DataCentreName, order: order::Order) -> Call<'_, ()> {
+        async move {
+            let path = format!("/orders/{data_centre}");
+            self.post::<_, serde_json::Value>(&path, &order).await?;
+            Ok(())
+        }
+        .boxed_local()
+    }
+
+    fn list(&self, data_centre: DataCentreName) -> Call<'_, Vec<order::Listed>> {
+        async move {
+            let targets: Targets = self.get(&format!("/orders/{data_centre}")).await?;
+            Ok(targets.targets)
+        }
+        .boxed_local()
+    }
+}
+
+impl report::Reports for Client {
+    fn send(&self, window: u64, bytes: Bytes) -> Call<'_, ()> {
+        async move {
+            self.call(Method::POST, &format!("/reports/{window}"), bytes).await?;
+            Ok(())
+        }
+        .boxed_local()
+    }
+}
+
+impl host::Hosts for Client {
+    fn list(&self) -> Call<'_, Vec<host::Host>> {
+        async move {
+            let list: HostList = self.get("/hosts").await?;
+            Ok(list.hosts)
+        }
+        .boxed_local()
+    }
+}
+
+impl weight::Store for Client {
+    fn latest(&self, service: ServiceName) -> Call<'_, weight::Latest> {
+        async move { self.get(&format!("/weights/{service}")).await }.boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_platform/src/error.rs
@@ -0,0 +1,28 @@
+use derive_more::{Display, Error as StdError};
+use tamarackdock_types::fence::Epoch;
+
+/// The reason why a platform call gave no result.
+#[derive(Debug, Clone, PartialEq, Eq, Display, StdError)]
+pub enum Error {
+    /// No byte was sent, the call had no effect.
+    #[display("the platform can't be reached")]
+    Unreachable,
+    /// The response was lost; a write may have taken effect.
+    #[display("the platform's response was lost")]
+    Unknown,
+    /// The response is not as the interface says.
+    #[display("the platform's response can't be read")]
+    Malformed,
+    /// A condition of a commit did not hold, or an object or report with other bytes exists.
+    #[display("`{key}` was changed by another writer")]
+    Conflict {
+        /// Key of the row, object or window.
+        key: String,
+    },
+    /// The receiver knows a later epoch.
+    #[display("the epoch is older than {_0}")]
+    StaleEpoch(#[error(not(source))] Epoch),
+    /// No target of the wanted class can be had at present.
+    #[display("no such target can be had at present")]
+    Unavailable,
+}
--- /dev/null
+++ b/crates/tamarackdock_platform/src/object.rs
@@ -0,0 +1,13 @@
+//! The object store.
+
+use bytes::Bytes;
+
+use crate::Call;
+
+/// The object store. Objects are written once.
+pub trait Store {
+    /// Writes an object; the same bytes again have no effect.
+    fn put(&self, name: String, bytes: Bytes) -> Call<'_, ()>;
+    /// Reads an object, or `None` if it does not exist.
+    fn get(&self, name: String) -> Call<'_, Option<Bytes>>;
+}
--- /dev/null
+++ b/crates/tamarackdock_platform/src/report.rs
@@ -0,0 +1,11 @@
+//! The interface that accepts usage reports.
+
+use bytes::Bytes;
+
+use crate::Call;
+
+/// The reporting interface.
+pub trait Reports {
+    /// Sends the sealed bytes of a window; the same bytes again have no effect.
+    fn send(&self, window: u64, bytes: Bytes) -> Call<'_, ()>;
+}
--- a/crates/tamarackdock_types/src/refusal.rs
+++ b/crates/tamarackdock_types/src/refusal.rs
@@ -110,21 +110,13 @@
     /// Makes a refusal of a call that has not run.
     #[must_use]
     pub fn not_run(code: Code, message: impl Into<String>) -> Self {
-        Self {
-            code,
-            message: message.into(),
-            ran: Ran::No,
-            retry_after: None,
-        }
+        Self { code, message: message.into(), ran: Ran::No, retry_after: None }
     }
 
     /// Makes a refusal of a call that may have run.
     #[must_use]
     pub fn unknown(code: Code, message: impl Into<String>) -> Self {
-        Self {
-            ran: Ran::Unknown,
-            ..Self::not_run(code, message)
-        }
+        Self { ran: Ran::Unknown, ..Self::not_run(code, message) }
     }
 
     /// Adds a hint when to ask again.
--- /dev/null
+++ b/crates/tamarackdock_wire/src/client/connection.rs
@@ -0,0 +1,86 @@
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Request;
+use monoio::{
+    io::{OwnedReadHalf, OwnedWriteHalf, Splitable, sink::SinkExt, stream::Stream},
+    net::TcpStream,
+    time::timeout,
+};
+use monoio_http::{
+    common::error::HttpError,
+    h1::{
+        codec::{decoder::ClientResponseDecoder, encoder::GenericEncoder},
+        payload::{FixedPayload, Payload},
+    },
+};
+
+use super::{Answer, Deadlines, Error};
+use crate::guard::{Direction, Guard, Limits};
+
+pub(super) type Reader = Guard<OwnedReadHalf<TcpStream>>;
+
+/// A connection that carries one call at a time.
+pub struct Connection {
+    reader: Reader,
+    writer: OwnedWriteHalf<TcpStream>,
+    deadlines: Deadlines,
+}
+
+impl Connection {
+    /// Connects to an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Connect`] if no connection is made within the deadline.
+    pub async fn open(
+        address: SocketAddr,
+        limits: Limits,
+        deadlines: Deadlines,
+    ) -> Result<Self, Error> {
+        let connect = timeout(deadlines.connect, TcpStream::connect(address)).await;
+        let stream = connect.map_err(|_| Error::Connect)?.map_err(|_| Error::Connect)?;
+        let _ = stream.set_nodelay(true);
+        let (reader, writer) = stream.into_split();
+        let reader = Guard::new(reader, Direction::Response, limits);
+        Ok(Self { reader, writer, deadlines })
+    }
+
+    /// Changes the deadlines of the following calls.
+    pub fn set_deadlines(&mut self, deadlines: Deadlines) {
+        self.deadlines = deadlines;
+    }
+
+    /// Returns whether an idle connection is still open and in step.
+    pub(super) fn is_reusable(&mut self) -> bool {
+        self.reader.is_message_read() && self.reader.is_quiet()
+    }
+
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Error`] that broke the call; the connection must not be used again.
+    pub async fn send(&mut self, request: Request<Bytes>) -> Result<Answer<'_>, Error> {
+        self.reader.begin_message();
+        let mut encoder = GenericEncoder::new(&mut self.writer);
+        let request = request.map(|body| {
+            if body.is_empty() {
+                Payload::<Bytes, HttpError>::None
+            } else {
+                Payload::Fixed(FixedPayload::new(body))
+            }
+        });
+        let sent = timeout(self.deadlines.first_byte, encoder.send_and_flush(request)).await;
+        sent.map_err(|_| Error::Silent)?.map_err(|_| Error::Broken)?;
+        let fault = self.reader.fault();
+        let mut decoder = ClientResponseDecoder::new(&mut self.reader);
+        match timeout(self.deadlines.first_byte, decoder.next()).await {
+            Ok(Some(Ok(response))) => {
+                Ok(Answer::new(response, decoder, fault, self.deadlines.between_bytes))
+            }
+            Ok(Some(Err(_)) | None) => Err(fault.get().map_or(Error::Broken, Error::Invalid)),
+            Err(_) => Err(Error::Silent),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_wire/src/guard/error.rs
@@ -0,0 +1,68 @@
+use derive_more::{Display, Error as StdError};
+use tamarackdock_types::refusal::Code;
+
+/// The rule that the received bytes break.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, StdError)]
+pub enum Error {
+    /// The head is larger than allowed.
+    #[display("the head is larger than {limit} bytes")]
+    HeadTooLarge {
+        /// Limit in bytes.
+        limit: usize,
+    },
+    /// The body is larger than allowed.
+    #[display("the body is larger than {limit} bytes")]
+    BodyTooLarge {
+        /// Limit in bytes.
+        limit: u64,
+    },
+    /// One chunk is larger than allowed.
+    #[display("a chunk is larger than {limit} bytes")]
+    ChunkTooLarge {
+        /// Limit in bytes.
+        limit: u64,
+    },
+    /// The head is not valid HTTP/1.1.
+    #[display("the head is not valid HTTP/1.1")]
+    Head,
+    /// A line of the head ends without a carriage return.
+    #[display("a line of the head ends without a carriage return")]
+    BareLineFeed,
+    /// `Transfer-Encoding` and `Content-Length` occur together, which two
+    /// parties may read differently (request smuggling).
+    #[display("`Transfer-Encoding` and `Content-Length` must not occur together")]
+    AmbiguousLength,
+    /// `Content-Length` is no number, or occurs with different values.
+    #[display("`Content-Length` is not one decimal number")]
+    Length,
+    /// The transfer coding is not `chunked`.
+    #[display("the only supported `Transfer-Encoding` is `chunked`")]
+    TransferEncoding,
+    /// A chunk size is no hexadecimal number, or has an extension.
+    #[display("a chunk size is not a plain hexadecimal number")]
+    ChunkSize,
+    /// A chunk does not end where its size says.
+    #[display("a chunk does not end where its size says")]
+    ChunkEnd,
+    /// The chunked body has trailers.
+    #[display("trailers are not supported")]
+    Trailer,
+    /// The response has neither a length nor chunks, so that a cut can't be told from its end.
+    #[display("the response has neither `Content-Length` nor chunks")]
+    Unframed,
+    /// The response has a body where its status allows none.
+    #[display("the response has a body although its status excludes one")]
+    UnexpectedBody,
+}
+
+impl Error {
+    /// Returns the code of the refusal that a caller gets.
+    #[must_use]
+    pub fn code(self) -> Code {
+        match self {
+            Self::HeadTooLarge { .. } => Code::HeadTooLarge,
+            Self::BodyTooLarge { .. } | Self::ChunkTooLarge { .. } => Code::BodyTooLarge,
+            _ => Code::BadRequest,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_wire/src/guard/reader.rs
@@ -0,0 +1,145 @@
+use std::{cell::Cell, io, rc::Rc};
+
+use futures_util::FutureExt;
+use monoio::{
+    BufResult,
+    buf::{IoBufMut, IoVecBufMut},
+    io::AsyncReadRent,
+};
+
+use super::{Direction, Error, Limits, Scanner};
+
+const READ_BYTES: usize = 4 << 10;
+
+/// The rule that a connection's input broke, kept beside the decoder because
+/// its own errors don't carry it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Fault(Rc<Cell<Option<Error>>>);
+
+impl Fault {
+    pub(crate) fn get(&self) -> Option<Error> {
+        self.0.get()
+    }
+}
+
+/// A reader that passes on only bytes that its [`Scanner`] accepts, one
+/// message at a time. At the end of a message it reports the end of input
+/// until [`Guard::begin_message`], so that a decoder that finds another end
+/// than the scanner fails instead of reading into the next message.
+#[derive(Debug)]
+pub struct Guard<R> {
+    inner: R,
+    scanner: Scanner,
+    fault: Fault,
+    buffer: Vec<u8>,
+    /// Bytes of the buffer that were passed on.
+    passed: usize,
+    /// Bytes of the buffer that the scanner accepted.
+    accepted: usize,
+    ended: bool,
+}
+
+impl<R: AsyncReadRent> Guard<R> {
+    /// Puts a scanner before a reader.
+    #[must_use]
+    pub fn new(inner: R, direction: Direction, limits: Limits) -> Self {
+        Self {
+            inner,
+            scanner: Scanner::new(direction, limits),
+            fault: Fault::default(),
+            buffer: Vec::new(),
+            passed: 0,
+            accepted: 0,
+            ended: false,
+        }
+    }
+
+    pub(crate) fn fault(&self) -> Fault {
+        self.fault.clone()
+    }
+
+    /// Lets the bytes of the next message through.
+    pub fn begin_message(&mut self) {
+        self.scanner.begin_message();
+    }
+
+    /// Returns whether the message has ended and all of it was passed on.
+    #[must_use]
+    pub fn is_message_read(&self) -> bool {
+        self.scanner.is_complete() && self.passed == self.accepted
+    }
+
+    /// Waits for the first byte of a next message and returns whether there is one.
+    pub(crate) async fn has_next(&mut self) -> bool {
+        self.accepted < self.buffer.len() || matches!(self.fill().await, Ok(count) if count > 0)
+    }
+
+    /// Waits until the other side closes or breaks the connection. Bytes that
+    /// arrive meanwhile are kept for the next message; a close behind them is
+    /// seen when they have been read.
+    pub(crate) async fn closed(&mut self) {
+        if self.has_next().await {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Returns whether an idle connection is open and has nothing to read.
+    /// Bytes between two responses belong to no request.
+    pub(crate) fn is_quiet(&mut self) -> bool {
+        !self.ended && self.has_next().now_or_never().is_none()
+    }
+
+    async fn fill(&mut self) -> io::Result<usize> {
+        if self.ended {
+            return Ok(0);
+        }
+        // A dropped read must not lose the buffer, so that bytes are kept only after the read.
+        let (result, buffer) = self.inner.read(Vec::with_capacity(READ_BYTES)).await;
+        let count = result.inspect_err(|_| self.ended = true)?;
+        self.ended = count == 0;
+        self.buffer = buffer;
+        self.passed = 0;
+        self.accepted = 0;
+        Ok(count)
+    }
+
+    /// Makes accepted bytes available and returns whether there are any.
+    async fn advance(&mut self) -> io::Result<bool> {
+        while self.passed == self.accepted && !self.scanner.is_complete() {
+            if self.accepted == self.buffer.len() && self.fill().await? == 0 {
+                return Ok(false);
+            }
+            match self.scanner.feed(&self.buffer[self.accepted..]) {
+                Ok(count) => self.accepted += count,
+                Err(error) => {
+                    self.ended = true;
+                    self.fault.0.set(Some(error));
+                    return Err(io::Error::new(io::ErrorKind::InvalidData, error));
+                }
+            }
+        }
+        Ok(self.passed < self.accepted)
+    }
+}
+
+impl<R: AsyncReadRent> AsyncReadRent for Guard<R> {
+    async fn read<T: IoBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
+        if let Err(error) = self.advance().await {
+            return (Err(error), buf);
+        }
+        let mut unread = &self.buffer[self.passed..self.accepted];
+        let (result, buf) = unread.read(buf).await;
+        self.passed += result.as_ref().copied().unwrap_or_default();
+        (result, buf)
+    }
+
+    async fn readv<T: IoVecBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
+        if let Err(error) = self.advance().await {
+            return (Err(error), buf);
+        }
+        let mut unread = &self.buffer[self.passed..self.accepted];
+        let (result, buf) = unread.readv(buf).await;
+        self.passed += result.as_ref().copied().unwrap_or_default();
+        (result, buf)
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_wire/src/guard/scanner.rs
@@ -0,0 +1,186 @@
+use super::{Error, Limits, framing::Framing};
+
+const HEAD_END: &[u8] = b"\r\n\r\n";
+const LINE_END: &[u8] = b"\r\n";
+const MAX_SIZE_DIGITS: usize = 8;
+
+/// Which kind of message the bytes hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    /// Requests from a caller.
+    Request,
+    /// Responses from a target or the platform.
+    Response,
+}
+
+#[derive(Debug)]
+enum State {
+    Head(Vec<u8>),
+    Body { remaining: u64 },
+    ChunkSize(Vec<u8>),
+    ChunkData { remaining: u64 },
+    ChunkEnd { seen: usize },
+    LastEnd { seen: usize },
+    Complete,
+}
+
+/// Follows one HTTP/1.1 message at a time and refuses what the decoder would misread.
+#[derive(Debug)]
+pub struct Scanner {
+    direction: Direction,
+    limits: Limits,
+    state: State,
+    chunked_bytes: u64,
+}
+
+impl Scanner {
+    /// Makes a scanner that expects the head of a first message.
+    #[must_use]
+    pub fn new(direction: Direction, limits: Limits) -> Self {
+        Self { direction, limits, state: State::Head(Vec::new()), chunked_bytes: 0 }
+    }
+
+    /// Returns whether the message has ended.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        matches!(self.state, State::Complete)
+    }
+
+    /// Expects the head of a next message.
+    pub fn begin_message(&mut self) {
+        self.state = State::Head(Vec::new());
+    }
+
+    /// Checks received bytes up to the end of the message and returns how many these are.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Error`] of the first rule that the bytes break. The
+    /// connection must be closed then, since the scanner has lost its place.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<usize, Error> {
+        let mut used = 0;
+        while used < bytes.len() && !self.is_complete() {
+            used += self.step(&bytes[used..])?;
+        }
+        Ok(used)
+    }
+
+    fn step(&mut self, bytes: &[u8]) -> Result<usize, Error> {
+        let (next, used) = match &mut self.state {
+            State::Head(head) => {
+                let (complete, used) = fill_head(head, bytes, self.limits.head)?;
+                if !complete {
+                    return Ok(used);
+                }
+                let framing = Framing::of(head, self.direction, self.limits)?;
+                self.chunked_bytes = 0;
+                (Some(after_head(framing)), used)
+            }
+            State::Body { remaining } | State::ChunkData { remaining } => {
+                (None, skip(remaining, bytes))
+            }
+            State::ChunkSize(line) => {
+                let used = fill_line(line, bytes)?;
+                if !line.ends_with(LINE_END) {
+                    return Ok(used);
+                }
+                let size = chunk_size(&line[..line.len() - LINE_END.len()])?;
+                (Some(self.begin_chunk(size)?), used)
+            }
+            State::ChunkEnd { seen } => (None, expect_line_end(seen, bytes, Error::ChunkEnd)?),
+            State::LastEnd { seen } => (None, expect_line_end(seen, bytes, Error::Trailer)?),
+            State::Complete => (None, 0),
+        };
+        if let Some(next) = next {
+            self.state = next;
+        }
+        self.finish_state();
+        Ok(used)
+    }
+
+    fn begin_chunk(&mut self, size: u64) -> Result<State, Error> {
+        self.chunked_bytes += size;
+        match size {
+            0 => Ok(State::LastEnd { seen: 0 }),
+            _ if size > self.limits.chunk => Err(Error::ChunkTooLarge { limit: self.limits.chunk }),
+            _ if self.chunked_bytes > self.limits.body => {
+                Err(Error::BodyTooLarge { limit: self.limits.body })
+            }
+            _ => Ok(State::ChunkData { remaining: size }),
+        }
+    }
+
+    fn finish_state(&mut self) {
+        let next = match self.state {
+            State::Body { remaining: 0 } => State::Complete,
+            State::ChunkData { remaining: 0 } => State::ChunkEnd { seen: 0 },
+            State::ChunkEnd { seen } if seen == LINE_END.len() => State::ChunkSize(Vec::new()),
+            State::LastEnd { seen } if seen == LINE_END.len() => State::Complete,
+            _ => return,
+        };
+        self.state = next;
+    }
+}
+
+fn after_head(framing: Framing) -> State {
+    match framing {
+        Framing::Length(remaining) => State::Body { remaining },
+        Framing::Chunked => State::ChunkSize(Vec::new()),
+    }
+}
+
+/// Appends bytes up to the end of the head and returns whether it is complete.
+fn fill_head(head: &mut Vec<u8>, bytes: &[u8], limit: usize) -> Result<(bool, usize), Error> {
+    for (index, byte) in bytes.iter().enumerate() {
+        match byte {
+            _ if head.len() >= limit => return Err(Error::HeadTooLarge { limit }),
+            b'\n' if head.last() != Some(&b'\r') => return Err(Error::BareLineFeed),
+            _ => head.push(*byte),
+        }
+        if head.ends_with(HEAD_END) {
+            return Ok((true, index + 1));
+        }
+        // The decoder skips empty lines before a head, the scanner would lose its place.
+        if head.as_slice() == LINE_END {
+            return Err(Error::Head);
+        }
+    }
+    Ok((false, bytes.len()))
+}
+
+fn fill_line(line: &mut Vec<u8>, bytes: &[u8]) -> Result<usize, Error> {
+    for (index, byte) in bytes.iter().enumerate() {
+        line.push(*byte);
+        match byte {
+            b'\n' if line.ends_with(LINE_END) => return Ok(index + 1),
+            _ if line.len() >= MAX_SIZE_DIGITS + LINE_END.len() => return Err(Error::ChunkSize),
+            _ => {}
+        }
+    }
+    Ok(bytes.len())
+}
+
+fn chunk_size(digits: &[u8]) -> Result<u64, Error> {
+    let text = std::str::from_utf8(digits).map_err(|_| Error::ChunkSize)?;
+    if !text.is_empty() && text.bytes().all(|b| b.is_ascii_hexdigit()) {
+        u64::from_str_radix(text, 16).map_err(|_| Error::ChunkSize)
+    } else {
+        Err(Error::ChunkSize)
+    }
+}
+
+fn skip(remaining: &mut u64, bytes: &[u8]) -> usize {
+    let used = usize::try_from(*remaining).map_or(bytes.len(), |left| left.min(bytes.len()));
+    *remaining -= used as u64;
+    used
+}
+
+fn expect_line_end(seen: &mut usize, bytes: &[u8], error: Error) -> Result<usize, Error> {
+    let expected = &LINE_END[*seen..];
+    let used = expected.len().min(bytes.len());
+    if bytes[..used] != expected[..used] {
+        return Err(error);
+    }
+    *seen += used;
+    Ok(used)
+}
--- /dev/null
+++ b/crates/tamarackdock_wire/src/server/connection.rs
@@ -0,0 +1,153 @@
+use std::{net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use futures_util::{
+    FutureExt,
+    future::{Either, select},
+    pin_mut,
+};
+use http::{Version, header};
+use monoio::{
+    io::{OwnedReadHalf, OwnedWriteHalf, Splitable, stream::Stream},
+    net::TcpStream,
+    time::timeout,
+};
+use monoio_http::{
+    common::{body::BodyExt, request::Request as Decoded},
+    h1::codec::decoder::{FillPayload, RequestDecoder},
+};
+use tamarackdock_types::refusal::{Code, Refusal};
+
+use super::{Handler, Options, Request, writer::Writer};
+use crate::guard::{Direction, Guard};
+
+/// One caller's connection. Its task owns the socket.
+pub(super) struct Connection {
+    guard: Guard<OwnedReadHalf<TcpStream>>,
+    writer: Writer<OwnedWriteHalf<TcpStream>>,
+    peer: SocketAddr,
+    handler: Rc<dyn Handler>,
+    options: Options,
+}
+
+impl Connection {
+    pub(super) fn new(
+        stream: TcpStream,
+        peer: SocketAddr,
+        handler: Rc<dyn Handler>,
+        options: Options,
+    ) -> Self {
+        // Without this, small pieces of a stream wait for acknowledgements.
+        let _ = stream.set_nodelay(true);
+        let (reader, writer) = stream.into_split();
+        let guard = Guard::new(reader, Direction::Request, options.limits);
+        let writer = Writer::new(writer, options.write_timeout);
+        Self { guard, writer, peer, handler, options }
+    }
+
+    /// Serves requests until the connection closes.
+    pub(super) async fn serve(mut self) {
+        while self.is_next_expected().await {
+            if !self.serve_one().await {
+                return;
+            }
+        }
+    }
+
+    async fn is_next_expected(&mut self) -> bool {
+        let stop = self.options.stop.clone();
+        let next = timeout(self.options.idle_timeout, self.guard.has_next());
+        let stopped = stop.wait();
+        pin_mut!(next, stopped);
+        match select(next, stopped).await {
+            Either::Left((Ok(is_next), _)) => is_next,
+            Either::Left((Err(_), _)) => false,
+            // A request that has begun to arrive is served, since its caller can't know of the stop.
+            Either::Right(((), next)) => matches!(next.now_or_never(), Some(Ok(true))),
+        }
+    }
+
+    /// Serves one request and returns whether the connection can serve another.
+    async fn serve_one(&mut self) -> bool {
+        let request = match self.receive().await {
+            Ok(request) => request,
+            Err(refusal) => {
+                let _ = self.writer.write(refusal.into(), true).await;
+                return false;
+            }
+        };
+        let close = request.close || self.options.stop.is_raised();
+        let handler = self.handler.clone();
+        let answer = handler.handle(request.message);
+        let Some(response) = until_closed(answer, &mut self.guard).await else {
+            return false;
+        };
+        let close = close || self.options.stop.is_raised();
+        let written = self.writer.write(response, close);
+        match until_closed(written, &mut self.guard).await {
+            Some(Ok(())) => !close,
+            Some(Err(_)) | None => false,
+        }
+    }
+
+    async fn receive(&mut self) -> Result<Received, Refusal> {
+        self.guard.begin_message();
+        let fault = self.guard.fault();
+        let peer = self.peer;
+        let mut decoder = RequestDecoder::new(&mut self.guard);
+        let outcome = timeout(self.options.request_timeout, decode(&mut decoder)).await;
+        match outcome {
+            Ok(Some((request, body))) => Ok(Received::new(request, body, peer)),
+            Ok(None) => match fault.get() {
+                Some(error) => Err(Refusal::not_run(error.code(), error.to_string())),
+                None => {
+                    Err(Refusal::not_run(Code::BadRequest, "the request is not valid HTTP/1.1"))
+                }
+            },
+            Err(_) => {
+                let message = "the request did not arrive in time; send it without pauses";
+                Err(Refusal::not_run(Code::RequestTimeout, message))
+            }
+        }
+    }
+}
+
+struct Received {
+    message: Request,
+    close: bool,
+}
+
+impl Received {
+    fn new(decoded: Decoded, body: Bytes, peer: SocketAddr) -> Self {
+        let (head, _) = decoded.into_parts();
+        let connection = head.headers.get(header::CONNECTION);
+        let asked = connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+        let close = asked || head.version != Version::HTTP_11;
+        let message =
+            Request { method: head.method, uri: head.uri, headers: head.headers, body, peer };
+        Self { message, close }
+    }
+}
+
+type Decoder<'a> = RequestDecoder<&'a mut Guard<OwnedReadHalf<TcpStream>>>;
+
+async fn decode(decoder: &mut Decoder<'_>) -> Option<(Decoded, Bytes)> {
+    let request = decoder.next().await?.ok()?;
+    decoder.fill_payload().await.ok()?;
+    let (head, payload) = request.into_parts();
+    let body = payload.bytes().await.ok()?;
+    Some((Decoded::from_parts(head, monoio_http::h1::payload::Payload::None), body))
+}
+
+/// Runs work for a caller, and drops it when the caller leaves.
+async fn until_closed<T>(
+    work: impl Future<Output = T>,
+    guard: &mut Guard<OwnedReadHalf<TcpStream>>,
+) -> Option<T> {
+    let closed = guard.closed();
+    pin_mut!(work, closed);
+    match select(work, closed).await {
+        Either::Left((result, _)) => Some(result),
+        Either::Right(((), _)) => None,
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_wire/src/server/options.rs
@@ -0,0 +1,30 @@
+use std::time::Duration;
+
+use crate::{flag::Flag, guard::Limits};
+
+/// Bounds and life time of a listener's connections.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Sizes accepted from callers.
+    pub limits: Limits,
+    /// How long a connection may stay without a request.
+    pub idle_timeout: Duration,
+    /// How long a request may take to arrive, so that slow writers don't hold connections.
+    pub request_timeout: Duration,
+    /// How long one write to a slow reader may take.
+    pub write_timeout: Duration,
+    /// Raised when the listener must stop. Requests in progress are finished.
+    pub stop: Flag,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            limits: Limits::default(),
+            idle_timeout: Duration::from_secs(75),
+            request_timeout: Duration::from_secs(20),
+            write_timeout: Duration::from_secs(20),
+            stop: Flag::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_wire/src/server/response.rs
@@ -0,0 +1,90 @@
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use serde::Serialize;
+use tamarackdock_types::refusal::Refusal;
+
+use crate::stream;
+
+/// A body to be sent.
+#[derive(Debug)]
+pub enum Body {
+    /// All bytes are there.
+    Whole(Bytes),
+    /// Pieces are sent as they come.
+    Stream(stream::Receiver),
+}
+
+/// An answer to a request.
+#[derive(Debug)]
+pub struct Response {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Header fields without those that frame the body.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Body,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorFields<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorFields<'a> {
+    code: String,
+    message: &'a str,
+    ran: String,
+}
+
+impl Response {
+    /// Makes a response with a whole body.
+    #[must_use]
+    pub fn new(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> Self {
+        let mut headers = HeaderMap::new();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
+        Self { status, headers, body: Body::Whole(body.into()) }
+    }
+
+    /// Makes a JSON response. A value without a JSON form gives a 500.
+    #[must_use]
+    pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Self {
+        match serde_json::to_vec(value) {
+            Ok(body) => Self::new(status, "application/json", body),
+            Err(_) => Self::new(StatusCode::INTERNAL_SERVER_ERROR, "application/json", "{}"),
+        }
+    }
+
+    /// Makes a streamed response.
+    #[must_use]
+    pub fn stream(status: StatusCode, content_type: HeaderValue, body: stream::Receiver) -> Self {
+        let mut headers = HeaderMap::new();
+        headers.insert(header::CONTENT_TYPE, content_type);
+        Self { status, headers, body: Body::Stream(body) }
+    }
+}
+
+impl From<&Refusal> for Response {
+    fn from(refusal: &Refusal) -> Self {
+        let status = StatusCode::from_u16(refusal.code.status());
+        let fields = ErrorFields {
+            code: refusal.code.to_string(),
+            message: &refusal.message,
+            ran: refusal.ran.to_string(),
+        };
+        let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let mut response = Self::json(status, &ErrorBody { error: fields });
+        if let Some(span) = refusal.retry_after {
+            let seconds = span.as_millis().div_ceil(1000).max(1);
+            let value = HeaderValue::from_str(&seconds.to_string());
+            response.headers.extend(value.ok().map(|value| (header::RETRY_AFTER, value)));
+        }
+        response
+    }
+}
+
+impl From<Refusal> for Response {
+    fn from(refusal: Refusal) -> Self {
+        Self::from(&refusal)
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_wire/src/server/writer.rs
@@ -0,0 +1,90 @@
+use std::{io, time::Duration};
+
+use bytes::{BufMut, Bytes, BytesMut};
+use http::{HeaderMap, StatusCode, header};
+use monoio::io::{AsyncWriteRent, AsyncWriteRentExt};
+
+use super::{Body, Response};
+use crate::stream::Piece;
+
+const HEAD_RESERVE: usize = 256;
+const COPY_BOUND: usize = 8 << 10;
+
+/// Writes responses. The encoder of `monoio-http` keeps up to 8 KiB of a
+/// stream back, which delays tokens, so that pieces are framed here.
+pub(super) struct Writer<W> {
+    io: W,
+    timeout: Duration,
+}
+
+impl<W: AsyncWriteRent> Writer<W> {
+    pub(super) fn new(io: W, timeout: Duration) -> Self {
+        Self { io, timeout }
+    }
+
+    pub(super) async fn write(&mut self, response: Response, close: bool) -> io::Result<()> {
+        match response.body {
+            Body::Whole(body) => {
+                let mut buffer = head(response.status, &response.headers, Some(body.len()), close);
+                if body.len() <= COPY_BOUND {
+                    buffer.extend_from_slice(&body);
+                    return self.send(buffer.freeze()).await;
+                }
+                self.send(buffer.freeze()).await?;
+                self.send(body).await
+            }
+            Body::Stream(mut body) => {
+                let buffer = head(response.status, &response.headers, None, close);
+                self.send(buffer.freeze()).await?;
+                while let Some(piece) = body.next().await {
+                    match piece {
+                        Piece::Data(data) if data.is_empty() => {}
+                        Piece::Data(data) => self.send(chunk(&data)).await?,
+                        Piece::End => return self.send(Bytes::from_static(b"0\r\n\r\n")).await,
+                    }
+                }
+                Err(io::Error::from(io::ErrorKind::UnexpectedEof))
+            }
+        }
+    }
+
+    async fn send(&mut self, bytes: Bytes) -> io::Result<()> {
+        match monoio::time::timeout(self.timeout, self.io.write_all(bytes)).await {
+            Ok((result, _)) => result.map(|_| ()),
+            Err(_) => Err(io::Error::from(io::ErrorKind::TimedOut)),
+        }
+    }
+}
+
+fn head(status: StatusCode, headers: &HeaderMap, length: Option<usize>, close: bool) -> BytesMut {
+    let mut buffer = BytesMut::with_capacity(HEAD_RESERVE);
+    buffer.put_slice(b"HTTP/1.1 ");
+    buffer.put_slice(status.as_str().as_bytes());
+    buffer.put_slice(b" ");
+    buffer.put_slice(status.canonical_reason().unwrap_or("Status").as_bytes());
+    buffer.put_slice(b"\r\n");
+    match length {
+        Some(length) => buffer.put_slice(format!("content-length: {length}\r\n").as_bytes()),
+        None => buffer.put_slice(b"transfer-encoding: chunked\r\n"),
+    }
+    if close {
+        buffer.put_slice(b"connection: close\r\n");
+    }
+    let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING, header::CONNECTION];
+    for (name, value) in headers.iter().filter(|(name, _)| !framing.contains(name)) {
+        buffer.put_slice(name.as_ref());
+        buffer.put_slice(b": ");
+        buffer.put_slice(value.as_bytes());
+        buffer.put_slice(b"\r\n");
+    }
+    buffer.put_slice(b"\r\n");
+    buffer
+}
+
+fn chunk(data: &[u8]) -> Bytes {
+    let mut buffer = BytesMut::with_capacity(data.len() + 12);
+    buffer.put_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    buffer.put_slice(data);
+    buffer.put_slice(b"\r\n");
+    buffer.freeze()
+}
