Tie the producer of a streamed response to its connection

Cause: a producer in a task of its own does not learn that the caller left while it waits for a target. Change: the response carries the producer, and the connection polls and drops it.

--- a/crates/tamarackdock_wire/src/server/response.rs
+++ b/crates/tamarackdock_wire/src/server/response.rs
@@ -1,4 +1,5 @@
 use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
 use serde::Serialize;
 use tamarackdock_types::refusal::Refusal;
@@ -6,16 +7,20 @@
 use crate::stream;
 
 /// A body to be sent.
-#[derive(Debug)]
 pub enum Body {
     /// All bytes are there.
     Whole(Bytes),
     /// Pieces are sent as they come.
-    Stream(stream::Receiver),
+    Stream {
+        /// Pieces to send.
+        pieces: stream::Receiver,
+        /// Work that makes the pieces. It is dropped with the connection, so
+        /// that a caller who leaves cancels it.
+        producer: LocalBoxFuture<'static, ()>,
+    },
 }
 
 /// An answer to a request.
-#[derive(Debug)]
 pub struct Response {
     /// HTTP status.
     pub status: StatusCode,
@@ -57,10 +62,15 @@
 
     /// Makes a streamed response.
     #[must_use]
-    pub fn stream(status: StatusCode, content_type: HeaderValue, body: stream::Receiver) -> Self {
+    pub fn stream(
+        status: StatusCode,
+        content_type: HeaderValue,
+        pieces: stream::Receiver,
+        producer: LocalBoxFuture<'static, ()>,
+    ) -> Self {
         let mut headers = HeaderMap::new();
         headers.insert(header::CONTENT_TYPE, content_type);
-        Self { status, headers, body: Body::Stream(body) }
+        Self { status, headers, body: Body::Stream { pieces, producer } }
     }
 }
 
--- a/crates/tamarackdock_wire/src/server/writer.rs
+++ b/crates/tamarackdock_wire/src/server/writer.rs
@@ -1,11 +1,15 @@
 use std::{io, time::Duration};
 
 use bytes::{BufMut, Bytes, BytesMut};
+use futures_util::{
+    future::{Either, select},
+    pin_mut,
+};
 use http::{HeaderMap, StatusCode, header};
 use monoio::io::{AsyncWriteRent, AsyncWriteRentExt};
 
 use super::{Body, Response};
-use crate::stream::Piece;
+use crate::stream::{self, Piece};
 
 const HEAD_RESERVE: usize = 256;
 const COPY_BOUND: usize = 8 << 10;
@@ -33,21 +37,30 @@
                 self.send(buffer.freeze()).await?;
                 self.send(body).await
             }
-            Body::Stream(mut body) => {
+            Body::Stream { pieces, producer } => {
                 let buffer = head(response.status, &response.headers, None, close);
                 self.send(buffer.freeze()).await?;
-                while let Some(piece) = body.next().await {
-                    match piece {
-                        Piece::Data(data) if data.is_empty() => {}
-                        Piece::Data(data) => self.send(chunk(&data)).await?,
-                        Piece::End => return self.send(Bytes::from_static(b"0\r\n\r\n")).await,
-                    }
+                let writing = self.write_pieces(pieces);
+                pin_mut!(writing);
+                match select(writing, producer).await {
+                    Either::Left((result, _)) => result,
+                    Either::Right(((), writing)) => writing.await,
                 }
-                Err(io::Error::from(io::ErrorKind::UnexpectedEof))
             }
         }
     }
 
+    async fn write_pieces(&mut self, mut pieces: stream::Receiver) -> io::Result<()> {
+        while let Some(piece) = pieces.next().await {
+            match piece {
+                Piece::Data(data) if data.is_empty() => {}
+                Piece::Data(data) => self.send(chunk(&data)).await?,
+                Piece::End => return self.send(Bytes::from_static(b"0\r\n\r\n")).await,
+            }
+        }
+        Err(io::Error::from(io::ErrorKind::UnexpectedEof))
+    }
+
     async fn send(&mut self, bytes: Bytes) -> io::Result<()> {
         match monoio::time::timeout(self.timeout, self.io.write_all(bytes)).await {
             Ok((result, _)) => result.map(|_| ()),
