Count open connections and ask callers to close before a stop

Cause: a graceful shutdown must know when its calls have ended, and an idle connection that is closed without notice can cut a request on its way.

--- a/crates/tamarackdock_config/src/settings/mod.rs
+++ b/crates/tamarackdock_config/src/settings/mod.rs
@@ -2,14 +2,16 @@
 
 mod log;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 use tamarackdock_types::{DataCentreName, HostName};
 
 pub use log::{Format, Level, Log};
 
 /// Settings of one node.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
@@ -25,7 +27,23 @@
     pub peer_address: SocketAddr,
     /// Address of the platform's interface.
     pub platform_address: SocketAddr,
+    /// How long the health check fails before the ports close, in ms, so that the balancer sees it.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "balancer_grace")]
+    pub balancer_grace_ms: Duration,
+    /// How long calls in progress may take after the ports close, in ms.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default = "drain_timeout")]
+    pub drain_timeout_ms: Duration,
     /// Logs.
     #[serde(default)]
     pub log: Log,
 }
+
+const fn balancer_grace() -> Duration {
+    Duration::from_secs(5)
+}
+
+const fn drain_timeout() -> Duration {
+    Duration::from_mins(5)
+}
--- a/crates/tamarackdock_wire/src/server/connection.rs
+++ b/crates/tamarackdock_wire/src/server/connection.rs
@@ -76,13 +76,13 @@
                 return false;
             }
         };
-        let close = request.close || self.options.stop.is_raised();
+        let close = request.close;
         let handler = self.handler.clone();
         let answer = handler.handle(request.message);
         let Some(response) = until_closed(answer, &mut self.guard).await else {
             return false;
         };
-        let close = close || self.options.stop.is_raised();
+        let close = close || self.options.closing.is_raised() || self.options.stop.is_raised();
         let written = self.writer.write(response, close);
         match until_closed(written, &mut self.guard).await {
             Some(Ok(())) => !close,
--- a/crates/tamarackdock_wire/src/server/listen.rs
+++ b/crates/tamarackdock_wire/src/server/listen.rs
@@ -1,4 +1,9 @@
-use std::{io, net::SocketAddr, rc::Rc};
+use std::{
+    io,
+    net::SocketAddr,
+    rc::{Rc, Weak},
+    time::Duration,
+};
 
 use futures_util::{
     future::{Either, select},
@@ -8,8 +13,39 @@
 
 use super::{Handler, Options, connection::Connection};
 
-/// Binds a listener and serves its connections in tasks of the current
-/// thread until the options' stop flag is raised. Returns the bound address.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A listener whose connections are served in tasks of the current thread.
+#[derive(Debug, Clone)]
+pub struct Listener {
+    address: SocketAddr,
+    open: Rc<()>,
+}
+
+impl Listener {
+    /// Returns the bound address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        // One count is this listener's own; the accepting task holds a weak one.
+        Rc::strong_count(&self.open) - 1
+    }
+
+    /// Waits until all connections are closed. To be used after the stop flag is raised.
+    pub async fn drained(&self) {
+        while self.open() > 0 {
+            monoio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    }
+}
+
+/// Binds a listener and serves its connections until the options' stop flag is raised.
 ///
 /// # Errors
 ///
@@ -18,14 +54,15 @@
     address: SocketAddr,
     handler: Rc<dyn Handler>,
     options: Options,
-) -> io::Result<SocketAddr> {
+) -> io::Result<Listener> {
     let listener = TcpListener::bind(address)?;
-    let bound = listener.local_addr()?;
-    monoio::spawn(accept(listener, handler, options));
-    Ok(bound)
+    let address = listener.local_addr()?;
+    let open = Rc::new(());
+    monoio::spawn(accept(listener, handler, options, Rc::downgrade(&open)));
+    Ok(Listener { address, open })
 }
 
-async fn accept(listener: TcpListener, handler: Rc<dyn Handler>, options: Options) {
+async fn accept(listener: TcpListener, handler: Rc<dyn Handler>, options: Options, open: Weak<()>) {
     loop {
         let accepted = listener.accept();
         let stopped = options.stop.wait();
@@ -33,7 +70,11 @@
         match select(accepted, stopped).await {
             Either::Left((Ok((stream, peer)), _)) => {
                 let connection = Connection::new(stream, peer, handler.clone(), options.clone());
-                monoio::spawn(connection.serve());
+                let open = open.upgrade();
+                monoio::spawn(async move {
+                    connection.serve().await;
+                    drop(open);
+                });
             }
             // Running out of descriptors passes, and the listener must go on then.
             Either::Left((Err(_), _)) => monoio::time::sleep(ACCEPT_PAUSE).await,
@@ -41,5 +82,3 @@
         }
     }
 }
-
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(10);
--- a/crates/tamarackdock_wire/src/server/mod.rs
+++ b/crates/tamarackdock_wire/src/server/mod.rs
@@ -9,7 +9,7 @@
 mod writer;
 
 pub use handler::Handler;
-pub use listen::listen;
+pub use listen::{Listener, listen};
 pub use options::Options;
 pub use request::Request;
 pub use response::{Body, Response};
--- a/crates/tamarackdock_wire/src/server/options.rs
+++ b/crates/tamarackdock_wire/src/server/options.rs
@@ -13,6 +13,8 @@
     pub request_timeout: Duration,
     /// How long one write to a slow reader may take.
     pub write_timeout: Duration,
+    /// Raised when callers are asked to close: responses say `Connection: close`.
+    pub closing: Flag,
     /// Raised when the listener must stop. Requests in progress are finished.
     pub stop: Flag,
 }
@@ -24,6 +26,7 @@
             idle_timeout: Duration::from_secs(75),
             request_timeout: Duration::from_secs(20),
             write_timeout: Duration::from_secs(20),
+            closing: Flag::new(),
             stop: Flag::new(),
         }
     }
