Harden the HTTP guard, server and client against raw bytes

Cause: raw-byte tests over loopback showed that a response to HEAD carried a body, `Expect: 100-continue` was not answered, and a request of many one-byte chunks was not bounded by the decoder's cost. Interim responses and a length on a 204, 304 or HEAD response broke the client's call, and bytes on a leased idle connection were taken for the answer to the next request.

Change: the scanner follows interim responses (at most 8) and bodiless responses, refuses 101, chunks in HTTP/1.0, too many chunks, and heads that the decoder can't parse. The server answers expectations, sends no body with HEAD, 204 and 304, reads a token list in `Connection`, writes in parts of 64 KiB so that the time limit measures progress, and reads input after the last response so that a reset can't destroy it. The client reports a connection that is out of step before it sends anything (`ran` is `no`).

Bytes that arrive between the idle check and the request remain for the request id to catch.

--- a/crates/tamarackdock_wire/src/client/answer.rs
+++ b/crates/tamarackdock_wire/src/client/answer.rs
@@ -16,8 +16,8 @@
 use super::{Error, connection::Reader};
 use crate::guard::Fault;
 
-type Decoder<'a> = ClientResponseDecoder<&'a mut Reader>;
-type Undecoded = PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>;
+pub(super) type Decoder<'a> = ClientResponseDecoder<&'a mut Reader>;
+pub(super) type Undecoded = PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>;
 
 /// A response whose body is read piece by piece.
 pub struct Answer<'a> {
--- a/crates/tamarackdock_wire/src/client/connection.rs
+++ b/crates/tamarackdock_wire/src/client/connection.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http::Request;
+use http::{Method, Request, Response, StatusCode};
 use monoio::{
     io::{OwnedReadHalf, OwnedWriteHalf, Splitable, sink::SinkExt, stream::Stream},
     net::TcpStream,
@@ -10,12 +10,18 @@
 use monoio_http::{
     common::error::HttpError,
     h1::{
-        codec::{decoder::ClientResponseDecoder, encoder::GenericEncoder},
+        codec::{
+            decoder::{ClientResponseDecoder, PayloadDecoder},
+            encoder::GenericEncoder,
+        },
         payload::{FixedPayload, Payload},
     },
 };
 
-use super::{Answer, Deadlines, Error};
+use super::{
+    Answer, Deadlines, Error,
+    answer::{Decoder, Undecoded},
+};
 use crate::guard::{Direction, Guard, Limits};
 
 pub(super) type Reader = Guard<OwnedReadHalf<TcpStream>>;
@@ -62,7 +68,15 @@
     ///
     /// Returns the [`Error`] that broke the call; the connection must not be used again.
     pub async fn send(&mut self, request: Request<Bytes>) -> Result<Answer<'_>, Error> {
-        self.reader.begin_message();
+        if !self.reader.is_quiet() {
+            return Err(Error::OutOfStep);
+        }
+        let bodiless = request.method() == Method::HEAD;
+        if bodiless {
+            self.reader.begin_bodiless();
+        } else {
+            self.reader.begin_message();
+        }
         let mut encoder = GenericEncoder::new(&mut self.writer);
         let request = request.map(|body| {
             if body.is_empty() {
@@ -75,12 +89,30 @@
         sent.map_err(|_| Error::Silent)?.map_err(|_| Error::Broken)?;
         let fault = self.reader.fault();
         let mut decoder = ClientResponseDecoder::new(&mut self.reader);
-        match timeout(self.deadlines.first_byte, decoder.next()).await {
-            Ok(Some(Ok(response))) => {
-                Ok(Answer::new(response, decoder, fault, self.deadlines.between_bytes))
-            }
-            Ok(Some(Err(_)) | None) => Err(fault.get().map_or(Error::Broken, Error::Invalid)),
-            Err(_) => Err(Error::Silent),
+        let head = timeout(self.deadlines.first_byte, final_head(&mut decoder)).await;
+        let response = head
+            .map_err(|_| Error::Silent)?
+            .ok_or_else(|| fault.get().map_or(Error::Broken, Error::Invalid))?;
+        let response = without_body(response, bodiless);
+        Ok(Answer::new(response, decoder, fault, self.deadlines.between_bytes))
+    }
+}
+
+/// Skips interim responses. The guard bounds their number.
+async fn final_head(decoder: &mut Decoder<'_>) -> Option<Response<Undecoded>> {
+    loop {
+        let response = decoder.next().await?.ok()?;
+        if !response.status().is_informational() {
+            return Some(response);
         }
     }
 }
+
+/// Drops the body decoder where the length describes a body that is not sent.
+fn without_body(response: Response<Undecoded>, bodiless: bool) -> Response<Undecoded> {
+    match response.status() {
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED => response.map(|_| PayloadDecoder::None),
+        _ if bodiless => response.map(|_| PayloadDecoder::None),
+        _ => response,
+    }
+}
--- a/crates/tamarackdock_wire/src/client/error.rs
+++ b/crates/tamarackdock_wire/src/client/error.rs
@@ -9,6 +9,9 @@
     /// No connection was made, so that nothing was sent.
     #[display("can't connect")]
     Connect,
+    /// The connection carried bytes or was closed before anything was sent on it.
+    #[display("the connection was closed or out of step before the call")]
+    OutOfStep,
     /// The connection broke before the response was whole.
     #[display("the connection broke")]
     Broken,
@@ -25,7 +28,7 @@
     #[must_use]
     pub fn ran(self) -> Ran {
         match self {
-            Self::Connect => Ran::No,
+            Self::Connect | Self::OutOfStep => Ran::No,
             Self::Broken | Self::Silent | Self::Invalid(_) => Ran::Unknown,
         }
     }
--- a/crates/tamarackdock_wire/src/guard/error.rs
+++ b/crates/tamarackdock_wire/src/guard/error.rs
@@ -22,6 +22,12 @@
         /// Limit in bytes.
         limit: u64,
     },
+    /// The body has so many small chunks that decoding them costs far more memory than their bytes.
+    #[display("the body has more than {limit} chunks; send larger ones")]
+    TooManyChunks {
+        /// Limit in chunks.
+        limit: u64,
+    },
     /// The head is not valid HTTP/1.1.
     #[display("the head is not valid HTTP/1.1")]
     Head,
@@ -50,6 +56,15 @@
     /// The response has neither a length nor chunks, so that a cut can't be told from its end.
     #[display("the response has neither `Content-Length` nor chunks")]
     Unframed,
+    /// More interim (1xx) responses than allowed came before the final one.
+    #[display("more than {limit} interim responses came before the final one")]
+    TooManyInterim {
+        /// Limit in responses.
+        limit: u32,
+    },
+    /// The response switches to another protocol, which no request asks for.
+    #[display("the response switches the protocol without being asked")]
+    Upgrade,
     /// The response has a body where its status allows none.
     #[display("the response has a body although its status excludes one")]
     UnexpectedBody,
@@ -61,7 +76,9 @@
     pub fn code(self) -> Code {
         match self {
             Self::HeadTooLarge { .. } => Code::HeadTooLarge,
-            Self::BodyTooLarge { .. } | Self::ChunkTooLarge { .. } => Code::BodyTooLarge,
+            Self::BodyTooLarge { .. } | Self::ChunkTooLarge { .. } | Self::TooManyChunks { .. } => {
+                Code::BodyTooLarge
+            }
             _ => Code::BadRequest,
         }
     }
--- a/crates/tamarackdock_wire/src/guard/mod.rs
+++ b/crates/tamarackdock_wire/src/guard/mod.rs
@@ -9,6 +9,8 @@
 mod reader;
 mod scanner;
 
+#[cfg(test)]
+mod differential_tests;
 #[cfg(test)]
 mod tests;
 
--- a/crates/tamarackdock_wire/src/guard/reader.rs
+++ b/crates/tamarackdock_wire/src/guard/reader.rs
@@ -36,7 +36,10 @@
     passed: usize,
     /// Bytes of the buffer that the scanner accepted.
     accepted: usize,
+    /// Nothing more is passed on, because of a close or of a broken rule.
     ended: bool,
+    /// The other side closed or broke the connection.
+    is_closed: bool,
 }
 
 impl<R: AsyncReadRent> Guard<R> {
@@ -51,6 +54,7 @@
             passed: 0,
             accepted: 0,
             ended: false,
+            is_closed: false,
         }
     }
 
@@ -63,6 +67,11 @@
         self.scanner.begin_message();
     }
 
+    /// Lets the bytes of a response to HEAD through.
+    pub(crate) fn begin_bodiless(&mut self) {
+        self.scanner.begin_bodiless();
+    }
+
     /// Returns whether the message has ended and all of it was passed on.
     #[must_use]
     pub fn is_message_read(&self) -> bool {
@@ -86,7 +95,22 @@
     /// Returns whether an idle connection is open and has nothing to read.
     /// Bytes between two responses belong to no request.
     pub(crate) fn is_quiet(&mut self) -> bool {
-        !self.ended && self.has_next().now_or_never().is_none()
+        let idle = self.scanner.is_between_messages() && self.passed == self.accepted;
+        !self.ended && idle && self.has_next().now_or_never().is_none()
+    }
+
+    /// Reads and drops up to `limit` bytes until the other side closes.
+    pub(crate) async fn discard(&mut self, limit: u64) {
+        let mut left = limit;
+        let mut buffer = Vec::with_capacity(READ_BYTES);
+        while !self.is_closed && left > 0 {
+            buffer.clear();
+            let (result, returned) = self.inner.read(buffer).await;
+            buffer = returned;
+            let count = result.unwrap_or_default();
+            self.is_closed = count == 0;
+            left = left.saturating_sub(count as u64);
+        }
     }
 
     async fn fill(&mut self) -> io::Result<usize> {
@@ -95,8 +119,12 @@
         }
         // A dropped read must not lose the buffer, so that bytes are kept only after the read.
         let (result, buffer) = self.inner.read(Vec::with_capacity(READ_BYTES)).await;
-        let count = result.inspect_err(|_| self.ended = true)?;
+        let count = result.inspect_err(|_| {
+            self.ended = true;
+            self.is_closed = true;
+        })?;
         self.ended = count == 0;
+        self.is_closed = count == 0;
         self.buffer = buffer;
         self.passed = 0;
         self.accepted = 0;
--- a/crates/tamarackdock_wire/src/guard/scanner.rs
+++ b/crates/tamarackdock_wire/src/guard/scanner.rs
@@ -3,6 +3,10 @@
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const LINE_END: &[u8] = b"\r\n";
 const MAX_SIZE_DIGITS: usize = 8;
+const MAX_INTERIM: u32 = 8;
+/// The decoder spends about 100 bytes on each chunk of a request. The bound on
+/// chunks is this number and one for each KiB of the largest body.
+const FREE_CHUNKS: u64 = 1024;
 
 /// Which kind of message the bytes hold.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,13 +35,24 @@
     limits: Limits,
     state: State,
     chunked_bytes: u64,
+    chunks: u64,
+    interim: u32,
+    bodiless: bool,
 }
 
 impl Scanner {
     /// Makes a scanner that expects the head of a first message.
     #[must_use]
     pub fn new(direction: Direction, limits: Limits) -> Self {
-        Self { direction, limits, state: State::Head(Vec::new()), chunked_bytes: 0 }
+        Self {
+            direction,
+            limits,
+            state: State::Head(Vec::new()),
+            chunked_bytes: 0,
+            chunks: 0,
+            interim: 0,
+            bodiless: false,
+        }
     }
 
     /// Returns whether the message has ended.
@@ -46,9 +61,28 @@
         matches!(self.state, State::Complete)
     }
 
-    /// Expects the head of a next message.
+    /// Returns whether no byte of a further message has been seen.
+    #[must_use]
+    pub fn is_between_messages(&self) -> bool {
+        match &self.state {
+            State::Complete => true,
+            State::Head(head) => head.is_empty() && self.interim == 0,
+            _ => false,
+        }
+    }
+
+    /// Expects the head of a next message. Interim responses belong to the
+    /// message of the final response that they precede.
     pub fn begin_message(&mut self) {
         self.state = State::Head(Vec::new());
+        self.interim = 0;
+        self.bodiless = false;
+    }
+
+    /// Expects the head of a response to HEAD, whose length describes no body.
+    pub fn begin_bodiless(&mut self) {
+        self.begin_message();
+        self.bodiless = true;
     }
 
     /// Checks received bytes up to the end of the message and returns how many these are.
@@ -72,9 +106,8 @@
                 if !complete {
                     return Ok(used);
                 }
-                let framing = Framing::of(head, self.direction, self.limits)?;
-                self.chunked_bytes = 0;
-                (Some(after_head(framing)), used)
+                let framing = Framing::of(head, self.direction, self.bodiless, self.limits)?;
+                (Some(self.after_head(framing)?), used)
             }
             State::Body { remaining } | State::ChunkData { remaining } => {
                 (None, skip(remaining, bytes))
@@ -98,14 +131,36 @@
         Ok(used)
     }
 
+    fn after_head(&mut self, framing: Framing) -> Result<State, Error> {
+        self.chunked_bytes = 0;
+        self.chunks = 0;
+        match framing {
+            Framing::Length(remaining) => Ok(State::Body { remaining }),
+            Framing::Chunked => Ok(State::ChunkSize(Vec::new())),
+            Framing::Interim if self.interim == MAX_INTERIM => {
+                Err(Error::TooManyInterim { limit: MAX_INTERIM })
+            }
+            Framing::Interim => {
+                self.interim += 1;
+                Ok(State::Head(Vec::new()))
+            }
+        }
+    }
+
     fn begin_chunk(&mut self, size: u64) -> Result<State, Error> {
         self.chunked_bytes += size;
+        self.chunks += 1;
+        let max_chunks = FREE_CHUNKS + self.limits.body / 1024;
         match size {
             0 => Ok(State::LastEnd { seen: 0 }),
             _ if size > self.limits.chunk => Err(Error::ChunkTooLarge { limit: self.limits.chunk }),
             _ if self.chunked_bytes > self.limits.body => {
                 Err(Error::BodyTooLarge { limit: self.limits.body })
             }
+            // The client takes each chunk of a response before the next is decoded.
+            _ if self.direction == Direction::Request && self.chunks > max_chunks => {
+                Err(Error::TooManyChunks { limit: max_chunks })
+            }
             _ => Ok(State::ChunkData { remaining: size }),
         }
     }
@@ -122,13 +177,6 @@
     }
 }
 
-fn after_head(framing: Framing) -> State {
-    match framing {
-        Framing::Length(remaining) => State::Body { remaining },
-        Framing::Chunked => State::ChunkSize(Vec::new()),
-    }
-}
-
 /// Appends bytes up to the end of the head and returns whether it is complete.
 fn fill_head(head: &mut Vec<u8>, bytes: &[u8], limit: usize) -> Result<(bool, usize), Error> {
     for (index, byte) in bytes.iter().enumerate() {
--- a/crates/tamarackdock_wire/src/server/connection.rs
+++ b/crates/tamarackdock_wire/src/server/connection.rs
@@ -6,7 +6,7 @@
     future::{Either, select},
     pin_mut,
 };
-use http::{Version, header};
+use http::{HeaderMap, Method, Version, header};
 use monoio::{
     io::{OwnedReadHalf, OwnedWriteHalf, Splitable, stream::Stream},
     net::TcpStream,
@@ -14,11 +14,17 @@
 };
 use monoio_http::{
     common::{body::BodyExt, request::Request as Decoded},
-    h1::codec::decoder::{FillPayload, RequestDecoder},
+    h1::{
+        codec::decoder::{FillPayload, RequestDecoder},
+        payload::Payload,
+    },
 };
 use tamarackdock_types::refusal::{Code, Refusal};
 
-use super::{Handler, Options, Request, writer::Writer};
+use super::{
+    Handler, Options, Request,
+    writer::{Delivery, Writer},
+};
 use crate::guard::{Direction, Guard};
 
 /// One caller's connection. Its task owns the socket.
@@ -72,10 +78,14 @@
         let request = match self.receive().await {
             Ok(request) => request,
             Err(refusal) => {
-                let _ = self.writer.write(refusal.into(), true).await;
+                let delivery = Delivery { close: true, head_only: false };
+                if self.writer.write(refusal.into(), delivery).await.is_ok() {
+                    self.linger().await;
+                }
                 return false;
             }
         };
+        let head_only = request.message.method == Method::HEAD;
         let close = request.close || self.options.stop.is_raised();
         let handler = self.handler.clone();
         let answer = handler.handle(request.message);
@@ -83,19 +93,31 @@
             return false;
         };
         let close = close || self.options.stop.is_raised();
-        let written = self.writer.write(response, close);
+        let written = self.writer.write(response, Delivery { close, head_only });
         match until_closed(written, &mut self.guard).await {
-            Some(Ok(())) => !close,
+            Some(Ok(())) if close => {
+                self.linger().await;
+                false
+            }
+            Some(Ok(())) => true,
             Some(Err(_)) | None => false,
         }
     }
 
+    async fn linger(&mut self) {
+        if self.writer.shutdown().await.is_ok() {
+            let limit = self.options.limits.body;
+            let _ = timeout(self.options.linger_timeout, self.guard.discard(limit)).await;
+        }
+    }
+
     async fn receive(&mut self) -> Result<Received, Refusal> {
         self.guard.begin_message();
         let fault = self.guard.fault();
         let peer = self.peer;
         let mut decoder = RequestDecoder::new(&mut self.guard);
-        let outcome = timeout(self.options.request_timeout, decode(&mut decoder)).await;
+        let outcome =
+            timeout(self.options.request_timeout, decode(&mut decoder, &mut self.writer)).await;
         match outcome {
             Ok(Some((request, body))) => Ok(Received::new(request, body, peer)),
             Ok(None) => match fault.get() {
@@ -120,8 +142,7 @@
 impl Received {
     fn new(decoded: Decoded, body: Bytes, peer: SocketAddr) -> Self {
         let (head, _) = decoded.into_parts();
-        let connection = head.headers.get(header::CONNECTION);
-        let asked = connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+        let asked = has_token(&head.headers, &header::CONNECTION, b"close");
         let close = asked || head.version != Version::HTTP_11;
         let message =
             Request { method: head.method, uri: head.uri, headers: head.headers, body, peer };
@@ -131,12 +152,28 @@
 
 type Decoder<'a> = RequestDecoder<&'a mut Guard<OwnedReadHalf<TcpStream>>>;
 
-async fn decode(decoder: &mut Decoder<'_>) -> Option<(Decoded, Bytes)> {
+/// Returns whether a comma-separated header holds a token.
+fn has_token(headers: &HeaderMap, name: &header::HeaderName, token: &[u8]) -> bool {
+    let values = headers.get_all(name).into_iter();
+    values
+        .flat_map(|value| value.as_bytes().split(|byte| *byte == b','))
+        .any(|item| item.trim_ascii().eq_ignore_ascii_case(token))
+}
+
+async fn decode(
+    decoder: &mut Decoder<'_>,
+    writer: &mut Writer<OwnedWriteHalf<TcpStream>>,
+) -> Option<(Decoded, Bytes)> {
     let request = decoder.next().await?.ok()?;
+    let expects = has_token(request.headers(), &header::EXPECT, b"100-continue");
+    if expects && request.version() == Version::HTTP_11 && !matches!(request.body(), Payload::None)
+    {
+        writer.write_continue().await.ok()?;
+    }
     decoder.fill_payload().await.ok()?;
     let (head, payload) = request.into_parts();
     let body = payload.bytes().await.ok()?;
-    Some((Decoded::from_parts(head, monoio_http::h1::payload::Payload::None), body))
+    Some((Decoded::from_parts(head, Payload::None), body))
 }
 
 /// Runs work for a caller, and drops it when the caller leaves.
--- a/crates/tamarackdock_wire/src/server/options.rs
+++ b/crates/tamarackdock_wire/src/server/options.rs
@@ -13,6 +13,10 @@
     pub request_timeout: Duration,
     /// How long one write to a slow reader may take.
     pub write_timeout: Duration,
+    /// How long input is read and dropped after the last response. Closing a
+    /// socket with unread input resets it, and a reset can destroy a response
+    /// on its way (RFC 9112, section 9.6).
+    pub linger_timeout: Duration,
     /// Raised when the listener must stop. Requests in progress are finished.
     pub stop: Flag,
 }
@@ -24,6 +28,7 @@
             idle_timeout: Duration::from_secs(75),
             request_timeout: Duration::from_secs(20),
             write_timeout: Duration::from_secs(20),
+            linger_timeout: Duration::from_secs(2),
             stop: Flag::new(),
         }
     }
--- a/crates/tamarackdock_wire/src/server/writer.rs
+++ b/crates/tamarackdock_wire/src/server/writer.rs
@@ -9,6 +9,8 @@
 
 const HEAD_RESERVE: usize = 256;
 const COPY_BOUND: usize = 8 << 10;
+/// The time limit applies to each such part, so that a reader that makes progress is not cut off.
+const PART_BYTES: usize = 64 << 10;
 
 /// Writes responses. The encoder of `monoio-http` keeps up to 8 KiB of a
 /// stream back, which delays tokens, so that pieces are framed here.
@@ -17,15 +19,31 @@
     timeout: Duration,
 }
 
+/// How a response is sent.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Delivery {
+    /// The connection closes after the response.
+    pub(super) close: bool,
+    /// The request was HEAD, so that only the head is sent.
+    pub(super) head_only: bool,
+}
+
 impl<W: AsyncWriteRent> Writer<W> {
     pub(super) fn new(io: W, timeout: Duration) -> Self {
         Self { io, timeout }
     }
 
-    pub(super) async fn write(&mut self, response: Response, close: bool) -> io::Result<()> {
+    pub(super) async fn write(&mut self, response: Response, delivery: Delivery) -> io::Result<()> {
+        let status = response.status;
+        let length = match &response.body {
+            _ if is_bodiless(status) => Length::None,
+            Body::Whole(body) => Length::Known(body.len()),
+            Body::Stream(_) => Length::Chunked,
+        };
+        let mut buffer = head(status, &response.headers, length, delivery.close);
         match response.body {
+            _ if delivery.head_only || is_bodiless(status) => self.send(buffer.freeze()).await,
             Body::Whole(body) => {
-                let mut buffer = head(response.status, &response.headers, Some(body.len()), close);
                 if body.len() <= COPY_BOUND {
                     buffer.extend_from_slice(&body);
                     return self.send(buffer.freeze()).await;
@@ -34,7 +52,6 @@
                 self.send(body).await
             }
             Body::Stream(mut body) => {
-                let buffer = head(response.status, &response.headers, None, close);
                 self.send(buffer.freeze()).await?;
                 while let Some(piece) = body.next().await {
                     match piece {
@@ -48,15 +65,40 @@
         }
     }
 
-    async fn send(&mut self, bytes: Bytes) -> io::Result<()> {
-        match monoio::time::timeout(self.timeout, self.io.write_all(bytes)).await {
-            Ok((result, _)) => result.map(|_| ()),
-            Err(_) => Err(io::Error::from(io::ErrorKind::TimedOut)),
+    /// Asks a caller that sent `Expect: 100-continue` for the body.
+    pub(super) async fn write_continue(&mut self) -> io::Result<()> {
+        self.send(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n")).await
+    }
+
+    /// Ends the sending direction.
+    pub(super) async fn shutdown(&mut self) -> io::Result<()> {
+        self.io.shutdown().await
+    }
+
+    async fn send(&mut self, mut bytes: Bytes) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let part = bytes.split_to(bytes.len().min(PART_BYTES));
+            match monoio::time::timeout(self.timeout, self.io.write_all(part)).await {
+                Ok((result, _)) => result.map(|_| ())?,
+                Err(_) => return Err(io::Error::from(io::ErrorKind::TimedOut)),
+            }
         }
+        Ok(())
     }
 }
 
-fn head(status: StatusCode, headers: &HeaderMap, length: Option<usize>, close: bool) -> BytesMut {
+#[derive(Debug, Clone, Copy)]
+enum Length {
+    None,
+    Known(usize),
+    Chunked,
+}
+
+fn is_bodiless(status: StatusCode) -> bool {
+    matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
+fn head(status: StatusCode, headers: &HeaderMap, length: Length, close: bool) -> BytesMut {
     let mut buffer = BytesMut::with_capacity(HEAD_RESERVE);
     buffer.put_slice(b"HTTP/1.1 ");
     buffer.put_slice(status.as_str().as_bytes());
@@ -64,8 +106,11 @@
     buffer.put_slice(status.canonical_reason().unwrap_or("Status").as_bytes());
     buffer.put_slice(b"\r\n");
     match length {
-        Some(length) => buffer.put_slice(format!("content-length: {length}\r\n").as_bytes()),
-        None => buffer.put_slice(b"transfer-encoding: chunked\r\n"),
+        Length::None => {}
+        Length::Known(length) => {
+            buffer.put_slice(format!("content-length: {length}\r\n").as_bytes());
+        }
+        Length::Chunked => buffer.put_slice(b"transfer-encoding: chunked\r\n"),
     }
     if close {
         buffer.put_slice(b"connection: close\r\n");
--- /dev/null
+++ b/crates/tamarackdock_wire/tests/client_bytes.rs
@@ -0,0 +1,247 @@
+//! Raw bytes from targets against the client, over loopback.
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::mpsc,
+    thread,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Method, Request};
+use monoio::{LegacyDriver, RuntimeBuilder};
+use tamarackdock_types::call::Ran;
+use tamarackdock_wire::{
+    client::{Deadlines, Error, Pool, Whole},
+    guard::{Error as GuardError, Limits},
+};
+
+const LIMITS: Limits = Limits { head: 512, body: 4096, chunk: 1024 };
+const STUCK: Duration = Duration::from_secs(20);
+const DEADLINES: Deadlines = Deadlines { connect: STUCK, first_byte: STUCK, between_bytes: STUCK };
+
+fn run<T>(work: impl Future<Output = T>) -> T {
+    let builder = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
+    builder.build().expect("a runtime").block_on(work)
+}
+
+fn read_head(stream: &mut TcpStream) -> bool {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => return false,
+        }
+    }
+    true
+}
+
+/// Answers the requests of each connection in turn with the given bytes, then closes it.
+fn target(connections: Vec<Vec<Vec<u8>>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound socket");
+    thread::spawn(move || {
+        for responses in connections {
+            let Ok((mut stream, _)) = listener.accept() else { return };
+            for response in responses {
+                if !read_head(&mut stream) || stream.write_all(&response).is_err() {
+                    break;
+                }
+            }
+            let _ = stream.shutdown(Shutdown::Write);
+            let _ = stream.read_to_end(&mut Vec::new());
+        }
+    });
+    address
+}
+
+fn request(method: Method) -> Request<Bytes> {
+    Request::builder().method(method).uri("/").body(Bytes::new()).expect("a valid request")
+}
+
+fn call(method: Method, response: &[u8]) -> Result<Whole, Error> {
+    let address = target(vec![vec![response.to_vec()]]);
+    run(async { Pool::new(LIMITS).call(address, request(method), DEADLINES).await })
+}
+
+/// Guards against broken, cut or oversized responses that pass as whole ones.
+#[test]
+fn invalid_responses_are_errors() {
+    use GuardError as G;
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let with = |rest: &str| format!("{chunked}{rest}");
+    let ok = |fields: &str| format!("HTTP/1.1 200 OK\r\n{fields}\r\n\r\nabc");
+    let invalid = Error::Invalid;
+    let cases = [
+        (
+            invalid(G::HeadTooLarge { limit: 512 }),
+            format!("HTTP/1.1 200 OK\r\nA: {}", "x".repeat(4096)),
+        ),
+        (invalid(G::BodyTooLarge { limit: 4096 }), ok("Content-Length: 4097")),
+        (invalid(G::ChunkTooLarge { limit: 1024 }), with("401\r\n")),
+        (
+            invalid(G::BodyTooLarge { limit: 4096 }),
+            with(&format!("400\r\n{}\r\n", "x".repeat(1024)).repeat(5)),
+        ),
+        (invalid(G::Unframed), ok("A: b")),
+        (invalid(G::AmbiguousLength), ok("Content-Length: 3\r\nTransfer-Encoding: chunked")),
+        (invalid(G::Length), ok("Content-Length: 3\r\nContent-Length: 2")),
+        (invalid(G::TransferEncoding), ok("Transfer-Encoding: gzip")),
+        (
+            invalid(G::TransferEncoding),
+            "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n".into(),
+        ),
+        (invalid(G::ChunkSize), with("3\r\nabc\r\n\r\n")),
+        (invalid(G::ChunkSize), with("\r\n")),
+        (invalid(G::ChunkSize), with("3;a\r\nabc\r\n0\r\n\r\n")),
+        (invalid(G::ChunkEnd), with("3\r\nabcd")),
+        (invalid(G::Trailer), with("0\r\nA: b\r\n\r\n")),
+        (invalid(G::Upgrade), "HTTP/1.1 101 Switching Protocols\r\n\r\n".into()),
+        (invalid(G::TooManyInterim { limit: 8 }), "HTTP/1.1 100 Continue\r\n\r\n".repeat(9)),
+        (invalid(G::UnexpectedBody), "HTTP/1.1 100 Continue\r\nContent-Length: 3\r\n\r\n".into()),
+        (invalid(G::UnexpectedBody), "HTTP/1.1 204 N\r\nTransfer-Encoding: chunked\r\n\r\n".into()),
+        (invalid(G::Head), "HTTP/1.1 099 Low\r\nContent-Length: 0\r\n\r\n".into()),
+        (invalid(G::BareLineFeed), "HTTP/1.1 200 OK\nContent-Length: 0\n\n".into()),
+        (Error::Broken, String::new()),
+        (Error::Broken, "HTTP/1.1 200 OK\r\nContent-Le".into()),
+        (Error::Broken, "HTTP/1.1 100 Continue\r\n\r\n".into()),
+        (Error::Broken, ok("Content-Length: 4")),
+        (Error::Broken, with("")),
+        (Error::Broken, with("3\r\nab")),
+        (Error::Broken, with("3\r\nabc")),
+        (Error::Broken, with("3\r\nabc\r\n")),
+        (Error::Broken, with("3\r\nabc\r\n0\r\n")),
+        (Error::Broken, with("3\r\nabc\r\n0\r\n\r")),
+    ];
+    for (expected, bytes) in cases {
+        let outcome = call(Method::GET, bytes.as_bytes()).map(|whole| whole.body);
+        assert_eq!(outcome, Err(expected), "{bytes}");
+        assert_eq!(expected.ran(), Ran::Unknown, "{bytes}");
+    }
+}
+
+/// Guards against waits for bodies that never come, and against connections
+/// that are out of step after interim or bodiless responses.
+#[test]
+fn valid_responses_are_read_and_the_connection_is_reused() {
+    let interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+    let cases = [
+        (Method::GET, 200, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc".into(), "abc"),
+        (Method::HEAD, 200, "HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n".into(), ""),
+        (Method::HEAD, 200, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".into(), ""),
+        (Method::HEAD, 404, "HTTP/1.1 404 Not Found\r\n\r\n".into(), ""),
+        (Method::GET, 204, "HTTP/1.1 204 No Content\r\n\r\n".into(), ""),
+        (Method::GET, 204, "HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\n".into(), ""),
+        (Method::GET, 304, "HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\n".into(), ""),
+        (Method::GET, 304, "HTTP/1.1 304 N\r\nTransfer-Encoding: chunked\r\n\r\n".into(), ""),
+        (
+            Method::GET,
+            200,
+            format!("{}HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", interim.repeat(8)),
+            "x",
+        ),
+        (
+            Method::GET,
+            200,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1\r\nd\r\n0\r\n\r\n"
+                .into(),
+            "abcd",
+        ),
+    ];
+    // One connection only: a second one would not be accepted and the call would hang.
+    let address = target(vec![cases.iter().map(|case| case.2.clone().into_bytes()).collect()]);
+    run(async {
+        let pool = Pool::new(LIMITS);
+        for (method, status, bytes, body) in cases {
+            let whole = pool.call(address, request(method), DEADLINES).await;
+            let whole = whole.unwrap_or_else(|error| panic!("{bytes}: {error}"));
+            assert_eq!(
+                (whole.status.as_u16(), whole.body.as_ref()),
+                (status, body.as_bytes()),
+                "{bytes}"
+            );
+        }
+    });
+}
+
+/// Guards against a stray response that is taken for the answer to the next request.
+#[test]
+fn stray_responses_never_answer_a_request() {
+    let good = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood".to_vec();
+    let stray = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+    let with_stray = [good.as_slice(), stray].concat();
+    let address = target(vec![vec![with_stray], vec![good]]);
+    run(async {
+        let pool = Pool::new(LIMITS);
+        for _ in 0..2 {
+            let whole = pool.call(address, request(Method::GET), DEADLINES).await;
+            assert_eq!(whole.map(|whole| whole.body), Ok(Bytes::from_static(b"good")));
+        }
+    });
+}
+
+/// Guards against stray bytes that arrive while a connection is idle, in the
+/// pool or in a lease, and against a truthful retry being lost: nothing was sent.
+#[test]
+fn bytes_on_an_idle_connection_break_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound socket");
+    let (written, is_written) = mpsc::channel();
+    thread::spawn(move || {
+        let mut open = Vec::new();
+        for _ in 0..2 {
+            let Ok((mut stream, _)) = listener.accept() else { return };
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+            let _ = written.send(());
+            open.push(stream);
+        }
+        let Ok((mut stream, _)) = listener.accept() else { return };
+        read_head(&mut stream);
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood");
+        let _ = stream.read_to_end(&mut Vec::new());
+    });
+    run(async {
+        let pool = Pool::new(LIMITS);
+        let mut lease = pool.take(address, DEADLINES).await.expect("a connection");
+        is_written.recv_timeout(STUCK).expect("the target writes");
+        // Lets the driver see the bytes, which are in the socket already.
+        monoio::time::sleep(Duration::from_millis(5)).await;
+        let sent = lease.connection().send(request(Method::GET)).await;
+        assert_eq!(sent.err(), Some(Error::OutOfStep));
+        assert_eq!(Error::OutOfStep.ran(), Ran::No);
+        let idle = pool.take(address, DEADLINES).await.expect("a connection");
+        is_written.recv_timeout(STUCK).expect("the target writes");
+        pool.give_back(idle);
+        monoio::time::sleep(Duration::from_millis(5)).await;
+        let whole = pool.call(address, request(Method::GET), DEADLINES).await;
+        assert_eq!(whole.map(|whole| whole.body), Ok(Bytes::from_static(b"good")));
+    });
+}
+
+/// Guards against calls that wait for ever on targets that went silent.
+#[test]
+fn silent_targets_run_into_deadlines() {
+    let short = Duration::from_millis(100);
+    let deadlines = Deadlines { connect: STUCK, first_byte: short, between_bytes: short };
+    let parts: [&[u8]; 4] = [
+        b"",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n",
+    ];
+    for part in parts {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound socket");
+        thread::spawn(move || {
+            let Ok((mut stream, _)) = listener.accept() else { return };
+            read_head(&mut stream);
+            let _ =
+                stream.write_all(part).and_then(|()| stream.read_to_end(&mut Vec::new()).map(drop));
+        });
+        let outcome =
+            run(async { Pool::new(LIMITS).call(address, request(Method::GET), deadlines).await });
+        assert_eq!(outcome.err(), Some(Error::Silent), "{}", String::from_utf8_lossy(part));
+    }
+}
