--- a/crates/tamarackdock_wire/src/server/options.rs
+++ b/crates/tamarackdock_wire/src/server/options.rs
@@ -15,6 +15,10 @@
     pub write_timeout: Duration,
     /// Raised when callers are asked to close: responses say `Connection: close`.
     pub closing: Flag,
+    /// How long input is read and dropped after the last response. Closing a
+    /// socket with unread input resets it, and a reset can destroy a response
+    /// on its way (RFC 9112, section 9.6).
+    pub linger_timeout: Duration,
     /// Raised when the listener must stop. Requests in progress are finished.
     pub stop: Flag,
 }
@@ -27,6 +31,7 @@
             request_timeout: Duration::from_secs(20),
             write_timeout: Duration::from_secs(20),
             closing: Flag::new(),
+            linger_timeout: Duration::from_secs(2),
             stop: Flag::new(),
         }
     }
