Add the platform stand-in

Cause: nodes, tests and measurements need a platform to talk to. Change: Serve docs/platform.md from memory on a thread of its own, with an address for each group of callers, switchable faults and records of orders, reports and request rates.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder.
+//! Stand-ins for the outside systems, for the demo, tests and measurements.
+//! Each runs on a thread and a runtime of its own and counts what it sees
+//! independently of the nodes.
+
+pub mod platform;
+mod reply;
+pub mod thread;
--- /dev/null
+++ b/crates/standin/src/platform/faults.rs
@@ -0,0 +1,40 @@
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Faults of the platform that can be switched while it runs.
+#[derive(Debug)]
+pub struct Faults {
+    /// Time by which each response is delayed.
+    pub delay: Duration,
+    /// Number of following writes that take effect and lose their response.
+    pub lose_next: u32,
+    /// Share of all writes that take effect and lose their response, from 0 to 1.
+    pub lose_share: f64,
+    /// Responses that were lost so far.
+    pub lost: u64,
+    random: ChaCha8Rng,
+}
+
+impl Faults {
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            delay: Duration::ZERO,
+            lose_next: 0,
+            lose_share: 0.0,
+            lost: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Decides whether the response of a write is lost.
+    pub(super) fn is_lost(&mut self) -> bool {
+        let by_count = self.lose_next > 0;
+        self.lose_next = self.lose_next.saturating_sub(1);
+        let by_share = self.random.random::<f64>() < self.lose_share;
+        let is_lost = by_count || by_share;
+        self.lost += u64::from(is_lost);
+        is_lost
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/handler.rs
@@ -0,0 +1,169 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use futures_util::{
+    FutureExt,
+    future::{Either, LocalBoxFuture, select},
+};
+use http::{Method, StatusCode};
+use serde::Deserialize;
+use serde_json::json;
+use tamarackdock_platform::table::Row;
+use tamarackdock_types::{DataCentreName, ServiceName};
+use tamarackdock_wire::{
+    flag::Flag,
+    server::{self, Request, Response},
+};
+
+use super::{State, orders::Rejection};
+use crate::reply::{broken, malformed, reply};
+
+/// Answers the platform's requests.
+pub(super) struct Handler {
+    state: Arc<Mutex<State>>,
+    stop: Flag,
+}
+
+#[derive(Deserialize)]
+struct Keys {
+    keys: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Prefix {
+    prefix: String,
+}
+
+impl Handler {
+    pub(super) fn new(state: Arc<Mutex<State>>, stop: Flag) -> Self {
+        Self { state, stop }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(&self, request: Request) -> Response {
+        let is_write = is_write(&request);
+        let response = route(&mut self.state(), &request);
+        let (delay, is_lost) = {
+            let mut state = self.state();
+            state.rates.count(is_write);
+            (state.faults.delay, is_write && state.faults.is_lost())
+        };
+        if !delay.is_zero() {
+            monoio::time::sleep(delay).await;
+        }
+        if is_lost { broken() } else { response }
+    }
+}
+
+impl server::Handler for Handler {
+    fn handle(&self, request: Request) -> LocalBoxFuture<'_, Response> {
+        async move {
+            let answer = self.answer(request).boxed_local();
+            match select(answer, self.stop.wait().boxed_local()).await {
+                Either::Left((response, _)) => response,
+                Either::Right(_) => broken(),
+            }
+        }
+        .boxed_local()
+    }
+}
+
+fn is_write(request: &Request) -> bool {
+    request.method != Method::GET && !matches!(request.path(), "/table/read" | "/table/scan")
+}
+
+fn route(state: &mut State, request: &Request) -> Response {
+    let parts = request.path().trim_start_matches('/').split_once('/');
+    let (area, rest) = parts.unwrap_or((request.path().trim_start_matches('/'), ""));
+    match (request.method.as_str(), area, rest) {
+        ("POST", "table", "read") => read(state, request),
+        ("POST", "table", "scan") => scan(state, request),
+        ("POST", "table", "commit") => commit(state, request),
+        ("PUT", "objects", name) => put(state, name, request),
+        ("GET", "objects", name) => match state.objects.get(name) {
+            Some(bytes) => Response::new(StatusCode::OK, "application/octet-stream", bytes.clone()),
+            None => reply(StatusCode::NOT_FOUND, &json!({})),
+        },
+        ("POST", "orders", data_centre) => order(state, data_centre, request),
+        ("GET", "orders", data_centre) => match DataCentreName::new(data_centre) {
+            Ok(name) => reply(StatusCode::OK, &json!({"targets": state.orders.list(&name)})),
+            Err(_) => malformed(),
+        },
+        ("POST", "reports", window) => report(state, window, request),
+        ("GET", "hosts", "") => reply(StatusCode::OK, &json!({"hosts": state.hosts.shown()})),
+        ("GET", "weights", service) => weights(state, service),
+        _ => malformed(),
+    }
+}
+
+fn rows(rows: &[&Row]) -> Response {
+    reply(StatusCode::OK, &json!({"rows": rows}))
+}
+
+fn read(state: &State, request: &Request) -> Response {
+    match serde_json::from_slice::<Keys>(&request.body) {
+        Ok(wanted) => {
+            let found: Vec<_> = wanted.keys.iter().filter_map(|key| state.table.get(key)).collect();
+            rows(&found)
+        }
+        Err(_) => malformed(),
+    }
+}
+
+fn scan(state: &State, request: &Request) -> Response {
+    match serde_json::from_slice::<Prefix>(&request.body) {
+        Ok(wanted) => rows(&state.table.scan(&wanted.prefix)),
+        Err(_) => malformed(),
+    }
+}
+
+fn commit(state: &mut State, request: &Request) -> Response {
+    let Ok(commit) = serde_json::from_slice(&request.body) else {
+        return malformed();
+    };
+    match state.table.commit(commit) {
+        Ok(revision) => reply(StatusCode::OK, &json!({"revision": revision})),
+        Err(conflict) => reply(StatusCode::CONFLICT, &json!({"conflict": conflict})),
+    }
+}
+
+fn put(state: &mut State, name: &str, request: &Request) -> Response {
+    let is_same = state.put(name, &request.body);
+    let status = if is_same { StatusCode::CREATED } else { StatusCode::CONFLICT };
+    reply(status, &json!({}))
+}
+
+fn order(state: &mut State, data_centre: &str, request: &Request) -> Response {
+    let order = serde_json::from_slice(&request.body);
+    let (Ok(name), Ok(order)) = (DataCentreName::new(data_centre), order) else {
+        return malformed();
+    };
+    match state.orders.receive(name, order) {
+        Ok(()) => reply(StatusCode::OK, &json!({})),
+        Err(Rejection::StaleEpoch(epoch)) => {
+            reply(StatusCode::CONFLICT, &json!({"stale_epoch": epoch}))
+        }
+        Err(Rejection::Unavailable) => {
+            reply(StatusCode::SERVICE_UNAVAILABLE, &json!({"unavailable": true}))
+        }
+    }
+}
+
+fn report(state: &mut State, window: &str, request: &Request) -> Response {
+    let Ok(window) = window.parse() else {
+        return malformed();
+    };
+    let is_same = state.report(window, &request.body);
+    let status = if is_same { StatusCode::OK } else { StatusCode::CONFLICT };
+    reply(status, &json!({}))
+}
+
+fn weights(state: &State, service: &str) -> Response {
+    let latest = ServiceName::new(service).ok().and_then(|name| state.weights.get(&name));
+    match latest {
+        Some(latest) => Response::json(StatusCode::OK, latest),
+        None => reply(StatusCode::NOT_FOUND, &json!({})),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/mod.rs
@@ -0,0 +1,86 @@
+//! The platform in memory. See `docs/platform.md`.
+
+mod faults;
+mod handler;
+mod hosts;
+mod orders;
+mod rates;
+mod state;
+mod table;
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+pub use faults::Faults;
+pub use hosts::HostList;
+pub use orders::{Orders, Received};
+pub use rates::Rates;
+pub use state::State;
+pub use table::Table;
+
+use crate::thread::{Switches, Thread};
+
+/// A running platform. Each group of callers has an address of its own, so
+/// that one group, such as a data centre, can be cut off.
+#[derive(Debug)]
+pub struct Platform {
+    state: Arc<Mutex<State>>,
+    groups: BTreeMap<String, (SocketAddr, Thread)>,
+}
+
+impl Platform {
+    /// Starts a platform with one address for each group.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket or thread that can't be made.
+    pub fn spawn(seed: u64, groups: &[&str]) -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(State::new(seed)));
+        let mut platform = Self { state, groups: BTreeMap::new() };
+        for group in groups {
+            let state = platform.state.clone();
+            let switches = Arc::new(Switches::default());
+            let listener = Thread::serve(&format!("platform {group}"), switches, move |stop| {
+                Rc::new(handler::Handler::new(state.clone(), stop))
+            })?;
+            platform.groups.insert((*group).into(), listener);
+        }
+        Ok(platform)
+    }
+
+    /// Returns a group's address, or `None` for a group that was not declared.
+    #[must_use]
+    pub fn address(&self, group: &str) -> Option<SocketAddr> {
+        Some(self.groups.get(group)?.0)
+    }
+
+    /// Cuts a group off or reconnects it. A group that is cut off has its
+    /// connections broken and new ones refused.
+    pub fn cut(&self, group: &str, cut: bool) {
+        if let Some((_, thread)) = self.groups.get(group) {
+            thread.switches().set_down(cut);
+        }
+    }
+
+    /// Takes the platform down for all groups or brings it back.
+    pub fn set_down(&self, down: bool) {
+        for group in self.groups.keys() {
+            self.cut(group, down);
+        }
+    }
+
+    /// Returns the state, in which faults are switched and records are read.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Stops all listeners.
+    pub fn stop(&mut self) {
+        self.groups.clear();
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/standins.rs
@@ -0,0 +1,6 @@
+//! Drives each stand-in over loopback and shows that its fault switches work.
+
+#[path = "standins/platform.rs"]
+mod platform;
+#[path = "standins/support.rs"]
+mod support;
