Add the engine stand-in

Cause: nodes, tests and measurements need engines whose answers can be checked and whose faults can be switched. Change: Serve completions, load orders and load reports with continuous batching, priorities, a prefix cache, cold starts, crashes, silence and records. The text of an answer depends on its prompt alone; its length on the prompt, the engine's seed and the call's `seed` field.

--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,122 @@
+//! A model engine that batches continuously. See `docs/platform.md`.
+
+mod cache;
+mod handler;
+mod load;
+mod options;
+mod records;
+mod reply;
+mod request;
+mod run;
+mod silence;
+mod slots;
+mod state;
+pub(crate) mod text;
+
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, Mutex},
+};
+
+pub use load::Load;
+pub use options::Options;
+pub use records::Records;
+pub use request::Priority;
+pub use text::{expected_text, expected_token_ids};
+
+use state::{State, lock};
+
+use crate::thread::{Switches, Thread};
+
+/// A running engine, which stops when it is dropped.
+#[derive(Debug)]
+pub struct Engine {
+    state: Arc<Mutex<State>>,
+    address: SocketAddr,
+    thread: Thread,
+}
+
+impl Engine {
+    /// Starts an engine on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket or thread that can't be made.
+    pub fn spawn(options: Options) -> io::Result<Self> {
+        let name = options.name.clone();
+        let switches = Arc::new(Switches::default());
+        let state = Arc::new(Mutex::new(State::new(options, switches.clone())));
+        let theirs = state.clone();
+        let (address, thread) = Thread::serve(&name, switches, move |stop| {
+            Rc::new(handler::Handler::new(theirs.clone(), stop))
+        })?;
+        Ok(Self { state, address, thread })
+    }
+
+    /// Returns the address, which stays the same over crashes.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Reads the records.
+    pub fn read<T>(&self, read: impl FnOnce(&Records) -> T) -> T {
+        read(&lock(&self.state).records)
+    }
+
+    /// Changes options while the engine runs. `cache_blocks` applies from the
+    /// next start; `seed` keeps its effect on load failures.
+    pub fn configure(&self, change: impl FnOnce(&mut Options)) {
+        change(&mut lock(&self.state).options);
+    }
+
+    /// Returns the load without the lag of `GET /load`.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        lock(&self.state).load()
+    }
+
+    /// Breaks all connections and refuses new ones until [`Engine::restart`].
+    pub fn crash(&self) {
+        lock(&self.state).crash();
+    }
+
+    /// Returns whether the engine has crashed and was not restarted.
+    #[must_use]
+    pub fn is_crashed(&self) -> bool {
+        self.thread.switches().is_down()
+    }
+
+    /// Starts a crashed engine again, cold and with a new restart id.
+    pub fn restart(&self) {
+        self.thread.switches().set_down(false);
+    }
+
+    /// Makes a warm engine cold without a restart, and empties its cache.
+    pub fn reset(&self) {
+        lock(&self.state).reset();
+    }
+
+    /// Ends the cold time at once.
+    pub fn warm(&self) {
+        lock(&self.state).warm();
+    }
+
+    /// Sends nothing more on connections that carried a request so far; new
+    /// ones work.
+    pub fn silence_existing(&self) {
+        lock(&self.state).silence.silence_existing();
+    }
+
+    /// Accepts connections without answering on any of them, or answers again.
+    pub fn set_silent(&self, silent: bool) {
+        lock(&self.state).silence.set_all(silent);
+    }
+
+    /// Stops the engine.
+    pub fn stop(&mut self) {
+        self.thread.stop();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/reply.rs
@@ -0,0 +1,119 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{FutureExt, future::select};
+use http::{HeaderValue, StatusCode};
+use serde_json::{Value, json};
+use tamarackdock_types::weight::Version;
+use tamarackdock_wire::{
+    flag::Flag,
+    server::Response,
+    stream::{self, Piece},
+};
+
+use super::run::{Run, Token, hang};
+use crate::reply::reply;
+
+/// Time between two looks whether a stream's caller is still there.
+const PROBE: Duration = Duration::from_millis(20);
+
+/// Makes one event of a stream.
+fn event(id: &str, model: &str, token: &Token) -> Bytes {
+    let value = json!({
+        "id": id,
+        "object": "text_completion",
+        "model": model,
+        "choices": [{"index": 0, "text": token.text, "finish_reason": token.finish}],
+        "weight_version": token.version,
+        "token_ids": [token.id],
+    });
+    format!("data: {value}\n\n").into()
+}
+
+/// Sends a call's tokens as they are generated until the caller leaves or the engine stops.
+pub(super) fn streamed(run: Run, id: String, model: String, stop: Flag) -> Response {
+    let (sender, body) = stream::channel();
+    monoio::spawn(async move {
+        let left = reader_left(sender.clone()).boxed_local();
+        let ended = select(left, stop.wait().boxed_local());
+        select(send(run, sender, id, model).boxed_local(), ended).await;
+    });
+    Response::stream(StatusCode::OK, HeaderValue::from_static("text/event-stream"), body)
+}
+
+/// Waits until the caller has left, which a sender notices only when it sends.
+async fn reader_left(mut sender: stream::Sender) {
+    loop {
+        monoio::time::sleep(PROBE).await;
+        if !sender.send(Piece::Data(Bytes::new())).await {
+            return;
+        }
+    }
+}
+
+async fn send(mut run: Run, mut sender: stream::Sender, id: String, model: String) {
+    while let Some(token) = run.next().await {
+        if run.is_silent() {
+            // The slot is freed, and the sender keeps the connection open.
+            drop(run);
+            hang().await;
+            return;
+        }
+        if !sender.send(Piece::Data(event(&id, &model, &token))).await {
+            return;
+        }
+    }
+    drop(run);
+    let done = Piece::Data(Bytes::from_static(b"data: [DONE]\n\n"));
+    let _ = sender.send(done).await && sender.send(Piece::End).await;
+}
+
+/// Generates all tokens of a call.
+pub(super) async fn whole(mut run: Run, id: &str, model: &str) -> Response {
+    let mut text = String::new();
+    let mut ids = Vec::new();
+    let mut finish = Some("stop");
+    let mut spans: Vec<(u64, Version)> = Vec::new();
+    while let Some(token) = run.next().await {
+        if run.is_silent() {
+            hang().await;
+        }
+        text.push_str(&token.text);
+        ids.push(token.id);
+        finish = token.finish;
+        match spans.last_mut().filter(|(_, version)| *version == token.version) {
+            Some((tokens, _)) => *tokens += 1,
+            None => spans.push((1, token.version)),
+        }
+    }
+    let version = spans.last().map(|(_, version)| *version);
+    let span =
+        |(tokens, version): &(u64, Version)| json!({"tokens": tokens, "weight_version": version});
+    let spans: Vec<Value> = spans.iter().map(span).collect();
+    reply(
+        StatusCode::OK,
+        &json!({
+            "id": id,
+            "object": "text_completion",
+            "model": model,
+            "choices": [{"index": 0, "text": text, "finish_reason": finish}],
+            "weight_version": version,
+            "token_ids": ids,
+            "spans": spans,
+            "usage": {"completion_tokens": ids.len()},
+        }),
+    )
+}
+
+/// Makes the response to a call that was not run.
+pub(super) fn not_run(name: &str) -> Response {
+    let mut response =
+        reply(StatusCode::SERVICE_UNAVAILABLE, &json!({"error": "the queue is full"}));
+    response.headers.insert("x-not-run", HeaderValue::from_static("1"));
+    response.headers.extend(
+        HeaderValue::from_str(name)
+            .ok()
+            .map(|name| (http::HeaderName::from_static("x-target"), name)),
+    );
+    response
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,6 +2,7 @@
 //! Each runs on a thread and a runtime of its own and counts what it sees
 //! independently of the nodes.
 
+pub mod engine;
 pub mod platform;
 mod reply;
 pub mod thread;
--- a/crates/standin/tests/standins.rs
+++ b/crates/standin/tests/standins.rs
@@ -1,5 +1,7 @@
 //! Drives each stand-in over loopback and shows that its fault switches work.
 
+#[path = "standins/engine.rs"]
+mod engine;
 #[path = "standins/platform.rs"]
 mod platform;
 #[path = "standins/support.rs"]
--- a/crates/standin/tests/standins/support.rs
+++ b/crates/standin/tests/standins/support.rs
@@ -1,10 +1,16 @@
 use std::{
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
+use http::Request;
 use monoio::{LegacyDriver, RuntimeBuilder};
-use tamarackdock_wire::{client::Pool, guard::Limits};
+use tamarackdock_wire::{
+    client::{Deadlines, Error, Pool, Whole},
+    guard::Limits,
+};
 
 /// Seed of every test in this directory.
 pub(crate) const SEED: u64 = 0x5eed;
@@ -30,3 +36,13 @@
 pub(crate) fn pool() -> Rc<Pool> {
     Rc::new(Pool::new(Limits::default()))
 }
+
+pub(crate) fn request(method: &str, path: &str, body: &str) -> Request<Bytes> {
+    let request = Request::builder().method(method).uri(path).header("host", "standin");
+    request.body(Bytes::copy_from_slice(body.as_bytes())).unwrap()
+}
+
+/// Makes one call on a new connection.
+pub(crate) async fn call(address: SocketAddr, request: Request<Bytes>) -> Result<Whole, Error> {
+    pool().call(address, request, Deadlines::default()).await
+}
