Add the plain service and fault proxy stand-ins

Cause: routing to plain services and broken connections need ends that count repeated calls and lose, delay or silence bytes on request. Change: Serve an echo that counts runs by `x-call-id`, and pass TCP connections through a proxy whose faults act on open connections too.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,8 @@
 //! independently of the nodes.
 
 pub mod engine;
+pub mod plain;
 pub mod platform;
+pub mod proxy;
 mod reply;
 pub mod thread;
--- /dev/null
+++ b/crates/standin/src/plain/state.rs
@@ -0,0 +1,27 @@
+use std::{collections::BTreeMap, time::Duration};
+
+/// Switches and counts of a plain service.
+#[derive(Debug, Default)]
+pub struct State {
+    /// Time by which each response is delayed.
+    pub delay: Duration,
+    /// Number of following calls that run and are answered with status 500.
+    pub fail_next: u32,
+    /// Number of following calls that run and lose their response.
+    pub lose_next: u32,
+    /// Times that each `x-call-id` ran. More than once is a fault for a
+    /// call that must not be repeated.
+    pub runs: BTreeMap<String, u64>,
+    /// Requests that carried an `authorization` header.
+    pub authorized_requests: u64,
+    /// Calls in total.
+    pub calls: u64,
+}
+
+impl State {
+    /// Returns the ids of calls that ran more than once.
+    #[must_use]
+    pub fn repeated(&self) -> Vec<&str> {
+        self.runs.iter().filter(|(_, runs)| **runs > 1).map(|(id, _)| id.as_str()).collect()
+    }
+}
--- a/crates/standin/src/thread.rs
+++ b/crates/standin/src/thread.rs
@@ -47,6 +47,13 @@
         self.stop.load(Ordering::SeqCst)
     }
 
+    /// Waits until the thread must stop.
+    pub(crate) async fn stopped(&self) {
+        while !self.is_stopped() {
+            monoio::time::sleep(POLL).await;
+        }
+    }
+
     fn is_serving(&self) -> bool {
         !self.is_down() && !self.is_stopped()
     }
@@ -64,6 +71,21 @@
         &self.switches
     }
 
+    /// Starts a thread that runs a task until it ends or the thread is stopped.
+    pub(crate) fn run<M, F>(name: &str, make: M) -> io::Result<Self>
+    where
+        M: FnOnce(Arc<Switches>) -> F + Send + 'static,
+        F: Future<Output = ()> + 'static,
+    {
+        let switches = Arc::new(Switches::default());
+        let theirs = switches.clone();
+        let join = thread::Builder::new().name(name.into()).spawn(move || {
+            let task = make(theirs);
+            block_on(task);
+        })?;
+        Ok(Self { switches, join: Some(join) })
+    }
+
     /// Starts a listener on a free loopback port. While the switch `down` is
     /// set, connections are broken off and refused; the port stays the same.
     pub(crate) fn serve<M>(
--- /dev/null
+++ b/crates/standin/tests/standins/plain.rs
@@ -0,0 +1,51 @@
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use standin::plain::Plain;
+use tamarackdock_wire::client::{Deadlines, Error};
+
+use super::support::{call, pool, request, run, until};
+
+fn post(id: &str) -> http::Request<bytes::Bytes> {
+    let mut request = request("POST", "/a/b?c=d", "body");
+    request.headers_mut().insert("x-call-id", id.parse().unwrap());
+    request
+}
+
+/// Guards against an echo that loses a part of the call, and against
+/// repeated calls that are not counted.
+#[test]
+fn echo_counts_repeated_calls() {
+    run(async {
+        let plain = Plain::spawn("plain").unwrap();
+        for id in ["one", "two", "one"] {
+            let echo = call(plain.address(), post(id)).await.unwrap();
+            let value: Value = serde_json::from_slice(&echo.body).unwrap();
+            assert_eq!(value, json!({"method": "POST", "path": "/a/b?c=d", "body": "body"}));
+        }
+        assert_eq!(plain.state().repeated(), ["one"]);
+        assert_eq!(plain.state().calls, 3);
+    });
+}
+
+/// Guards against fault switches without effect, and against a failed or
+/// lost call that is not counted as run.
+#[test]
+fn faults_fail_lose_delay_and_refuse() {
+    run(async {
+        let plain = Plain::spawn("plain").unwrap();
+        plain.state().fail_next = 1;
+        assert_eq!(call(plain.address(), post("a")).await.unwrap().status, 500);
+        plain.state().lose_next = 1;
+        assert_eq!(call(plain.address(), post("b")).await.unwrap_err(), Error::Broken);
+        assert_eq!(call(plain.address(), post("b")).await.unwrap().status, 200);
+        assert_eq!(plain.state().repeated(), ["b"]);
+        plain.state().delay = Duration::from_hours(1);
+        let first_byte = Duration::from_millis(100);
+        let deadlines = Deadlines { first_byte, ..Deadlines::default() };
+        let late = pool().call(plain.address(), post("c"), deadlines).await;
+        assert_eq!(late.unwrap_err(), Error::Silent);
+        plain.set_down(true);
+        until("refused", || std::net::TcpStream::connect(plain.address()).is_err()).await;
+    });
+}
--- /dev/null
+++ b/crates/standin/tests/standins/proxy.rs
@@ -0,0 +1,92 @@
+use std::time::Duration;
+
+use standin::{plain::Plain, proxy::Proxy};
+use tamarackdock_wire::client::{Connection, Deadlines, Error};
+
+use super::support::{call, request, run, until};
+
+async fn connect(proxy: &Proxy) -> Connection {
+    Connection::open(proxy.address(), tamarackdock_wire::guard::Limits::default(), deadlines())
+        .await
+        .unwrap()
+}
+
+/// Deadlines under which only a fault that never ends is seen as silence.
+fn deadlines() -> Deadlines {
+    let between_bytes = Duration::from_millis(300);
+    Deadlines { between_bytes, ..Deadlines::default() }
+}
+
+async fn get(connection: &mut Connection) -> Result<bytes::Bytes, Error> {
+    connection.send(request("GET", "/x", "")).await?.whole().await
+}
+
+/// Guards against a cut that leaves open connections alone, and against a
+/// proxy that does not heal.
+#[test]
+fn cut_breaks_open_and_new_connections() {
+    run(async {
+        let plain = Plain::spawn("plain").unwrap();
+        let proxy = Proxy::spawn(plain.address()).unwrap();
+        let mut open = connect(&proxy).await;
+        get(&mut open).await.unwrap();
+        proxy.faults().cut = true;
+        until("the connection is closed", || proxy.counts().open == 0).await;
+        assert_eq!(get(&mut open).await, Err(Error::Broken));
+        assert!(call(proxy.address(), request("GET", "/x", "")).await.is_err());
+        assert_eq!(plain.state().calls, 1);
+        proxy.faults().cut = false;
+        assert!(call(proxy.address(), request("GET", "/x", "")).await.is_ok());
+    });
+}
+
+/// Guards against a lost response whose request is lost too.
+#[test]
+fn lost_response_passes_the_request() {
+    run(async {
+        let plain = Plain::spawn("plain").unwrap();
+        let proxy = Proxy::spawn(plain.address()).unwrap();
+        proxy.faults().lose_responses = true;
+        let lost = call(proxy.address(), request("GET", "/x", "")).await;
+        assert_eq!(lost.unwrap_err(), Error::Broken);
+        assert_eq!(plain.state().calls, 1);
+        assert_eq!(proxy.counts().returned, 0);
+        assert!(proxy.counts().withheld > 0);
+    });
+}
+
+/// Guards against a silence that closes the connection or passes more bytes
+/// than it was told to, and against one that never ends when switched off.
+#[test]
+fn silence_keeps_connections_open() {
+    run(async {
+        let plain = Plain::spawn("plain").unwrap();
+        let proxy = Proxy::spawn(plain.address()).unwrap();
+        proxy.faults().silent_after = Some(100);
+        let mut partial = connect(&proxy).await;
+        assert_eq!(get(&mut partial).await, Err(Error::Silent));
+        assert_eq!(proxy.counts().returned, 100);
+        assert_eq!(proxy.counts().open, 1);
+        proxy.faults().silent_after = None;
+        proxy.faults().silent = true;
+        let before = plain.state().calls;
+        let waiting = monoio::spawn(call(proxy.address(), request("GET", "/x", "")));
+        until("the second connection is open", || proxy.counts().connections == 2).await;
+        assert_eq!(plain.state().calls, before);
+        proxy.faults().silent = false;
+        assert!(waiting.await.is_ok());
+    });
+}
+
+/// Guards against a delay that is not applied to both directions.
+#[test]
+fn delay_acts_in_both_directions() {
+    run(async {
+        let plain = Plain::spawn("plain").unwrap();
+        let proxy = Proxy::spawn(plain.address()).unwrap();
+        proxy.faults().delay = Duration::from_millis(50);
+        let begin = std::time::Instant::now();
+        call(proxy.address(), request("GET", "/x", "")).await.unwrap();
+        assert!(begin.elapsed() >= Duration::from_millis(100));
+    });
+}
