Add the trainer, app and bench stand-ins

Cause: promises towards callers need clients that check every sample and answer on their own side, and tests need a set of stand-ins at once. Change: The trainer asks for steps, reads by cursor, repeats cursors after lost responses and records each broken promise; the app judges whole and streamed answers; the bench starts a platform, engines and plain services. Conclusion: 4 loopback tests pass, in which each of eight breaches by a node is found and an undisturbed node gets no violation.

--- /dev/null
+++ b/crates/standin/src/bench.rs
@@ -0,0 +1,49 @@
+//! A set of stand-ins that are started together.
+
+use std::io;
+
+use crate::{
+    engine::{self, Engine},
+    plain::Plain,
+    platform::Platform,
+};
+
+/// Stand-ins of the outside systems with one seed.
+#[derive(Debug)]
+pub struct Bench {
+    /// Platform.
+    pub platform: Platform,
+    /// Engines, named `e0`, `e1` and so on.
+    pub engines: Vec<Engine>,
+    /// Plain services, named `s0`, `s1` and so on.
+    pub plain: Vec<Plain>,
+}
+
+impl Bench {
+    /// Starts a platform with one address for each data centre, and engines
+    /// with the given options but names of their own. They share the seed, so
+    /// that one engine can resume another's streams.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the first stand-in that can't be started.
+    pub fn spawn(
+        seed: u64,
+        data_centres: &[&str],
+        engines: usize,
+        options: &engine::Options,
+        plain: usize,
+    ) -> io::Result<Self> {
+        let engine = |index| {
+            let name = format!("e{index}");
+            Engine::spawn(engine::Options { name, seed, ..options.clone() })
+        };
+        Ok(Self {
+            platform: Platform::spawn(seed, data_centres)?,
+            engines: (0..engines).map(engine).collect::<io::Result<_>>()?,
+            plain: (0..plain)
+                .map(|index| Plain::spawn(&format!("s{index}")))
+                .collect::<io::Result<_>>()?,
+        })
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,9 +2,13 @@
 //! Each runs on a thread and a runtime of its own and counts what it sees
 //! independently of the nodes.
 
+pub mod app;
+pub mod bench;
+mod caller;
 pub mod engine;
 pub mod plain;
 pub mod platform;
 pub mod proxy;
 mod reply;
 pub mod thread;
+pub mod trainer;
--- /dev/null
+++ b/crates/standin/src/trainer/mod.rs
@@ -0,0 +1,61 @@
+//! A trainer that asks nodes for steps and checks every sample.
+
+mod check;
+mod options;
+mod records;
+mod sample;
+mod step;
+mod violation;
+mod watch;
+
+use std::{
+    io,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+pub use options::Options;
+pub use records::Records;
+pub use violation::Violation;
+pub use watch::Watch;
+
+use crate::thread::Thread;
+
+/// A running trainer, which stops when it is dropped.
+#[derive(Debug)]
+pub struct Trainer {
+    records: Arc<Mutex<Records>>,
+    thread: Thread,
+}
+
+impl Trainer {
+    /// Starts a trainer that runs its steps one after the other. The watch
+    /// holds the newest weight version that nodes are expected to know.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the thread that can't be made.
+    pub fn spawn(options: Options, watch: Watch) -> io::Result<Self> {
+        let records = Arc::new(Mutex::new(Records::default()));
+        let theirs = records.clone();
+        let thread = Thread::run(&options.name.clone(), move |switches| {
+            step::run(options, watch, theirs, switches)
+        })?;
+        Ok(Self { records, thread })
+    }
+
+    /// Reads the records.
+    pub fn read<T>(&self, read: impl FnOnce(&Records) -> T) -> T {
+        read(&self.records.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Returns whether all steps are done or the trainer was stopped.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        self.thread.is_finished()
+    }
+
+    /// Stops the trainer; a call in progress is broken off.
+    pub fn stop(&mut self) {
+        self.thread.stop();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/trainer/step.rs
@@ -0,0 +1,146 @@
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use futures_util::{FutureExt, future::select};
+use http::Method;
+use serde_json::{Value, json};
+use tamarackdock_types::weight::Version;
+use tamarackdock_wire::client::Whole;
+
+use super::{Options, Records, Violation, Watch, check::Check, sample::Page};
+use crate::{
+    caller::{Caller, refusal},
+    thread::Switches,
+};
+
+/// The trainer's task.
+struct Steps {
+    caller: Caller,
+    options: Options,
+    watch: Watch,
+    records: Arc<Mutex<Records>>,
+}
+
+/// Runs all steps, until the thread must stop.
+pub(super) async fn run(
+    options: Options,
+    watch: Watch,
+    records: Arc<Mutex<Records>>,
+    switches: Arc<Switches>,
+) {
+    let caller = Caller::new(options.nodes.clone(), options.key.clone());
+    let steps = Steps { caller, options, watch, records };
+    select(steps.run().boxed_local(), switches.stopped().boxed_local()).await;
+}
+
+impl Steps {
+    async fn run(&self) {
+        let first = self.options.first_step;
+        for step in first..first + self.options.steps {
+            let begin = Instant::now();
+            self.ask(step).await;
+            let cursor = self.read(step).await;
+            self.records().idle.push(begin.elapsed());
+            self.acknowledge(step, cursor).await;
+            self.records().steps += 1;
+            monoio::time::sleep(self.options.compute_time).await;
+            self.records().compute += self.options.compute_time;
+        }
+    }
+
+    fn records(&self) -> MutexGuard<'_, Records> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn ask(&self, step: u64) {
+        let body = json!({
+            "trainer": self.options.name,
+            "step": step,
+            "prompts": self.options.prompts(step),
+            "group_size": self.options.group_size,
+            "max_tokens": self.options.max_tokens,
+            "staleness_bound": self.options.staleness_bound,
+        });
+        while self.call(Method::POST, "/v1/steps", Some(&body)).await.is_none() {
+            monoio::time::sleep(self.options.retry_pause).await;
+        }
+    }
+
+    /// Reads the step until it is complete and returns the last cursor.
+    async fn read(&self, step: u64) -> u64 {
+        let mut check = Check::new(&self.options, step);
+        let mut cursor = 0;
+        for read in 0.. {
+            let known = self.watch.known();
+            let page = self.page(step, cursor).await;
+            self.check(&mut check, &page, known);
+            if self.options.rereads(step, read) {
+                self.compare(step, cursor, &page).await;
+            }
+            cursor = page.next_cursor;
+            if page.complete {
+                break;
+            }
+        }
+        self.records().violations.extend(check.complete());
+        cursor
+    }
+
+    fn check(&self, check: &mut Check<'_>, page: &Page, known: Version) {
+        let mut records = self.records();
+        for sample in &page.samples {
+            let finding = check.sample(sample, known, self.watch.published());
+            records.samples += 1;
+            records.tokens += u64::try_from(sample.token_ids.len()).unwrap_or(u64::MAX);
+            records.max_lag = records.max_lag.max(finding.lag);
+            records.violations.extend(finding.violations);
+        }
+    }
+
+    /// Reads a cursor again. Samples that have come since may follow the first ones.
+    async fn compare(&self, step: u64, cursor: u64, first: &Page) {
+        let second = self.page(step, cursor).await;
+        let mut records = self.records();
+        records.compared_reads += 1;
+        if !second.samples.starts_with(&first.samples) {
+            records.violations.push(Violation::Changed { step, cursor });
+        }
+    }
+
+    /// Reads from a cursor until a response arrives whole.
+    async fn page(&self, step: u64, cursor: u64) -> Page {
+        let wait = self.options.read_wait.as_millis();
+        let name = &self.options.name;
+        let path = format!("/v1/steps/{name}/{step}/samples?cursor={cursor}&wait_ms={wait}");
+        loop {
+            let answer = self.call(Method::GET, &path, None).await;
+            let page = answer.and_then(|answer| serde_json::from_slice(&answer.body).ok());
+            if let Some(page) = page {
+                return page;
+            }
+            self.records().repeated_reads += 1;
+            monoio::time::sleep(self.options.retry_pause).await;
+        }
+    }
+
+    async fn acknowledge(&self, step: u64, cursor: u64) {
+        let path = format!("/v1/steps/{}/{step}/ack", self.options.name);
+        let body = json!({"cursor": cursor});
+        while self.call(Method::POST, &path, Some(&body)).await.is_none() {
+            monoio::time::sleep(self.options.retry_pause).await;
+        }
+    }
+
+    /// Makes one call and returns a success. Failures are counted, and the next node is used.
+    async fn call(&self, method: Method, path: &str, body: Option<&Value>) -> Option<Whole> {
+        match self.caller.call(method, path, body).await {
+            Ok(answer) if answer.status.is_success() => return Some(answer),
+            Ok(answer) => self.records().refusals.push(refusal(&answer.body).0),
+            Err(_) => self.records().lost += 1,
+        }
+        self.caller.rotate();
+        None
+    }
+}
--- a/crates/standin/tests/standins.rs
+++ b/crates/standin/tests/standins.rs
@@ -1,7 +1,13 @@
 //! Drives each stand-in over loopback and shows that its fault switches work.
 
+#[path = "standins/app.rs"]
+mod app;
+#[path = "standins/bench.rs"]
+mod bench;
 #[path = "standins/engine.rs"]
 mod engine;
+#[path = "standins/node.rs"]
+mod node;
 #[path = "standins/plain.rs"]
 mod plain;
 #[path = "standins/platform.rs"]
@@ -10,3 +16,5 @@
 mod proxy;
 #[path = "standins/support.rs"]
 mod support;
+#[path = "standins/trainer.rs"]
+mod trainer;
--- /dev/null
+++ b/crates/standin/tests/standins/bench.rs
@@ -0,0 +1,22 @@
+use standin::{bench::Bench, engine::Options};
+
+use super::support::{SEED, call, request, run};
+
+/// Guards against a set whose members share addresses or names, or whose
+/// engines give a prompt different lengths.
+#[test]
+fn members_have_addresses_and_names_of_their_own() {
+    run(async {
+        let bench = Bench::spawn(SEED, &["d1", "d2"], 3, &Options::default(), 1).unwrap();
+        let mut names = Vec::new();
+        for engine in &bench.engines {
+            let answer = call(engine.address(), request("GET", "/load", "")).await.unwrap();
+            let value: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+            names.push(value["restart_id"].as_str().unwrap().to_owned());
+            engine.configure(|options| assert_eq!(options.seed, SEED));
+        }
+        assert_eq!(names, ["e0-1", "e1-1", "e2-1"]);
+        assert_ne!(bench.platform.address("d1"), bench.platform.address("d2"));
+        assert!(call(bench.plain[0].address(), request("GET", "/", "")).await.is_ok());
+    });
+}
--- /dev/null
+++ b/crates/standin/tests/standins/trainer.rs
@@ -0,0 +1,80 @@
+use std::{net::SocketAddr, time::Duration};
+
+use assert_matches::assert_matches;
+use standin::trainer::{Options, Trainer, Violation, Watch};
+use tamarackdock_types::weight::Version;
+
+use super::{
+    node::{Breach, Node},
+    support::{SEED, run, until},
+};
+
+fn options(address: SocketAddr) -> Options {
+    Options {
+        key: "key".into(),
+        nodes: vec![address],
+        seed: SEED,
+        groups: 2,
+        group_size: 2,
+        retry_pause: Duration::from_millis(1),
+        reread_percent: 0,
+        ..Options::default()
+    }
+}
+
+async fn finish(options: Options) -> Trainer {
+    let trainer = Trainer::spawn(options, Watch::new(Version(5))).unwrap();
+    until("the trainer has finished", || trainer.is_finished()).await;
+    trainer
+}
+
+/// Guards against a trainer that passes over a lost response: it must repeat
+/// the same cursor and count each slot once.
+#[test]
+fn lost_reads_repeat_their_cursor() {
+    run(async {
+        let (address, node) = Node::spawn(None);
+        node.lose_reads.set(2);
+        let compute_time = Duration::from_millis(20);
+        let trainer = finish(Options { steps: 2, compute_time, ..options(address) }).await;
+        assert_eq!(*node.cursors.borrow(), [0, 0, 0, 3, 0, 3]);
+        assert_eq!(node.acknowledged.get(), 4);
+        trainer.read(|records| {
+            assert_eq!((records.steps, records.samples, records.tokens), (2, 8, 32));
+            assert_eq!((records.repeated_reads, records.lost), (2, 2));
+            assert_eq!(records.violations, []);
+            assert_eq!((records.idle.len(), records.compute), (2, compute_time * 2));
+            assert!(records.idle_share() > 0.0 && records.idle_share() < 1.0);
+        });
+    });
+}
+
+/// Guards against checks that let a broken promise pass.
+#[test]
+fn each_breach_is_found() {
+    let find = |breach, reread_percent| {
+        run(async {
+            let (address, _node) = Node::spawn(Some(breach));
+            let trainer = finish(Options { reread_percent, ..options(address) }).await;
+            trainer.read(|records| records.violations.clone())
+        })
+    };
+    let slot = (1, 0, 0);
+    let at = |step, group, index| (step, group, index) == slot;
+    assert_matches!(find(Breach::Prompt, 0)[..],
+        [Violation::Prompt { step, group, index }, Violation::Text { .. }] if at(step, group, index));
+    assert_matches!(find(Breach::Text, 0)[..],
+        [Violation::Text { step, group, index }] if at(step, group, index));
+    assert_matches!(find(Breach::Span, 0)[..],
+        [Violation::Spans { step, group, index }] if at(step, group, index));
+    assert_matches!(find(Breach::FutureVersion, 0)[..],
+        [Violation::Spans { step, group, index }] if at(step, group, index));
+    assert_matches!(find(Breach::Stale, 0)[..],
+        [Violation::Stale { step, group, index, lag: 2 }] if at(step, group, index));
+    assert_matches!(find(Breach::Duplicate, 0)[..],
+        [Violation::Duplicate { step, group, index }] if at(step, group, index));
+    assert_matches!(find(Breach::Missing, 0)[..], [Violation::Missing { missing: 1, .. }]);
+    let changed = find(Breach::Changed, 100);
+    assert!(changed.contains(&Violation::Changed { step: 1, cursor: 0 }), "{changed:?}");
+    assert_eq!(find(Breach::Truncated, 100), []);
+}
