--- /dev/null
+++ b/crates/standin/tests/standins/support.rs
@@ -0,0 +1,48 @@
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::Request;
+use monoio::{LegacyDriver, RuntimeBuilder};
+use tamarackdock_wire::{
+    client::{Deadlines, Error, Pool, Whole},
+    guard::Limits,
+};
+
+/// Seed of every test in this directory.
+pub(crate) const SEED: u64 = 0x5eed;
+/// Passing this time only fails a test.
+pub(crate) const DEADLINE: Duration = Duration::from_secs(20);
+
+/// Runs a test's client side and prints the seed for a failure's report.
+pub(crate) fn run<T>(task: impl Future<Output = T>) -> T {
+    println!("seed {SEED:#x}");
+    let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
+    runtime.unwrap().block_on(task)
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(what: &str, condition: impl Fn() -> bool) {
+    let begin = Instant::now();
+    while !condition() {
+        assert!(begin.elapsed() < DEADLINE, "still waiting until {what}");
+        monoio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+pub(crate) fn pool() -> Rc<Pool> {
+    Rc::new(Pool::new(Limits::default()))
+}
+
+pub(crate) fn request(method: &str, path: &str, body: &str) -> Request<Bytes> {
+    let request = Request::builder().method(method).uri(path).header("host", "standin");
+    request.body(Bytes::copy_from_slice(body.as_bytes())).unwrap()
+}
+
+/// Makes one call on a new connection.
+pub(crate) async fn call(address: SocketAddr, request: Request<Bytes>) -> Result<Whole, Error> {
+    pool().call(address, request, Deadlines::default()).await
+}
