Adapt the stand-ins and byte tests to producers tied to connections

Change: producers are part of the response everywhere; the engine stand-in no longer probes for a caller that left, since its producer is dropped with the connection.

--- a/crates/standin/src/engine/reply.rs
+++ b/crates/standin/src/engine/reply.rs
@@ -1,5 +1,3 @@
-use std::time::Duration;
-
 use bytes::Bytes;
 use futures_util::{FutureExt, future::select};
 use http::{HeaderValue, StatusCode};
@@ -14,9 +12,6 @@
 use super::run::{Run, Token, hang};
 use crate::reply::reply;
 
-/// Time between two looks whether a stream's caller is still there.
-const PROBE: Duration = Duration::from_millis(20);
-
 /// Makes one event of a stream.
 fn event(id: &str, model: &str, token: &Token) -> Bytes {
     let value = json!({
@@ -33,22 +28,11 @@
 /// Sends a call's tokens as they are generated until the caller leaves or the engine stops.
 pub(super) fn streamed(run: Run, id: String, model: String, stop: Flag) -> Response {
     let (sender, body) = stream::channel();
-    monoio::spawn(async move {
-        let left = reader_left(sender.clone()).boxed_local();
-        let ended = select(left, stop.wait().boxed_local());
-        select(send(run, sender, id, model).boxed_local(), ended).await;
-    });
-    Response::stream(StatusCode::OK, HeaderValue::from_static("text/event-stream"), body)
-}
-
-/// Waits until the caller has left, which a sender notices only when it sends.
-async fn reader_left(mut sender: stream::Sender) {
-    loop {
-        monoio::time::sleep(PROBE).await;
-        if !sender.send(Piece::Data(Bytes::new())).await {
-            return;
-        }
-    }
+    let producer = async move {
+        select(send(run, sender, id, model).boxed_local(), stop.wait().boxed_local()).await;
+    };
+    let content_type = HeaderValue::from_static("text/event-stream");
+    Response::stream(StatusCode::OK, content_type, body, producer.boxed_local())
 }
 
 async fn send(mut run: Run, mut sender: stream::Sender, id: String, model: String) {
--- a/crates/standin/src/reply.rs
+++ b/crates/standin/src/reply.rs
@@ -1,3 +1,4 @@
+use futures_util::FutureExt;
 use http::{HeaderValue, StatusCode};
 use serde_json::{Value, json};
 use tamarackdock_wire::{server::Response, stream};
@@ -15,5 +16,7 @@
 /// Makes a response that breaks off after its head, so that its content is lost.
 pub(crate) fn broken() -> Response {
     let (_, body) = stream::channel();
-    Response::stream(StatusCode::OK, HeaderValue::from_static("application/json"), body)
+    let content_type = HeaderValue::from_static("application/json");
+    let nothing = std::future::ready(()).boxed_local();
+    Response::stream(StatusCode::OK, content_type, body, nothing)
 }
--- a/crates/standin/src/thread.rs
+++ b/crates/standin/src/thread.rs
@@ -160,7 +160,7 @@
     let begin = Instant::now();
     loop {
         match listen(address, handler.clone(), options.clone()) {
-            Ok(bound) => return bound,
+            Ok(bound) => return bound.address(),
             Err(error) if begin.elapsed() > REBIND_TIMEOUT => {
                 panic!("can't bind `{address}`: {error}")
             }
--- a/crates/tamarackdock_wire/tests/server_bytes.rs
+++ b/crates/tamarackdock_wire/tests/server_bytes.rs
@@ -36,6 +36,14 @@
     }
 }
 
+struct OnStop(mpsc::Sender<&'static str>);
+
+impl Drop for OnStop {
+    fn drop(&mut self) {
+        let _ = self.0.send("stopped");
+    }
+}
+
 impl Handler for Echo {
     fn handle(&self, request: Request) -> LocalBoxFuture<'_, Response> {
         let dropped = OnDrop(self.events.clone());
@@ -48,28 +56,30 @@
                 "/empty" => Response::new(StatusCode::NO_CONTENT, "text/plain", "ignored"),
                 "/flood" => {
                     let (mut sender, receiver) = stream::channel();
-                    let events = self.events.clone();
-                    monoio::spawn(async move {
+                    let stopped = OnStop(self.events.clone());
+                    let producer = async move {
+                        let _stopped = stopped;
                         let data = Bytes::from(vec![b'x'; 64 << 10]);
                         while sender.send(Piece::Data(data.clone())).await {}
-                        let _ = events.send("stopped");
-                    });
+                    };
                     Response::stream(
                         StatusCode::OK,
                         http::HeaderValue::from_static("text/plain"),
                         receiver,
+                        producer.boxed_local(),
                     )
                 }
                 "/stream" => {
                     let (mut sender, receiver) = stream::channel();
-                    monoio::spawn(async move {
+                    let producer = async move {
                         let _ = sender.send(Piece::Data(Bytes::from_static(b"abc"))).await;
                         let _ = sender.send(Piece::End).await;
-                    });
+                    };
                     Response::stream(
                         StatusCode::OK,
                         http::HeaderValue::from_static("text/plain"),
                         receiver,
+                        producer.boxed_local(),
                     )
                 }
                 _ => Response::new(StatusCode::OK, "text/plain", request.body),
@@ -93,7 +103,7 @@
             configure(&mut options);
             let any = SocketAddr::from(([127, 0, 0, 1], 0));
             let bound = listen(any, Rc::new(Echo { events }), options).expect("a free port");
-            address_sender.send(bound).expect("the test waits");
+            address_sender.send(bound.address()).expect("the test waits");
             std::future::pending::<()>().await;
         });
     });
