Add the lease state machine

Change: `Lease` turns inputs and the time into reads, commits and wake-up times. Validity counts from before the first try of a write; a lost response is settled by reading the operation id back, and a write is repeated unchanged under its old precondition. A candidate watches a revision for duration plus margin from the response that first showed it. The row `epoch/{name}` is written at each acquisition only, so that `Held::fence` stays good across renewals. Orders for receivers that ignore epochs carry a send deadline, and the next holder waits for the span in the lease row, since clocks of two hosts can't be compared.

--- /dev/null
+++ b/crates/tamarackdock_lease/src/lease/mod.rs
@@ -0,0 +1,127 @@
+mod settle;
+mod write;
+
+use tamarackdock_types::{HostName, clock::Instant};
+
+use crate::{
+    Action, Held, Input, Operations, Terms,
+    pending::{Change, Pending},
+    seen::Seen,
+};
+
+/// The state machine of one lease in one process.
+#[derive(Debug)]
+pub struct Lease {
+    name: String,
+    holder: HostName,
+    terms: Terms,
+    operations: Operations,
+    wanted: bool,
+    held: Option<Held>,
+    seen: Option<Seen>,
+    pending: Option<Pending>,
+    /// Number of the last request.
+    request: u64,
+    in_flight: bool,
+    next: Instant,
+}
+
+impl Lease {
+    /// Makes a candidate for the lease `name`, which acts from [`Input::Want`] on.
+    ///
+    /// A restarted process starts as a candidate, even if the row names its host:
+    /// its former run may be paused rather than dead.
+    #[must_use]
+    pub fn new(name: &str, holder: HostName, terms: Terms, operations: Operations) -> Self {
+        Self {
+            name: name.into(),
+            holder,
+            terms,
+            operations,
+            wanted: false,
+            held: None,
+            seen: None,
+            pending: None,
+            request: 0,
+            in_flight: false,
+            next: Instant::default(),
+        }
+    }
+
+    /// Returns the lease if this process may act as its holder.
+    #[must_use]
+    pub fn held(&self) -> Option<&Held> {
+        self.held.as_ref().filter(|_| self.may_act())
+    }
+
+    /// Returns the lease for recording an order, see [`Held::record`].
+    pub fn held_mut(&mut self) -> Option<&mut Held> {
+        let may_act = self.may_act();
+        self.held.as_mut().filter(|_| may_act)
+    }
+
+    /// Whether a release has ended, so that the process can stop.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        !self.wanted && self.held.is_none() && self.pending.is_none()
+    }
+
+    /// Takes an input at the time `now`, which must be read before the actions
+    /// are carried out.
+    pub fn step(&mut self, now: Instant, input: Input) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match input {
+            Input::Tick => {}
+            Input::Want => self.want(now, true),
+            Input::Release => self.want(now, false),
+            Input::Read { request, .. } | Input::Committed { request, .. }
+                if !self.in_flight || request != self.request => {}
+            Input::Read { result, .. } => self.on_read(now, result, &mut actions),
+            Input::Committed { result, .. } => self.on_committed(now, &result, &mut actions),
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// A release that was sent can take effect at any time, even if the lease is
+    /// wanted again.
+    fn may_act(&self) -> bool {
+        let releasing = |pending: &Pending| pending.change == Change::Release;
+        self.wanted && !self.pending.as_ref().is_some_and(releasing)
+    }
+
+    fn want(&mut self, now: Instant, wanted: bool) {
+        self.wanted = wanted;
+        self.next = now;
+    }
+
+    fn advance(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        match () {
+            () if self.in_flight || self.is_idle() => {}
+            () if now < self.next => actions.push(Action::Wake(self.next)),
+            () if self.pending.is_some() => self.settle(now, actions),
+            () if self.held.is_some() && self.wanted => self.renew(now, actions),
+            () if self.held.is_some() => self.release(now, actions),
+            () => self.acquire(now, actions),
+        }
+    }
+
+    fn read(&mut self, actions: &mut Vec<Action>) {
+        let keys = vec![self.lease_key()];
+        actions.push(Action::Read { request: self.start_request(), keys });
+    }
+
+    fn start_request(&mut self) -> u64 {
+        self.request += 1;
+        self.in_flight = true;
+        self.request
+    }
+
+    fn lease_key(&self) -> String {
+        format!("lease/{}", self.name)
+    }
+
+    fn fence_key(&self) -> String {
+        format!("epoch/{}", self.name)
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_lease/tests/late_first_try.rs
@@ -0,0 +1,58 @@
+//! A first try of a write that takes effect after its read-back.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use tamarackdock_lease::{Action, Input, Lease, Operations, Terms};
+use tamarackdock_platform::{
+    Error,
+    table::{Commit, Row},
+};
+use tamarackdock_types::{HostName, clock::Instant};
+
+fn commit(actions: &[Action]) -> (u64, Commit) {
+    let found = actions.iter().find_map(|action| match action {
+        Action::Commit { request, commit } => Some((*request, commit.clone())),
+        _ => None,
+    });
+    found.expect("a commit is sent")
+}
+
+fn read(actions: &[Action], rows: BTreeMap<String, Row>) -> Input {
+    let found = actions.iter().find_map(|action| match action {
+        Action::Read { request, .. } => Some(*request),
+        _ => None,
+    });
+    Input::Read { request: found.expect("a read is sent"), result: Ok(rows) }
+}
+
+/// Guards against validity that counts from the second try although the first
+/// one, sent earlier, is what candidates see in the row.
+#[test]
+fn validity_counts_from_the_first_try() {
+    let millis = Duration::from_millis;
+    let terms = Terms {
+        duration: millis(2000),
+        margin: millis(100),
+        poll: millis(200),
+        send_window: millis(300),
+        delivery: millis(200),
+    };
+    let holder = HostName::new("h1").unwrap();
+    let mut lease = Lease::new("config", holder, terms, Operations::new("h1", 1));
+    let mut step = |time, input| lease.step(Instant::from_millis(time), input);
+
+    let actions = step(1000, Input::Want);
+    let (request, first) = commit(&step(1000, read(&actions, BTreeMap::new())));
+    step(1100, Input::Committed { request, result: Err(Error::Unknown) });
+    let actions = step(1300, Input::Tick);
+    let (request, second) = commit(&step(1500, read(&actions, BTreeMap::new())));
+    assert_eq!(first, second);
+
+    let key = "lease/config".to_owned();
+    let result = Err(Error::Conflict { key: key.clone() });
+    let actions = step(1600, Input::Committed { request, result });
+    let value = first.writes[0].value.clone().unwrap();
+    let row = Row { key: key.clone(), revision: 1, value, operation: first.operation };
+    step(1700, read(&actions, BTreeMap::from([(key, row)])));
+    assert_eq!(lease.held().unwrap().valid_until(), Instant::from_millis(2900));
+}
--- /dev/null
+++ b/crates/tamarackdock_lease/tests/schedules/node.rs
@@ -0,0 +1,55 @@
+use rand::{Rng, rngs::StdRng};
+use std::time::Duration;
+use tamarackdock_lease::{Lease, Operations, Terms};
+use tamarackdock_types::{HostName, clock::Instant};
+
+/// Clocks run this much too slow or too fast. One margin covers this drift over
+/// the validity, so that the rules need the holder's and the candidate's margin.
+const DRIFT_PPM: u64 = 45_000;
+
+pub(crate) const DELIVERY: u64 = 200;
+
+pub(crate) struct Node {
+    pub(crate) lease: Lease,
+    pub(crate) run: u64,
+    pub(crate) paused_until: u64,
+    pub(crate) cut_until: u64,
+    offset: u64,
+    ppm: u64,
+}
+
+fn terms() -> Terms {
+    let millis = Duration::from_millis;
+    let terms = Terms {
+        duration: millis(2000),
+        margin: millis(100),
+        poll: millis(200),
+        send_window: millis(300),
+        delivery: millis(DELIVERY),
+    };
+    terms.check().unwrap()
+}
+
+impl Node {
+    pub(crate) fn new(index: usize, run: u64, random: &mut StdRng) -> Self {
+        let holder = HostName::new(&format!("h{index}")).unwrap();
+        let operations = Operations::new(holder.as_str(), random.random());
+        Self {
+            lease: Lease::new("orders/d1", holder, terms(), operations),
+            run,
+            paused_until: 0,
+            cut_until: 0,
+            offset: random.random_range(0..1_000_000),
+            ppm: 1_000_000 - DRIFT_PPM + 2 * DRIFT_PPM * random.random_range(0..2),
+        }
+    }
+
+    pub(crate) fn local(&self, time: u64) -> Instant {
+        Instant::from_millis(self.offset + time * self.ppm / 1_000_000)
+    }
+
+    /// First time at which the node's clock has reached `local`.
+    pub(crate) fn time(&self, local: Instant) -> u64 {
+        local.as_millis().saturating_sub(self.offset) * 1_000_000 / self.ppm + 1
+    }
+}
