Add usage counting, sealing and reporting

Cause: usage reports must name every count once and never send a window with different figures, although nodes die, flushes lose their responses and reporters change between seal and send (design.md, section 7).

Change: `Counter` numbers batches without gaps and copies all unflushed ones to a peer; `Copies` flushes them if the node seems dead. Each flush moves the run's cursor row under its old revision, so that node and peer can flush at once and each batch is added once. A flush requires that the window has no row yet; otherwise the counts go to the next open window as a correction. `Reporter` first closes a window, then seals its sum, then sends the sealed bytes, then marks it sent; every request is chosen from the rows as read, so a new reporter continues wherever the former stopped.

Former reporters go on without looking at the lease.

--- /dev/null
+++ b/crates/tamarackdock_usage/src/counter/mod.rs
@@ -0,0 +1,84 @@
+use tamarackdock_types::{AccountName, clock::Instant};
+
+use crate::{Action, Batch, Counts, Figures, Input, Keys, Settings, flush::Flush};
+
+/// Counts usage on the node that ran the calls, until it is in the table.
+#[derive(Debug)]
+pub struct Counter {
+    settings: Settings,
+    flush: Flush,
+    window: u64,
+    open: Counts,
+    /// Number of the last batch.
+    number: u64,
+    next_copy: Instant,
+    next_flush: Instant,
+}
+
+impl Counter {
+    /// Makes the counter of a run, in the current window.
+    #[must_use]
+    pub fn new(keys: Keys, settings: Settings, window: u64, now: Instant) -> Self {
+        let random = keys.run;
+        Self {
+            settings,
+            flush: Flush::new(keys, window, random),
+            window,
+            open: Counts::default(),
+            number: 0,
+            next_copy: now + settings.copy,
+            next_flush: now + settings.flush,
+        }
+    }
+
+    /// Enters a window. Windows only go up; a lower number has no effect.
+    pub fn set_window(&mut self, window: u64) {
+        self.window = self.window.max(window);
+        self.flush.set_window(window);
+    }
+
+    /// Counts a call that has ended in the current window.
+    pub fn count(&mut self, account: AccountName, figures: Figures) {
+        self.open.add(self.window, account, figures);
+    }
+
+    /// Whether all counts are in the table, so that the process can stop.
+    #[must_use]
+    pub fn is_flushed(&self) -> bool {
+        self.open.is_empty() && self.flush.batches().is_empty()
+    }
+
+    /// Starts the next flush now, for a planned stop.
+    pub fn hurry(&mut self, now: Instant) {
+        self.next_copy = now;
+        self.next_flush = now;
+    }
+
+    /// Takes an input at the time `now`.
+    pub fn step(&mut self, now: Instant, input: Input) -> Vec<Action> {
+        let mut actions: Vec<_> = self.flush.step(input).into_iter().collect();
+        if now >= self.next_copy {
+            self.next_copy = now + self.settings.copy;
+            actions.extend(self.copy());
+        }
+        if now >= self.next_flush && self.flush.is_idle() {
+            self.next_flush = now + self.settings.flush;
+            actions.extend((!self.flush.batches().is_empty()).then(|| self.flush.start()));
+        }
+        actions
+            .push(Action::Wake(self.next_copy.min(self.next_flush.max(now + self.settings.copy))));
+        actions
+    }
+
+    /// Closes the open batch. All unflushed batches go along, so that the peer's
+    /// copy has no gap when an earlier message was lost.
+    fn copy(&mut self) -> Option<Action> {
+        if !self.open.is_empty() {
+            self.number += 1;
+            self.flush.push(Batch { number: self.number, counts: std::mem::take(&mut self.open) });
+        }
+        let batches = self.flush.batches().to_vec();
+        let origin = self.flush.keys().clone();
+        (!batches.is_empty()).then_some(Action::Copy { origin, batches })
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_usage/src/figures.rs
@@ -0,0 +1,19 @@
+use std::ops::AddAssign;
+
+use serde::{Deserialize, Serialize};
+
+/// Usage of one client account.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Figures {
+    /// Calls that ran.
+    pub calls: u64,
+    /// Tokens that targets processed.
+    pub tokens: u64,
+}
+
+impl AddAssign for Figures {
+    fn add_assign(&mut self, other: Self) {
+        self.calls += other.calls;
+        self.tokens += other.tokens;
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_usage/src/flush.rs
@@ -0,0 +1,131 @@
+use tamarackdock_platform::{
+    Error,
+    table::{Commit, Condition, Row, Write},
+};
+
+use crate::{
+    Action, Batch, Counts, Cursor, Input, Keys, NodeRow,
+    rows::{decode, encode},
+};
+
+/// One node's batches on their way to the table.
+///
+/// Runs on the node itself and, if that seems dead, on the peer with the copies.
+/// Both may flush at once: each commit moves the cursor under its old revision,
+/// so every batch is added once.
+#[derive(Debug)]
+pub(crate) struct Flush {
+    keys: Keys,
+    /// Unflushed batches in order.
+    batches: Vec<Batch>,
+    /// Lowest window that may be open.
+    window: u64,
+    /// Keeps the operation ids apart from those of another process with the same batches.
+    random: u64,
+    request: u64,
+    in_flight: bool,
+}
+
+impl Flush {
+    pub(crate) fn new(keys: Keys, window: u64, random: u64) -> Self {
+        let batches = Vec::new();
+        Self { keys, batches, window, random, request: 0, in_flight: false }
+    }
+
+    pub(crate) fn keys(&self) -> &Keys {
+        &self.keys
+    }
+
+    pub(crate) fn batches(&self) -> &[Batch] {
+        &self.batches
+    }
+
+    pub(crate) fn push(&mut self, batch: Batch) {
+        self.batches.push(batch);
+    }
+
+    pub(crate) fn set_window(&mut self, window: u64) {
+        self.window = self.window.max(window);
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        !self.in_flight
+    }
+
+    /// Starts to flush: reads the cursor and the rows of the window.
+    pub(crate) fn start(&mut self) -> Action {
+        self.request += 1;
+        self.in_flight = true;
+        let window = self.window;
+        let keys = vec![self.keys.cursor(), self.keys.window(window), self.keys.node(window)];
+        Action::Read { request: self.request, keys }
+    }
+
+    /// Takes a response and returns the next request, if one is due at once.
+    pub(crate) fn step(&mut self, input: Input) -> Option<Action> {
+        match input {
+            Input::Rows { request, result } if self.accepts(request) => self.on_rows(&result.ok()?),
+            Input::Done { request, result } if self.accepts(request) => self.on_done(&result),
+            Input::Tick | Input::Rows { .. } | Input::Done { .. } => None,
+        }
+    }
+
+    fn accepts(&mut self, request: u64) -> bool {
+        let expected = self.in_flight && request == self.request;
+        self.in_flight &= !expected;
+        expected
+    }
+
+    /// A commit with unknown outcome is settled by the cursor at the next read.
+    fn on_done(&mut self, result: &Result<(), Error>) -> Option<Action> {
+        match result {
+            Ok(()) | Err(Error::Conflict { .. }) if !self.batches.is_empty() => Some(self.start()),
+            _ => None,
+        }
+    }
+
+    fn on_rows(&mut self, rows: &[Row]) -> Option<Action> {
+        let cursor = rows.iter().find(|row| row.key == self.keys.cursor());
+        let flushed = cursor.map_or(Some(Cursor::default()), |row| decode(&row.value))?.flushed;
+        self.batches.retain(|batch| batch.number > flushed);
+        if rows.iter().any(|row| row.key == self.keys.window(self.window)) {
+            self.window += 1;
+            return Some(self.start());
+        }
+        // A copy that lacks the batch after the cursor must not move it.
+        let in_order = self.batches.first().is_some_and(|batch| batch.number == flushed + 1);
+        in_order.then(|| self.commit(rows, cursor))?
+    }
+
+    fn commit(&mut self, rows: &[Row], cursor: Option<&Row>) -> Option<Action> {
+        let node_key = self.keys.node(self.window);
+        let node = rows.iter().find(|row| row.key == node_key);
+        let mut row: NodeRow = node.map_or(Some(NodeRow::default()), |row| decode(&row.value))?;
+        self.sum().iter().for_each(|(window, account, figures)| {
+            row.counts.add(window, account.clone(), figures);
+        });
+        let flushed = self.batches.last()?.number;
+        let condition =
+            |key, row: Option<&Row>| Condition { key, revision: row.map_or(0, |row| row.revision) };
+        let conditions = vec![
+            condition(self.keys.window(self.window), None),
+            condition(self.keys.cursor(), cursor),
+            condition(node_key.clone(), node),
+        ];
+        let writes = vec![
+            Write { key: self.keys.cursor(), value: Some(encode(&Cursor { flushed })) },
+            Write { key: node_key, value: Some(encode(&row)) },
+        ];
+        self.request += 1;
+        self.in_flight = true;
+        let operation = format!("{}-{:016x}-{}", self.keys, self.random, self.request);
+        let commit = Commit { operation, conditions, writes };
+        Some(Action::Commit { request: self.request, commit })
+    }
+
+    fn sum(&self) -> Counts {
+        let mut sum = Counts::default();
+        self.batches.iter().for_each(|batch| sum.add_all(&batch.counts));
+        sum
+    }
+}
--- a/crates/tamarackdock_usage/src/lib.rs
+++ b/crates/tamarackdock_usage/src/lib.rs
@@ -1,1 +1,29 @@
-//! Placeholder.
+//! Usage per client account and window: counted on the nodes, sealed once and
+//! reported with the same bytes. See `docs/design.md`, section 7.
+
+mod action;
+mod batch;
+mod copies;
+mod counter;
+mod counts;
+mod figures;
+mod flush;
+mod input;
+mod keys;
+mod report;
+mod reporter;
+mod rows;
+mod settings;
+
+pub use action::Action;
+pub use batch::Batch;
+pub use copies::Copies;
+pub use counter::Counter;
+pub use counts::Counts;
+pub use figures::Figures;
+pub use input::Input;
+pub use keys::Keys;
+pub use report::{Line, Report};
+pub use reporter::Reporter;
+pub use rows::{Cursor, NodeRow, State, WindowRow};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/tamarackdock_usage/src/report.rs
@@ -0,0 +1,56 @@
+use std::{collections::BTreeMap, fmt::Write};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use tamarackdock_types::{AccountName, fence::Epoch};
+
+use crate::{Counts, Figures};
+
+/// The usage of one client account in a report.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    /// Client account.
+    pub account: AccountName,
+    /// Window that the line corrects, if the counts came after its closing.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub correction_of: Option<u64>,
+    /// Figures.
+    #[serde(flatten)]
+    pub figures: Figures,
+}
+
+/// The report of a window and shard. Its JSON text is sealed and sent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Window.
+    pub window: u64,
+    /// Shard.
+    pub shard: u32,
+    /// Epoch under which the report was sealed. A later reporter does not change it.
+    pub epoch: Epoch,
+    /// Usage, ordered by corrected window and client account.
+    pub lines: Vec<Line>,
+}
+
+impl Report {
+    /// Makes the report of a closed window.
+    #[must_use]
+    pub fn new(window: u64, shard: u32, epoch: Epoch, counts: &Counts) -> Self {
+        let mut sums: BTreeMap<_, Figures> = BTreeMap::new();
+        for (counted, account, figures) in counts.iter() {
+            let correction_of = (counted != window).then_some(counted);
+            *sums.entry((correction_of, account.clone())).or_default() += figures;
+        }
+        let line = |((correction_of, account), figures)| Line { account, correction_of, figures };
+        Self { window, shard, epoch, lines: sums.into_iter().map(line).collect() }
+    }
+}
+
+/// Returns the SHA-256 of a report's text in hexadecimal.
+pub(crate) fn digest(report: &str) -> String {
+    let mut text = String::new();
+    for byte in Sha256::digest(report) {
+        write!(text, "{byte:02x}").expect("a string takes all text");
+    }
+    text
+}
--- /dev/null
+++ b/crates/tamarackdock_usage/tests/schedules/world/faults.rs
@@ -0,0 +1,73 @@
+//! Calls that are counted, and faults.
+
+use rand::Rng;
+use tamarackdock_types::AccountName;
+use tamarackdock_usage::Figures;
+
+use super::{COUNTS_END, Event, FAULTS_END, NODES, WINDOW, World, node};
+
+impl World {
+    pub(super) fn count(&mut self) {
+        if self.time > COUNTS_END {
+            return;
+        }
+        let window = self.time / WINDOW;
+        let account = ["a", "b"][self.random.random_range(0..2)];
+        let account = AccountName::new(account).unwrap();
+        let node = &mut self.nodes[self.random.random_range(0..NODES)];
+        if node.paused_until <= self.time {
+            let figures = Figures { calls: 1, tokens: 7 };
+            node.counter.set_window(window);
+            node.counter.count(account.clone(), figures);
+            node.counted += 1;
+            *self.counted.entry((window, account)).or_default() += figures;
+        }
+        let delay = self.random.random_range(0..200);
+        self.push(delay, Event::Count);
+    }
+
+    pub(super) fn fault(&mut self) {
+        if self.time > FAULTS_END {
+            return;
+        }
+        let index = self.random.random_range(0..NODES);
+        let until = self.time + self.random.random_range(10..4_000);
+        match self.random.random_range(0..6) {
+            0 => self.nodes[index].paused_until = until,
+            1 => self.store.down_until = until,
+            2 => self.add_reporter(),
+            3 | 4 if self.keeps_no_dead(index) => self.kill(index),
+            _ => self.announce_death(index),
+        }
+        let delay = self.random.random_range(100..1_500);
+        self.push(delay, Event::Fault);
+    }
+
+    /// Whether no dead run's counts depend on the copies of this node.
+    fn keeps_no_dead(&self, index: usize) -> bool {
+        let announced = |event| matches!(event, &Event::Dead { to, .. } if to == index);
+        self.nodes[index].copies.is_idle() && !self.queue.values().any(announced)
+    }
+
+    /// Tells the peer that a node died, whether or not it did.
+    fn announce_death(&mut self, index: usize) {
+        let origin = self.nodes[index].keys.clone();
+        let delay = self.random.random_range(10..1_000);
+        self.push(delay, Event::Dead { to: (index + 1) % NODES, origin });
+    }
+
+    /// The counts that the peer has no copy of may be lost, and the copies that
+    /// this node had for its own predecessor.
+    fn kill(&mut self, index: usize) {
+        self.kills += 1;
+        self.announce_death(index);
+        let dead = &self.nodes[index];
+        if !dead.counter.is_flushed() {
+            self.losable += dead.counted - dead.covered;
+        }
+        let run = dead.keys.run + 1;
+        self.nodes[(index + NODES - 1) % NODES].covered = 0;
+        self.nodes[index] = node(index, run, self.time);
+        self.start(index);
+    }
+}
