Add the state machine of a rollout step

Cause: section 6 of the design page had no code yet.

Change: requests, slots, spans, samples, the manifest with its row encoding, two straggler policies (`Baseline`, `Hedged`) and `Step`, the state machine of one step at its holder. Samples are recorded in the manifest row before they are handed over. A page, that is what one read returns, is fixed with the record, so that a cursor always gives the same bytes.

--- a/crates/tamarackdock_rollout/src/lib.rs
+++ b/crates/tamarackdock_rollout/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Steps of trainers: requests, slots, samples, the manifest and the state
+//! machine of one step at its holder. See `docs/design.md`, section 6.
+
+pub mod attempt;
+pub mod manifest;
+pub mod policy;
+pub mod request;
+pub mod sample;
+pub mod slot;
+pub mod span;
+pub mod step;
--- /dev/null
+++ b/crates/tamarackdock_rollout/src/span.rs
@@ -0,0 +1,13 @@
+//! Spans of tokens.
+
+use serde::{Deserialize, Serialize};
+use tamarackdock_types::weight::Version;
+
+/// Consecutive tokens that one weight version produced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Span {
+    /// Count of tokens.
+    pub tokens: u32,
+    /// Version that the engine reported for them.
+    pub version: Version,
+}
--- /dev/null
+++ b/crates/tamarackdock_rollout/tests/schedules.rs
@@ -0,0 +1,142 @@
+//! Seeded schedules of one step with failing holders, engines, stores and
+//! trainers. See `docs/design.md`, section 11.
+
+mod world;
+
+use assert_matches::assert_matches;
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use tamarackdock_rollout::request::{Error, Fields, MAX_PROMPT_BYTES, Request};
+use tamarackdock_types::{ServiceName, TrainerName};
+use world::{Counts, Plan, World};
+
+const SCHEDULES: u32 = 2000;
+/// Messages after which the holder is lost, one in each schedule.
+const EVENTS: usize = 400;
+const SEED: [u8; 32] = [6; 32];
+
+fn plans() -> impl Strategy<Value = Plan> {
+    let sizes = (1..7usize, 1..5u32, 1..40u32, 1..12usize);
+    let faults = (any::<bool>(), 0..30u32, [1..200usize, 1..600usize, 1..1500usize]);
+    (any::<u64>(), sizes, faults).prop_map(|(seed, sizes, faults)| Plan {
+        seed,
+        groups: sizes.0,
+        group_size: sizes.1,
+        max_tokens: sizes.2,
+        limit: sizes.3,
+        hedged: faults.0,
+        faults: faults.1,
+        kills: faults.2,
+        faults_end: 20_000,
+    })
+}
+
+/// Guards against lost, repeated, changed, mislabelled and too old samples, and
+/// against a step that does not complete once faults stop.
+#[test]
+fn each_sample_arrives_once() {
+    let config = Config {
+        cases: SCHEDULES,
+        failure_persistence: None,
+        max_shrink_iters: 64,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let total = std::cell::RefCell::new(Counts::default());
+    let verdict = runner.run(&plans(), |plan| {
+        let mut world = World::new(plan);
+        world.run();
+        let mut total = total.borrow_mut();
+        total.holders += world.counts.holders;
+        total.hedges += world.counts.hedges;
+        total.resumes += world.counts.resumes;
+        total.commits += world.counts.commits;
+        total.accepted += world.counts.accepted;
+        total.loads += world.counts.loads;
+        Ok(())
+    });
+    println!("{SCHEDULES} schedules, seed {SEED:?}: {:?}", total.borrow());
+    verdict.unwrap();
+}
+
+/// Guards against a state between two messages from which a new holder can't
+/// continue.
+#[test]
+fn holder_can_be_lost_at_every_point() {
+    for kill in 1..=EVENTS {
+        let plan = Plan {
+            seed: kill as u64,
+            groups: 4,
+            group_size: 2,
+            max_tokens: 12,
+            limit: 4,
+            hedged: true,
+            faults: 5,
+            kills: [kill, 0, 0],
+            faults_end: 10_000,
+        };
+        World::new(plan).run();
+    }
+}
+
+fn quiet(groups: usize, limit: usize, max_tokens: u32) -> Counts {
+    let plan = Plan {
+        seed: 2,
+        groups,
+        group_size: 8,
+        max_tokens,
+        limit,
+        hedged: true,
+        faults: 0,
+        kills: [0; 3],
+        faults_end: 0,
+    };
+    let mut world = World::new(plan);
+    world.run();
+    println!("{} samples, seed 2: {:?}", groups * 8, world.counts);
+    world.counts
+}
+
+/// Guards against a load on the table service that grows with the samples.
+#[test]
+fn large_step_needs_few_writes() {
+    let counts = quiet(256, 11, 40);
+    assert!(counts.end > 200_000, "the step should take about 4 min: {counts:?}");
+    assert!(counts.commits <= 64, "{counts:?}");
+}
+
+/// Guards against second attempts that together exceed their share of the
+/// tokens, although each of them is within it.
+#[test]
+fn second_attempts_keep_to_their_share() {
+    let counts = quiet(32, 256, 200);
+    assert!(counts.hedges > 0, "no second attempt started");
+}
+
+/// Guards against a request that needs more memory than a holder may spend.
+#[test]
+fn requests_are_bounded() {
+    let fields = |prompts: Vec<std::sync::Arc<str>>, group_size| Fields {
+        trainer: TrainerName::new("t").unwrap(),
+        step: 1,
+        service: ServiceName::new("m").unwrap(),
+        prompts,
+        group_size,
+        max_tokens: 8,
+        staleness_bound: 1,
+    };
+    let long = "x".repeat(MAX_PROMPT_BYTES + 1);
+    let longest = long[1..].into();
+    assert!(Request::new(fields(vec![longest; 2], 2048)).is_ok());
+    let many = Request::new(fields(vec!["x".into(); 4097], 1));
+    assert_matches!(many, Err(Error::TooManySamples { samples: 4097 }));
+    let overflow = Request::new(fields(vec!["x".into(); 2], u32::MAX));
+    assert_matches!(overflow, Err(Error::TooManySamples { .. }));
+    let long = Request::new(fields(vec!["x".into(), long.into()], 1));
+    assert_matches!(long, Err(Error::PromptTooLong { group: 1, bytes: 1_048_577 }));
+    assert_matches!(Request::new(fields(vec![], 1)), Err(Error::NoPrompts));
+    assert_matches!(Request::new(fields(vec!["x".into()], 0)), Err(Error::EmptyGroup));
+}
--- /dev/null
+++ b/crates/tamarackdock_rollout/tests/world/actions.rs
@@ -0,0 +1,118 @@
+use bytes::Bytes;
+use tamarackdock_rollout::{
+    attempt::Attempt,
+    slot::Slot,
+    step::{Action, Input},
+};
+use tamarackdock_types::{TargetName, weight::Version};
+
+use super::{Event, World, store};
+use rand::Rng;
+
+impl World {
+    pub(super) fn action(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Start { attempt, slot, resume, .. } => {
+                self.start(index, attempt, slot, resume.len());
+            }
+            Action::Cancel { attempt } => {
+                self.engines.cancelled.insert(attempt);
+                if let Some(holder) = self.holders[index].as_mut() {
+                    holder.end(attempt);
+                }
+            }
+            Action::StoreChunk { name, bytes } => {
+                let (applied, heard) = (!self.faulty(), !self.faulty());
+                if applied {
+                    self.store.put(name.clone(), &bytes);
+                }
+                let stored = Input::ObjectStored(name.clone());
+                let failed = Input::ObjectFailed(name);
+                self.reply(index, if applied && heard { stored } else { failed });
+            }
+            Action::LoadChunk { name } => {
+                self.counts.loads += 1;
+                let bytes = self.store.objects[&name].clone();
+                let read = Input::ObjectRead { name: name.clone(), bytes };
+                let failed = self.faulty();
+                self.reply(index, if failed { Input::ObjectReadFailed(name) } else { read });
+            }
+            Action::CommitManifest { operation, revision, value } => {
+                self.commit(index, operation, revision, value);
+            }
+            Action::ReadManifest => {
+                let row = self.store.row();
+                let revision = row.as_ref().map_or(0, |row| row.revision);
+                let read = Input::ManifestRead { revision, value: row.map(|row| row.value) };
+                let failed = self.faulty();
+                self.reply(index, if failed { Input::ManifestReadFailed } else { read });
+            }
+            Action::Deliver { cursor, next, samples } => self.deliver(cursor, next, &samples),
+            Action::Complete => self.complete = true,
+            Action::Deposed => self.holders[index] = None,
+            Action::Wait { .. } => {}
+            Action::Reject { cursor } => {
+                let recorded = self.store.manifest(&self.request).position();
+                assert!(cursor > 0 && cursor <= recorded, "cursor {cursor} was never valid");
+            }
+            Action::Corrupt(error) => panic!("{error}"),
+        }
+    }
+
+    fn commit(&mut self, index: usize, operation: String, revision: u64, value: String) {
+        self.counts.commits += 1;
+        let holder = self.holders[index].as_mut().expect("the holder lives");
+        let rested = holder.last_commit.is_none_or(|last| self.now - last >= 1000);
+        assert!(rested, "two writes of the row in one second");
+        holder.last_commit = Some(self.now);
+        for sample in self.store.newly_placed(&self.request, revision, &value) {
+            let stale = store::is_stale(&self.request, store::oldest(&sample), holder.newest);
+            assert!(!stale, "a sample was too old when it was placed");
+        }
+        match (self.faulty(), self.faulty()) {
+            (false, lost) => {
+                let applied = self.store.commit(&self.request, revision, value);
+                let input = match applied {
+                    _ if lost => Input::ManifestUnknown { operation },
+                    true => Input::ManifestCommitted { operation, revision: revision + 1 },
+                    false => Input::ManifestConflict { operation },
+                };
+                self.reply(index, input);
+            }
+            (true, late) => {
+                if late {
+                    let delay = self.rng.random_range(1..3000);
+                    self.after(delay, Event::LateCommit { revision, value });
+                }
+                self.reply(index, Input::ManifestUnknown { operation });
+            }
+        }
+    }
+
+    fn start(&mut self, index: usize, attempt: Attempt, slot: Slot, resume: usize) {
+        let holder = self.holders[index].as_mut().expect("the holder lives");
+        self.counts.hedges += usize::from(holder.begin(attempt, slot, resume));
+        assert!(holder.live.len() <= self.plan.limit, "more attempts than the limit");
+        let start = u32::try_from(resume).expect("short");
+        self.counts.resumes += usize::from(start > 0);
+        let length = self.rng.random_range(start + 1..=self.plan.max_tokens);
+        let target = TargetName::new("e1").expect("valid");
+        self.reply(index, Input::Started { attempt, target });
+        let version = Version::default();
+        let run = Event::Engine { holder: index, attempt, position: start, length, version };
+        self.after(10, run);
+    }
+
+    fn deliver(&mut self, cursor: u32, next: u32, samples: &[Bytes]) {
+        if !samples.is_empty() {
+            let page = self.store.page(&self.request, cursor);
+            assert_eq!(page.as_deref(), Some(samples), "delivered before recorded");
+            self.trainer.note(cursor, samples);
+        }
+        if !self.faulty() {
+            for sample in self.trainer.receive(cursor, next, samples) {
+                self.engines.check(&sample, self.plan.max_tokens);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_rollout/tests/world/mod.rs
@@ -0,0 +1,286 @@
+mod actions;
+mod engines;
+mod holder;
+mod plan;
+mod store;
+mod trainer;
+
+use std::collections::BTreeMap;
+
+use engines::{Engines, text_of};
+use holder::Holder;
+pub(crate) use plan::{Counts, Plan};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use store::Store;
+use tamarackdock_rollout::{
+    attempt::Attempt,
+    policy::{Baseline, Hedged, Policy},
+    request::{Fields, Request},
+    step::{Input, Step},
+};
+use tamarackdock_types::{ServiceName, TrainerName, clock::Instant, fence::Epoch, weight::Version};
+use trainer::Trainer;
+
+/// A message in flight.
+enum Event {
+    To(usize, Input),
+    Engine { holder: usize, attempt: Attempt, position: u32, length: u32, version: Version },
+    LateCommit { revision: u64, value: String },
+    NewHolder,
+    Resume(usize),
+    Weights,
+    Tick(usize),
+    Trainer,
+}
+
+pub(crate) struct World {
+    plan: Plan,
+    rng: ChaCha8Rng,
+    request: Request,
+    now: u64,
+    sequence: u64,
+    events: BTreeMap<(u64, u64), Event>,
+    holders: Vec<Option<Holder>>,
+    store: Store,
+    engines: Engines,
+    trainer: Trainer,
+    newest: Version,
+    complete: bool,
+    pub(crate) counts: Counts,
+}
+
+impl World {
+    pub(crate) fn new(plan: Plan) -> Self {
+        let fields = Fields {
+            trainer: TrainerName::new("t").expect("valid"),
+            step: 7,
+            service: ServiceName::new("m").expect("valid"),
+            prompts: (0..plan.groups).map(|group| format!("prompt {group}").into()).collect(),
+            group_size: plan.group_size,
+            max_tokens: plan.max_tokens,
+            staleness_bound: plan.seed % 3,
+        };
+        let mut world = Self {
+            plan,
+            rng: ChaCha8Rng::seed_from_u64(plan.seed),
+            request: Request::new(fields).expect("the request is valid"),
+            now: 0,
+            sequence: 0,
+            events: BTreeMap::new(),
+            holders: Vec::new(),
+            store: Store { objects: BTreeMap::new(), rows: Vec::new() },
+            engines: Engines::default(),
+            trainer: Trainer::default(),
+            newest: Version(5),
+            complete: false,
+            counts: Counts::default(),
+        };
+        world.new_holder();
+        world.after(1, Event::Trainer);
+        world.after(3000, Event::Weights);
+        world
+    }
+
+    fn after(&mut self, delay: u64, event: Event) {
+        self.sequence += 1;
+        self.events.insert((self.now + delay, self.sequence), event);
+    }
+
+    fn faulty(&mut self) -> bool {
+        self.now < self.plan.faults_end && self.rng.random_range(0..100) < self.plan.faults
+    }
+
+    fn reply(&mut self, holder: usize, input: Input) {
+        let delay = self.rng.random_range(1..40);
+        self.after(delay, Event::To(holder, input));
+    }
+
+    /// Runs until the step is complete and the trainer has every sample once.
+    pub(crate) fn run(&mut self) {
+        let mut number = 0;
+        while !self.complete || !self.trainer.is_done(&self.request) {
+            let ((at, _), event) = self.events.pop_first().expect("events never run out");
+            self.now = at;
+            assert!(at < self.plan.faults_end + 600_000, "the step does not complete");
+            self.dispatch(event);
+            number += 1;
+            if self.plan.kills.contains(&number) {
+                self.interrupt();
+            }
+        }
+        self.counts.holders = self.holders.len();
+        self.counts.accepted = self.store.rows.len();
+        self.counts.end = self.now;
+        assert_eq!(self.trainer.slots.len(), self.request.samples() as usize);
+    }
+
+    fn dispatch(&mut self, event: Event) {
+        match event {
+            Event::To(holder, input) => self.input(holder, input),
+            Event::Engine { holder, attempt, position, length, version } => {
+                self.engine(holder, attempt, position, length, version);
+            }
+            Event::LateCommit { revision, value } => {
+                self.store.commit(&self.request, revision, value);
+            }
+            Event::NewHolder => self.new_holder(),
+            Event::Resume(holder) => {
+                let paused = self.holders[holder].as_mut().and_then(|h| h.paused.take());
+                for input in paused.into_iter().flatten() {
+                    self.input(holder, input);
+                }
+            }
+            Event::Weights => self.weights(),
+            Event::Tick(holder) => {
+                let idle = self.rng.random_range(0..=self.plan.limit);
+                self.input(holder, Input::Idle(idle));
+                self.input(holder, Input::Tick);
+                if self.holders[holder].is_some() {
+                    self.after(200, Event::Tick(holder));
+                }
+            }
+            Event::Trainer => self.trainer(),
+        }
+    }
+
+    /// Kills or pauses the newest holder, and lets another one take over.
+    fn interrupt(&mut self) {
+        let last = self.holders.len() - 1;
+        let Some(holder) = self.holders[last].as_mut().filter(|h| h.paused.is_none()) else {
+            return;
+        };
+        if self.rng.random_range(0..2) == 0 {
+            self.holders[last] = None;
+        } else {
+            holder.paused = Some(Vec::new());
+            let pause = self.rng.random_range(100..4000);
+            self.after(pause, Event::Resume(last));
+        }
+        let delay = self.rng.random_range(1..1500);
+        self.after(delay, Event::NewHolder);
+    }
+
+    fn new_holder(&mut self) {
+        let epoch = Epoch(self.holders.len() as u64 + 1);
+        let policy: Box<dyn Policy> =
+            if self.plan.hedged { Box::new(Hedged) } else { Box::new(Baseline) };
+        let now = Instant::from_millis(self.now);
+        let row = self.store.row();
+        let step = Step::new(now, self.request.clone(), epoch, self.newest, policy, row.as_ref())
+            .expect("the row decodes");
+        let newest = self.newest;
+        let live = BTreeMap::new();
+        let twice = 0;
+        let index = self.holders.len();
+        self.holders.push(Some(Holder {
+            step,
+            newest,
+            paused: None,
+            live,
+            twice,
+            last_commit: None,
+        }));
+        self.input(index, Input::Limit(self.plan.limit));
+        self.after(200, Event::Tick(index));
+    }
+
+    fn weights(&mut self) {
+        if self.now < self.plan.faults_end {
+            self.newest.0 += 1;
+            for holder in 0..self.holders.len() {
+                self.reply(holder, Input::WeightsChanged(self.newest));
+            }
+        }
+        let delay = self.rng.random_range(500..6000);
+        self.after(delay, Event::Weights);
+    }
+
+    /// Reads at the cursor, or again at an earlier one, and acknowledges late.
+    fn trainer(&mut self) {
+        let holder = self.rng.random_range(0..self.holders.len());
+        let groups = self.trainer.cursor / self.plan.group_size;
+        let again = self.faulty();
+        let cursor = if again {
+            self.rng.random_range(0..=groups) * self.plan.group_size
+        } else {
+            self.trainer.cursor
+        };
+        self.reply(holder, Input::Read { cursor });
+        if !self.faulty() {
+            let done = self.rng.random_range(self.trainer.acknowledged..=self.trainer.cursor);
+            let all = self.trainer.is_done(&self.request);
+            self.trainer.acknowledged = if all { self.trainer.cursor } else { done };
+            let cursor = self.trainer.acknowledged;
+            self.reply(holder, Input::Acknowledged { cursor });
+        }
+        let delay = self.rng.random_range(50..400);
+        self.after(delay, Event::Trainer);
+    }
+
+    /// Generates the next tokens of an attempt.
+    fn engine(
+        &mut self,
+        holder: usize,
+        attempt: Attempt,
+        position: u32,
+        length: u32,
+        was: Version,
+    ) {
+        if self.engines.cancelled.contains(&attempt) && self.rng.random_range(0..3) > 0 {
+            return;
+        }
+        if self.faulty() {
+            return self.reply(holder, Input::AttemptFailed { attempt });
+        }
+        let lag = self.rng.random_range(0..2);
+        let version = was.max(Version(self.newest.0 - lag));
+        let count = self.rng.random_range(1..=4.min(length - position));
+        let end = position + count;
+        let tokens: Vec<u32> =
+            (position..end).map(|at| self.engines.generate(version, at + 1 == length)).collect();
+        let text = text_of(&tokens);
+        let piece = Input::Piece { attempt, position, tokens, text, version };
+        if self.faulty() {
+            self.after(60, Event::To(holder, piece.clone()));
+        }
+        if !self.faulty() {
+            self.after(5, Event::To(holder, piece));
+        }
+        if end < length {
+            let delay = self.rng.random_range(10..300);
+            return self
+                .after(delay, Event::Engine { holder, attempt, position: end, length, version });
+        }
+        self.after(6, Event::To(holder, Input::Finished { attempt, tokens: length }));
+        if self.faulty() {
+            self.after(500, Event::To(holder, Input::Finished { attempt, tokens: length }));
+        }
+    }
+
+    fn input(&mut self, index: usize, input: Input) {
+        let Some(holder) = self.holders[index].as_mut() else {
+            return;
+        };
+        if let Some(queue) = holder.paused.as_mut() {
+            return queue.push(input);
+        }
+        match &input {
+            Input::WeightsChanged(version) => holder.newest = holder.newest.max(*version),
+            Input::Finished { attempt, .. } | Input::AttemptFailed { attempt } => {
+                holder.end(*attempt);
+            }
+            Input::Piece { attempt, position, tokens, .. } => {
+                holder.piece(*attempt, *position, tokens.len());
+            }
+            _ => {}
+        }
+        let actions = holder.step.handle(Instant::from_millis(self.now), input);
+        for action in actions {
+            self.action(index, action);
+        }
+        if let Some(holder) = &self.holders[index] {
+            holder.check();
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_rollout/tests/world/trainer.rs
@@ -0,0 +1,42 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use tamarackdock_rollout::{request::Request, sample::Sample, slot::Slot};
+
+/// The fake trainer. It remembers every response, also those that it reads again.
+#[derive(Default)]
+pub(super) struct Trainer {
+    pub(super) cursor: u32,
+    pub(super) acknowledged: u32,
+    pages: BTreeMap<u32, Vec<Bytes>>,
+    pub(super) slots: BTreeSet<Slot>,
+    tokens: BTreeSet<u32>,
+}
+
+impl Trainer {
+    /// Notes a response on its way, which may still be lost.
+    pub(super) fn note(&mut self, cursor: u32, samples: &[Bytes]) {
+        let page = self.pages.entry(cursor).or_insert_with(|| samples.to_vec());
+        assert_eq!(page, samples, "cursor {cursor} gave different bytes");
+    }
+
+    /// Receives a response and returns the samples that are new.
+    pub(super) fn receive(&mut self, cursor: u32, next: u32, samples: &[Bytes]) -> Vec<Sample> {
+        if cursor != self.cursor {
+            return Vec::new();
+        }
+        self.cursor = next;
+        let decode = |body: &Bytes| serde_json::from_slice(body).expect("a sample decodes");
+        let samples: Vec<Sample> = samples.iter().map(decode).collect();
+        for sample in &samples {
+            assert!(self.slots.insert(sample.slot.clone()), "{:?} came twice", sample.slot);
+            let new = sample.tokens.iter().all(|token| self.tokens.insert(*token));
+            assert!(new, "a token came twice");
+        }
+        samples
+    }
+
+    pub(super) fn is_done(&self, request: &Request) -> bool {
+        self.slots.len() == request.samples() as usize
+    }
+}
