Add the node, and a demo of the whole path on stand-ins

Cause: the parts had no process around them. Change: caller, operators' and peer ports; router, lease, step and configuration tasks; a world of stand-ins with three nodes, and the demo.

--- /dev/null
+++ b/crates/standin/examples/demo/script.rs
@@ -0,0 +1,161 @@
+use std::{
+    error::Error,
+    thread,
+    time::{Duration, Instant},
+};
+
+use standin::{
+    app::{self, App},
+    engine,
+    trainer::{self, Trainer, Violation, Watch},
+    world::{self, World},
+};
+use tamarackdock_config::deployment::DataCentreState;
+use tamarackdock_types::weight::Version;
+
+use crate::{live::Live, summary::Summary};
+
+const STEPS: u64 = 6;
+const GROUPS: usize = 16;
+const GROUP_SIZE: usize = 4;
+const LIMIT: Duration = Duration::from_secs(50);
+const LONG_ANSWER: u64 = 20_000;
+
+/// Runs the script and returns the counts of the stand-ins.
+pub fn run(seed: u64) -> Result<Summary, Box<dyn Error>> {
+    let begin = Instant::now();
+    let say = |text: &str| eprintln!("{:6.2} s  {text}", begin.elapsed().as_secs_f64());
+    let mut world = World::spawn(world::Options { seed, ..world::Options::default() })?;
+    say("three nodes, two data centres, six engines and one plain service are up");
+    let watch = Watch::new(Version(1));
+    let trainers = ["t1", "t2"].map(|name| spawn_trainer(&world, name, seed, &watch));
+    let trainers: Vec<Trainer> = trainers.into_iter().collect::<Result<_, _>>()?;
+    let app = spawn_app(&world)?;
+    let live = Live::spawn(world.nodes()[0], "courier-key", long_prompt(seed));
+    say("two trainers, an app and a courier with a long stream call");
+    pause(2000);
+    world.publish_weights(Version(2), &watch);
+    say("weights 2 are published");
+    pause(1500);
+    world.engines[0].crash();
+    say("engine e0 is killed mid-stream");
+    pause(1500);
+    world.engines[0].restart();
+    say("engine e0 starts again, cold");
+    pause(500);
+    world.set_data_centre("d2", DataCentreState::Out)?;
+    say("data centre d2 is taken out");
+    pause(3000);
+    let before = world.started_in("d2");
+    pause(1500);
+    let out_served_late = world.started_in("d2") - before;
+    world.set_data_centre("d2", DataCentreState::In)?;
+    say("data centre d2 comes back");
+    pause(1000);
+    world.publish_weights(Version(3), &watch);
+    say("weights 3 are published");
+    pause(500);
+    world.withdraw_key("courier", "courier-key")?;
+    let withdrawn = Instant::now();
+    say("the courier's key is withdrawn while its stream runs");
+    while !trainers.iter().all(Trainer::is_finished) && begin.elapsed() < LIMIT {
+        pause(100);
+    }
+    while withdrawn.elapsed() < Duration::from_millis(4000) {
+        pause(100);
+    }
+    say("the trainers are done");
+    live.stop();
+    let mut summary = Summary { out_served_late, ..Summary::default() };
+    count_trainers(&trainers, &mut summary);
+    count_app(app, &mut summary);
+    summary.usage_received_tokens += world::received_tokens(&trainers);
+    summary.usage_true_tokens = world.generated_tokens();
+    summary.keys_seen_by_targets = world.keys_seen();
+    let after = live.last_served().map(|at| at.saturating_duration_since(withdrawn));
+    let after = after.unwrap_or_default().as_millis();
+    summary.withdrawn_key_served_after_ms = u64::try_from(after).unwrap_or(u64::MAX);
+    world.shut_down();
+    say("all nodes have shut down");
+    summary.seconds = begin.elapsed().as_secs_f64();
+    Ok(summary)
+}
+
+fn pause(millis: u64) {
+    thread::sleep(Duration::from_millis(millis));
+}
+
+fn spawn_trainer(world: &World, name: &str, seed: u64, watch: &Watch) -> std::io::Result<Trainer> {
+    let options = trainer::Options {
+        name: name.into(),
+        key: format!("{name}-key"),
+        nodes: world.nodes(),
+        seed,
+        steps: STEPS,
+        groups: GROUPS,
+        group_size: GROUP_SIZE,
+        max_tokens: 400,
+        staleness_bound: 1,
+        compute_time: Duration::from_millis(300),
+        ..trainer::Options::default()
+    };
+    Trainer::spawn(options, watch.clone())
+}
+
+fn spawn_app(world: &World) -> std::io::Result<App> {
+    App::spawn(app::Options {
+        name: "shop".into(),
+        key: "shop-key".into(),
+        nodes: world.nodes(),
+        questions: u64::MAX,
+        callers: 4,
+        pause: Duration::from_millis(20),
+        ..app::Options::default()
+    })
+}
+
+/// Returns a prompt whose answer takes longer than the demo.
+fn long_prompt(seed: u64) -> String {
+    let options = engine::Options { seed, ..engine::Options::default() };
+    let prompts = (0..).map(|index| format!("courier {index}"));
+    let mut long = prompts.filter(|prompt| options.output_tokens(prompt, 0) >= LONG_ANSWER);
+    long.next().unwrap_or_default()
+}
+
+fn count_trainers(trainers: &[Trainer], summary: &mut Summary) {
+    let per_step = (GROUPS * GROUP_SIZE) as u64;
+    summary.samples_expected = per_step * STEPS * trainers.len() as u64;
+    let mut idle = 0.0;
+    for trainer in trainers {
+        trainer.read(|records| {
+            summary.steps += records.steps;
+            summary.samples_delivered += records.samples;
+            idle += records.idle_share();
+            for violation in &records.violations {
+                eprintln!("violation: {violation}");
+                match violation {
+                    Violation::Missing { missing, .. } => summary.lost += *missing as u64,
+                    Violation::Duplicate { .. } => summary.doubled += 1,
+                    Violation::Stale { .. } => summary.stale += 1,
+                    Violation::Spans { .. } => summary.wrong_version += 1,
+                    Violation::Slot { .. } | Violation::Text { .. } | Violation::Changed { .. } => {
+                        summary.wrong_sample += 1
+                    }
+                }
+            }
+        });
+    }
+    summary.trainer_idle_share = idle / trainers.len() as f64;
+}
+
+fn count_app(mut app: App, summary: &mut Summary) {
+    app.stop();
+    app.read(|records| {
+        summary.app_calls = records.asked;
+        summary.app_wrong_answer = (records.foreign.len() + records.incomplete.len()) as u64;
+        summary.app_failed = records.refusals.values().sum::<u64>() + records.broken;
+        for ((code, ran), count) in &records.refusals {
+            eprintln!("app refused: {code}, ran {ran}: {count}");
+        }
+    });
+}
--- /dev/null
+++ b/crates/standin/examples/demo/summary.rs
@@ -0,0 +1,116 @@
+use std::fmt;
+
+use serde::Serialize;
+
+/// What the stand-ins counted.
+#[derive(Debug, Default, Serialize)]
+pub struct Summary {
+    /// Steps that trainers had whole.
+    pub steps: u64,
+    /// Samples that trainers asked for.
+    pub samples_expected: u64,
+    /// Samples that trainers read.
+    pub samples_delivered: u64,
+    /// Slots without a sample.
+    pub lost: u64,
+    /// Slots that were delivered twice.
+    pub doubled: u64,
+    /// Samples older than the staleness bound.
+    pub stale: u64,
+    /// Samples whose spans do not agree with the engines' own counts.
+    pub wrong_version: u64,
+    /// Samples with a foreign text, and cursors whose bytes changed.
+    pub wrong_sample: u64,
+    /// Questions of the app and calls of the plain service.
+    pub app_calls: u64,
+    /// Calls that failed although no engine that ran them was killed.
+    pub app_failed: u64,
+    /// Calls that were in flight on a killed engine.
+    pub app_cut: u64,
+    /// Answers to another question, or incomplete ones.
+    pub app_wrong_answer: u64,
+    /// Plain calls that ran more than once.
+    pub plain_doubled: u64,
+    /// Requests at targets that carried a key.
+    pub keys_seen_by_targets: u64,
+    /// Time from the acceptance of a withdrawal to the last byte or answer that
+    /// the withdrawn key got, in ms.
+    pub withdrawn_key_served_after_ms: u64,
+    /// Starts at targets of a data centre later than 3 s after it was taken out.
+    pub out_served_late: u64,
+    /// Share of time in which trainers waited.
+    pub trainer_idle_share: f64,
+    /// Tokens in the usage reports.
+    pub usage_reported_tokens: u64,
+    /// Tokens that engines generated. Those of broken connections need not reach a node.
+    pub usage_true_tokens: u64,
+    /// Tokens that callers received whole, which a report must not fall below.
+    pub usage_received_tokens: u64,
+    /// Run time in seconds.
+    pub seconds: f64,
+}
+
+/// Longest time for which a withdrawn key may work, in ms.
+const WITHDRAWAL_BOUND_MS: u64 = 3000;
+
+impl Summary {
+    /// Names the promises that were broken.
+    pub fn broken(&self) -> Vec<&'static str> {
+        let checks = [
+            (self.samples_delivered == self.samples_expected, "samples_delivered"),
+            (self.lost == 0, "lost"),
+            (self.doubled == 0, "doubled"),
+            (self.stale == 0, "stale"),
+            (self.wrong_version == 0, "wrong_version"),
+            (self.wrong_sample == 0, "wrong_sample"),
+            (self.app_calls > 0, "app_calls"),
+            (self.app_failed == 0, "app_failed"),
+            (self.app_wrong_answer == 0, "app_wrong_answer"),
+            (self.plain_doubled == 0, "plain_doubled"),
+            (self.keys_seen_by_targets == 0, "keys_seen_by_targets"),
+            (
+                self.withdrawn_key_served_after_ms <= WITHDRAWAL_BOUND_MS,
+                "withdrawn_key_served_after_ms",
+            ),
+            (self.out_served_late == 0, "out_served_late"),
+            (self.usage_reported_tokens <= self.usage_true_tokens, "usage_true_tokens"),
+            (self.usage_reported_tokens >= self.usage_received_tokens, "usage_received_tokens"),
+        ];
+        checks.into_iter().filter(|(holds, _)| !holds).map(|(_, name)| name).collect()
+    }
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let rows = [
+            ("steps", self.steps),
+            ("samples expected", self.samples_expected),
+            ("samples delivered", self.samples_delivered),
+            ("lost", self.lost),
+            ("doubled", self.doubled),
+            ("stale", self.stale),
+            ("wrong version", self.wrong_version),
+            ("wrong sample", self.wrong_sample),
+            ("app calls", self.app_calls),
+            ("app calls failed", self.app_failed),
+            ("app calls cut by a killed engine", self.app_cut),
+            ("app answers wrong", self.app_wrong_answer),
+            ("plain calls run twice", self.plain_doubled),
+            ("keys seen by targets", self.keys_seen_by_targets),
+            ("withdrawn key served after, ms", self.withdrawn_key_served_after_ms),
+            ("late starts in a data centre out", self.out_served_late),
+            ("tokens reported", self.usage_reported_tokens),
+            ("tokens generated", self.usage_true_tokens),
+            ("tokens received", self.usage_received_tokens),
+        ];
+        for (name, value) in rows {
+            writeln!(f, "{name:<36}{value:>10}")?;
+        }
+        writeln!(f, "{:<36}{:>10.3}", "trainer idle share", self.trainer_idle_share)?;
+        writeln!(f, "{:<36}{:>10.1}", "seconds", self.seconds)?;
+        match self.broken().as_slice() {
+            [] => write!(f, "all promises held"),
+            broken => write!(f, "BROKEN: {}", broken.join(", ")),
+        }
+    }
+}
--- a/crates/standin/src/app/questions.rs
+++ b/crates/standin/src/app/questions.rs
@@ -9,7 +9,6 @@
 };
 use http::Method;
 use serde_json::json;
-use tamarackdock_wire::client::Error;
 
 use super::{
     Options, Records,
@@ -69,7 +68,7 @@
                 let refusal = refusal(&answer.body);
                 *self.records().refusals.entry(refusal).or_default() += 1;
             }
-            Err(Error::Connect | Error::Broken | Error::Silent | Error::Invalid(_)) => {
+            Err(_) => {
                 self.records().broken += 1;
             }
         }
--- /dev/null
+++ b/crates/standin/src/world/deployment.rs
@@ -0,0 +1,95 @@
+use std::net::SocketAddr;
+
+use tamarackdock_config::{
+    Deployment,
+    deployment::{
+        Access, Account, Class, DataCentre, DataCentreState, Kind, Limits, Role, Service, Target,
+        Trainer,
+    },
+};
+use tamarackdock_types::{
+    AccountName, DataCentreName, NameError, ServiceName, TargetName, TrainerName, key::Hash,
+};
+
+use super::{MODEL, Options};
+
+/// Name of the plain service of a world.
+pub const PLAIN: &str = "parcels";
+
+/// Builds the configuration of a world.
+pub(super) fn build(
+    options: &Options,
+    engines: &[SocketAddr],
+    plain: &[SocketAddr],
+) -> Result<Deployment, NameError> {
+    let services = vec![service(MODEL, Kind::Model, true)?, service(PLAIN, Kind::Plain, false)?];
+    let names: Vec<_> = services.iter().map(|service| service.name.clone()).collect();
+    let account = |(name, weight): &(&str, u32)| {
+        Ok(Account {
+            name: AccountName::new(name)?,
+            weight: *weight,
+            keys: vec![Hash::of(format!("{name}-key").as_bytes())],
+            services: names.clone(),
+        })
+    };
+    let trainer = |name: &&str| {
+        Ok(Trainer {
+            name: TrainerName::new(name)?,
+            account: AccountName::new(name)?,
+            service: ServiceName::new(MODEL)?,
+            staleness_bound: options.staleness_bound,
+        })
+    };
+    let data_centre = |name: &str| {
+        Ok(DataCentre {
+            name: DataCentreName::new(name)?,
+            region: "r1".into(),
+            state: DataCentreState::In,
+        })
+    };
+    let mut targets = Vec::new();
+    for (index, (address, (centre, training))) in engines.iter().zip(&options.engines).enumerate() {
+        let role = if *training { Role::Training } else { Role::App };
+        targets.push(target(&format!("e{index}"), MODEL, centre, *address, role, options)?);
+    }
+    for (index, (address, centre)) in plain.iter().zip(&options.plain).enumerate() {
+        targets.push(target(&format!("s{index}"), PLAIN, centre, *address, Role::App, options)?);
+    }
+    Ok(Deployment {
+        services,
+        accounts: options.accounts.iter().map(account).collect::<Result<_, _>>()?,
+        trainers: options.trainers.iter().map(trainer).collect::<Result<_, _>>()?,
+        data_centres: options
+            .data_centres()
+            .into_iter()
+            .map(data_centre)
+            .collect::<Result<_, _>>()?,
+        targets,
+        limits: Limits::default(),
+    })
+}
+
+fn service(name: &str, kind: Kind, idempotent: bool) -> Result<Service, NameError> {
+    Ok(Service { name: ServiceName::new(name)?, kind, access: Access::Keyed, idempotent })
+}
+
+fn target(
+    name: &str,
+    service: &str,
+    data_centre: &str,
+    address: SocketAddr,
+    role: Role,
+    options: &Options,
+) -> Result<Target, NameError> {
+    Ok(Target {
+        name: TargetName::new(name)?,
+        service: ServiceName::new(service)?,
+        data_centre: DataCentreName::new(data_centre)?,
+        address,
+        class: Class::Ordinary,
+        role,
+        checks_epoch: options.engine.checks_epoch,
+        capacity: u32::try_from(options.engine.capacity).unwrap_or(u32::MAX),
+        cold_capacity: u32::try_from(options.engine.cold_capacity).unwrap_or(u32::MAX),
+    })
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/active.rs
@@ -0,0 +1,113 @@
+//! The configuration in force on a node, indexed for calls.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
+
+use tamarackdock_config::{
+    Deployment,
+    deployment::{Account, Service, Target, Trainer},
+};
+use tamarackdock_types::{ServiceName, TrainerName, key::Hash};
+use tamarackdock_wire::flag::Flag;
+
+/// A key that is in force.
+#[derive(Clone, Debug)]
+pub struct Key {
+    /// Account that the key belongs to.
+    pub account: Rc<Account>,
+    /// Raised when the key is withdrawn, so that its live calls end.
+    pub withdrawn: Flag,
+}
+
+/// One version of the configuration.
+#[derive(Debug, Default)]
+pub struct Active {
+    /// Version, 0 before the first.
+    pub version: u64,
+    /// Configuration as submitted.
+    pub deployment: Rc<Deployment>,
+    keys: HashMap<Hash, Key>,
+    services: HashMap<ServiceName, Rc<Service>>,
+    trainers: HashMap<TrainerName, Rc<Trainer>>,
+    targets: Vec<Rc<Target>>,
+}
+
+impl Active {
+    /// Indexes a version. Keys that stay with their account keep their flag,
+    /// and the flags of all others are raised.
+    #[must_use]
+    pub fn new(version: u64, deployment: Deployment, former: &Self) -> Self {
+        let accounts = deployment.accounts.iter().map(|account| Rc::new(account.clone()));
+        let mut keys = HashMap::new();
+        for account in accounts {
+            for hash in &account.keys {
+                let kept = former.keys.get(hash).filter(|key| key.account.name == account.name);
+                let withdrawn = kept.map(|key| key.withdrawn.clone()).unwrap_or_default();
+                keys.insert(*hash, Key { account: account.clone(), withdrawn });
+            }
+        }
+        for (hash, key) in &former.keys {
+            let kept = keys.get(hash).is_some_and(|new| new.account.name == key.account.name);
+            if !kept {
+                key.withdrawn.raise();
+            }
+        }
+        let services = deployment.services.iter();
+        let trainers = deployment.trainers.iter();
+        Self {
+            version,
+            keys,
+            services: services.map(|s| (s.name.clone(), Rc::new(s.clone()))).collect(),
+            trainers: trainers.map(|t| (t.name.clone(), Rc::new(t.clone()))).collect(),
+            targets: deployment.targets.iter().map(|t| Rc::new(t.clone())).collect(),
+            deployment: Rc::new(deployment),
+        }
+    }
+
+    /// Returns the key with a hash.
+    #[must_use]
+    pub fn key(&self, hash: &Hash) -> Option<&Key> {
+        self.keys.get(hash)
+    }
+
+    /// Returns a service by name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Rc<Service>> {
+        self.services.get(&ServiceName::new(name).ok()?)
+    }
+
+    /// Returns a trainer by name.
+    #[must_use]
+    pub fn trainer(&self, name: &str) -> Option<&Rc<Trainer>> {
+        self.trainers.get(&TrainerName::new(name).ok()?)
+    }
+
+    /// Returns all targets.
+    #[must_use]
+    pub fn targets(&self) -> &[Rc<Target>] {
+        &self.targets
+    }
+}
+
+/// The current version, shared by the tasks of a thread.
+#[derive(Clone, Debug, Default)]
+pub struct Watch(Rc<RefCell<Rc<Active>>>);
+
+impl Watch {
+    /// Returns the current version.
+    #[must_use]
+    pub fn get(&self) -> Rc<Active> {
+        self.0.borrow().clone()
+    }
+
+    /// Replaces the current version by a later one. An earlier one is
+    /// ignored, since an accepted configuration never reverts.
+    #[must_use]
+    pub fn advance(&self, version: u64, deployment: Deployment) -> bool {
+        let former = self.get();
+        if version <= former.version {
+            return false;
+        }
+        *self.0.borrow_mut() = Rc::new(Active::new(version, deployment, &former));
+        true
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/bin/tamarackctl.rs
@@ -0,0 +1,3 @@
+//! The operators' command.
+
+fn main() {}
--- /dev/null
+++ b/crates/tamarackdock_node/src/caller/completion.rs
@@ -0,0 +1,168 @@
+use futures_util::{
+    FutureExt,
+    future::{Either, LocalBoxFuture, select},
+    pin_mut,
+};
+use http::{HeaderValue, StatusCode};
+use serde::Deserialize;
+use serde_json::json;
+use tamarackdock_types::{
+    refusal::{Code, Refusal},
+    weight::Version,
+};
+use tamarackdock_wire::{
+    flag::Flag,
+    server::{Request, Response},
+    stream::{self, Piece},
+};
+
+use super::access;
+use crate::{
+    context::Context,
+    engine::{Event, Generation, Priority, Sink},
+};
+
+const MAX_TOKENS_DEFAULT: u32 = 16;
+
+#[derive(Deserialize)]
+struct Body {
+    model: String,
+    prompt: String,
+    #[serde(default = "max_tokens")]
+    max_tokens: u32,
+    #[serde(default)]
+    stream: bool,
+    #[serde(flatten)]
+    extra: serde_json::Map<String, serde_json::Value>,
+}
+
+const fn max_tokens() -> u32 {
+    MAX_TOKENS_DEFAULT
+}
+
+/// Fields by which a caller could change how the node and the engine work together.
+const RESERVED: [&str; 2] = ["priority", "resume_tokens"];
+
+/// Answers a completion request.
+pub(super) async fn handle(
+    context: &Context,
+    request: &Request,
+    id: String,
+) -> Result<Response, Refusal> {
+    let body: Body = serde_json::from_slice(&request.body).map_err(|error| {
+        Refusal::not_run(Code::BadRequest, format!("the body is no completion request: {error}"))
+    })?;
+    let active = context.active.get();
+    let (service, withdrawn) = access::service(&active, request, &body.model)?;
+    let mut extra = body.extra;
+    extra.retain(|name, _| !RESERVED.contains(&name.as_str()));
+    let generation = Generation {
+        id,
+        service: service.name.clone(),
+        prompt: body.prompt,
+        max_tokens: body.max_tokens,
+        priority: Priority::App,
+        idempotent: service.idempotent,
+        extra,
+    };
+    if body.stream {
+        return Ok(streamed(context.clone(), generation, withdrawn));
+    }
+    whole(context, &generation, &withdrawn).await
+}
+
+#[derive(Default)]
+struct Collected {
+    text: String,
+    finish: Option<String>,
+    version: Version,
+}
+
+impl Sink for Collected {
+    fn accept(&mut self, event: Event) -> LocalBoxFuture<'_, bool> {
+        self.text.push_str(&event.text);
+        self.version = event.version;
+        self.finish = event.finish.or(self.finish.take());
+        std::future::ready(true).boxed_local()
+    }
+}
+
+async fn whole(
+    context: &Context,
+    generation: &Generation,
+    withdrawn: &Flag,
+) -> Result<Response, Refusal> {
+    let mut collected = Collected::default();
+    let summary = {
+        let work = generation.run(context, &mut collected);
+        let ended = withdrawn.wait();
+        pin_mut!(work, ended);
+        match select(work, ended).await {
+            Either::Left((result, _)) => result?,
+            Either::Right(_) => return Err(access::withdrawn()),
+        }
+    };
+    let body = json!({
+        "id": generation.id,
+        "object": "text_completion",
+        "model": generation.service,
+        "choices": [{"index": 0, "text": collected.text, "finish_reason": collected.finish}],
+        "usage": {"completion_tokens": summary.tokens},
+        "weight_version": collected.version,
+    });
+    Ok(Response::json(StatusCode::OK, &body))
+}
+
+struct Forwarder {
+    id: String,
+    model: String,
+    pieces: stream::Sender,
+}
+
+impl Sink for Forwarder {
+    fn accept(&mut self, event: Event) -> LocalBoxFuture<'_, bool> {
+        let body = json!({
+            "id": self.id,
+            "object": "text_completion",
+            "model": self.model,
+            "choices": [{"index": 0, "text": event.text, "finish_reason": event.finish}],
+            "weight_version": event.version,
+        });
+        self.pieces.send(Piece::Data(format!("data: {body}\n\n").into())).boxed_local()
+    }
+}
+
+fn streamed(context: Context, generation: Generation, withdrawn: Flag) -> Response {
+    let (mut pieces, receiver) = stream::channel();
+    let producer = async move {
+        let mut forwarder = Forwarder {
+            id: generation.id.clone(),
+            model: generation.service.as_str().into(),
+            pieces: pieces.clone(),
+        };
+        let result = {
+            let work = generation.run(&context, &mut forwarder);
+            let ended = withdrawn.wait();
+            pin_mut!(work, ended);
+            match select(work, ended).await {
+                Either::Left((result, _)) => result,
+                // The stream is broken off, since its caller must not take it for whole.
+                Either::Right(_) => return,
+            }
+        };
+        let last = match result {
+            Ok(_) => "data: [DONE]\n\n".to_owned(),
+            Err(refusal) => {
+                let error = json!({"error": {
+                    "code": refusal.code, "message": refusal.message, "ran": refusal.ran,
+                }});
+                format!("data: {error}\n\n")
+            }
+        };
+        if pieces.send(Piece::Data(last.into())).await {
+            pieces.send(Piece::End).await;
+        }
+    };
+    let content_type = HeaderValue::from_static("text/event-stream");
+    Response::stream(StatusCode::OK, content_type, receiver, producer.boxed_local())
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/caller/request_id.rs
@@ -0,0 +1,23 @@
+use std::cell::Cell;
+
+use tamarackdock_types::{HostName, clock::Instant};
+
+/// Makes ids that no two calls share: host, start of the process, and a counter.
+#[derive(Debug)]
+pub(crate) struct RequestIds {
+    prefix: String,
+    next: Cell<u64>,
+}
+
+impl RequestIds {
+    pub(crate) fn new(host: &HostName, started: Instant) -> Self {
+        let prefix = format!("{host}-{}-{}", std::process::id(), started.as_millis());
+        Self { prefix, next: Cell::new(0) }
+    }
+
+    pub(crate) fn next(&self) -> String {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        format!("{}-{number}", self.prefix)
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/config/mod.rs
@@ -0,0 +1,5 @@
+//! The task that keeps the configuration up to date.
+
+mod task;
+
+pub(crate) use task::run;
--- /dev/null
+++ b/crates/tamarackdock_node/src/context.rs
@@ -0,0 +1,26 @@
+use std::rc::Rc;
+
+use slog::Logger;
+use tamarackdock_config::Settings;
+use tamarackdock_wire::{client::Pool, flag::Flag};
+
+use crate::{
+    active::Watch, peer, peers::Peers, platform::Platform, router, telemetry::Metrics, weights,
+};
+
+/// What the tasks of a node share.
+#[derive(Clone)]
+pub(crate) struct Context {
+    pub(crate) settings: Rc<Settings>,
+    pub(crate) active: Watch,
+    pub(crate) platform: Platform,
+    pub(crate) pool: Rc<Pool>,
+    pub(crate) router: router::Handle,
+    pub(crate) peers: Peers,
+    pub(crate) peer_client: peer::Client,
+    pub(crate) weights: weights::Watch,
+    pub(crate) metrics: Rc<Metrics>,
+    pub(crate) log: Logger,
+    /// Raised when the node begins to stop: the health check fails from then on.
+    pub(crate) leaving: Flag,
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/dispatch.rs
@@ -0,0 +1,35 @@
+//! Passes the messages of other nodes to the parts that they concern.
+
+use std::rc::Rc;
+
+use futures_util::{FutureExt, future::LocalBoxFuture};
+
+use crate::{
+    peer::{self, Message, Reply},
+    step::Service,
+};
+
+/// The parts of a node that other nodes talk to.
+pub(crate) struct Dispatch {
+    steps: Rc<Service>,
+}
+
+impl Dispatch {
+    pub(crate) fn new(steps: Rc<Service>) -> Self {
+        Self { steps }
+    }
+}
+
+impl peer::Dispatch for Dispatch {
+    fn dispatch(&self, message: Message) -> LocalBoxFuture<'_, Reply> {
+        async move {
+            match message {
+                Message::Step(call) => {
+                    let answer = self.steps.answer_as_holder(&call).await;
+                    answer.map_or(Reply::Unsupported, Reply::Step)
+                }
+            }
+        }
+        .boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/engine/attempt.rs
@@ -0,0 +1,143 @@
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::{Method, Request, StatusCode, header};
+use serde::Serialize;
+use tamarackdock_config::deployment::{Limits, Target};
+use tamarackdock_types::call::Ran;
+use tamarackdock_wire::client::{self, Deadlines, Pool};
+
+use super::{Event, Generation, Sink, sse::Parser};
+
+const DONE: &[u8] = b"[DONE]";
+
+/// The reason why an attempt gave no whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub(crate) enum Failure {
+    /// The connection failed.
+    #[display("{_0}")]
+    Connection(#[error(not(source))] client::Error),
+    /// The engine refused the call and says that it did not run.
+    #[display("the target refused the call without running it")]
+    Refused,
+    /// The engine rejected the request itself; another target would too.
+    #[display("the target rejects the request with status {_0}")]
+    Rejected(#[error(not(source))] u16),
+    /// The engine answered with an error or not as its interface says.
+    #[display("the target's answer is not valid")]
+    Invalid,
+    /// The answer belongs to another request.
+    #[display("the target answered another request")]
+    Crossed,
+    /// The reader of the answer left.
+    #[display("the caller left")]
+    Abandoned,
+}
+
+impl Failure {
+    /// Returns whether the attempt may have run.
+    pub(crate) fn ran(self) -> Ran {
+        match self {
+            Self::Connection(error) => error.ran(),
+            Self::Refused => Ran::No,
+            Self::Rejected(_) | Self::Invalid | Self::Crossed | Self::Abandoned => Ran::Unknown,
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    #[serde(flatten)]
+    extra: &'a serde_json::Map<String, serde_json::Value>,
+    model: &'a str,
+    prompt: &'a str,
+    max_tokens: u32,
+    stream: bool,
+    priority: super::Priority,
+    #[serde(skip_serializing_if = "<[u32]>::is_empty")]
+    resume_tokens: &'a [u32],
+}
+
+/// One attempt of a generation on one engine.
+pub(crate) struct Attempt<'a> {
+    pub(crate) generation: &'a Generation,
+    pub(crate) target: &'a Target,
+    pub(crate) id: String,
+    pub(crate) resume: &'a [u32],
+}
+
+impl Attempt<'_> {
+    /// Runs the attempt and passes its events on.
+    pub(crate) async fn run(
+        &self,
+        pool: &Pool,
+        limits: &Limits,
+        sink: &mut dyn Sink,
+    ) -> Result<(), Failure> {
+        let deadlines = Deadlines {
+            first_byte: limits.first_byte_ms,
+            between_bytes: limits.between_bytes_ms,
+            ..Deadlines::default()
+        };
+        let request = self.request()?;
+        let lease = pool.take(self.target.address, deadlines).await;
+        let mut lease = lease.map_err(Failure::Connection)?;
+        let answer = lease.connection().send(request).await.map_err(Failure::Connection)?;
+        self.check(&answer)?;
+        pass_events(answer, sink).await?;
+        pool.give_back(lease);
+        Ok(())
+    }
+
+    fn request(&self) -> Result<Request<Bytes>, Failure> {
+        let body = Body {
+            extra: &self.generation.extra,
+            model: self.generation.service.as_str(),
+            prompt: &self.generation.prompt,
+            max_tokens: self.generation.max_tokens,
+            stream: true,
+            priority: self.generation.priority,
+            resume_tokens: self.resume,
+        };
+        let body = serde_json::to_vec(&body).map_err(|_| Failure::Invalid)?;
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri("/v1/completions")
+            .header(header::HOST, self.target.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .header("x-request-id", &self.id);
+        request.body(body.into()).map_err(|_| Failure::Invalid)
+    }
+
+    fn check(&self, answer: &client::Answer<'_>) -> Result<(), Failure> {
+        let is_own = answer.header("x-request-id") == Some(&self.id);
+        let named = answer.header("x-target") == Some(self.target.name.as_str());
+        match answer.status() {
+            StatusCode::OK if is_own => Ok(()),
+            StatusCode::OK => Err(Failure::Crossed),
+            StatusCode::SERVICE_UNAVAILABLE if named && answer.header("x-not-run").is_some() => {
+                Err(Failure::Refused)
+            }
+            status if status.is_client_error() => Err(Failure::Rejected(status.as_u16())),
+            _ => Err(Failure::Invalid),
+        }
+    }
+}
+
+async fn pass_events(mut answer: client::Answer<'_>, sink: &mut dyn Sink) -> Result<(), Failure> {
+    let mut parser = Parser::default();
+    let mut is_done = false;
+    while let Some(bytes) = answer.next().await.map_err(Failure::Connection)? {
+        parser.feed(&bytes);
+        while let Some(data) = parser.next() {
+            if data == DONE {
+                is_done = true;
+                continue;
+            }
+            let event = Event::parse(&data).ok_or(Failure::Invalid)?;
+            if !sink.accept(event).await {
+                return Err(Failure::Abandoned);
+            }
+        }
+    }
+    if is_done { Ok(()) } else { Err(Failure::Invalid) }
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/engine/mod.rs
@@ -0,0 +1,10 @@
+//! Calls to model engines, see `docs/platform.md`.
+
+mod attempt;
+mod event;
+mod generation;
+mod sse;
+
+pub(crate) use attempt::{Attempt, Failure};
+pub(crate) use event::Event;
+pub(crate) use generation::{Generation, Priority, Sink};
--- /dev/null
+++ b/crates/tamarackdock_node/src/error.rs
@@ -0,0 +1,19 @@
+use std::io;
+
+use derive_more::{Display, Error as StdError};
+
+/// The reason why a node can't start.
+#[derive(Debug, Display, StdError)]
+pub enum Error {
+    /// A port can't be bound.
+    #[display("can't bind the {port} port: {source}")]
+    Bind {
+        /// Which port.
+        port: &'static str,
+        /// Error of the socket.
+        source: io::Error,
+    },
+    /// The metrics can't be registered.
+    #[display("can't register the metrics: {_0}")]
+    Metrics(prometheus::Error),
+}
--- a/crates/tamarackdock_node/src/lib.rs
+++ b/crates/tamarackdock_node/src/lib.rs
@@ -1,1 +1,27 @@
-//! Placeholder.
+//! The node: tasks that own sockets and state and run the decisions of the
+//! other crates. See `docs/design.md`, sections 3 and 5.
+
+pub mod active;
+mod caller;
+mod config;
+mod context;
+mod dispatch;
+mod engine;
+mod error;
+mod lease;
+mod node;
+mod operator;
+mod peer;
+mod peers;
+mod platform;
+mod router;
+mod running;
+pub mod runtime;
+mod step;
+mod telemetry;
+mod weights;
+
+pub use error::Error;
+pub use node::Node;
+pub use running::{Addresses, Running};
+pub use telemetry::log;
--- /dev/null
+++ b/crates/tamarackdock_node/src/node.rs
@@ -0,0 +1,88 @@
+use std::rc::Rc;
+
+use slog::{Logger, info};
+use tamarackdock_config::Settings;
+use tamarackdock_types::clock::{BootClock, Clock};
+use tamarackdock_wire::{
+    client::Pool,
+    flag::Flag,
+    guard::Limits,
+    server::{self, Options},
+};
+
+use crate::{
+    Error, Running,
+    active::Watch,
+    caller::{self, RequestIds},
+    config,
+    context::Context,
+    dispatch::Dispatch,
+    operator, peer, peers,
+    peers::Peers,
+    platform::Platform,
+    router,
+    running::Listeners,
+    step,
+    telemetry::{Metrics, log},
+    weights,
+};
+
+/// A node that can be started on the current thread's runtime.
+pub struct Node {
+    settings: Settings,
+    log: Logger,
+}
+
+impl Node {
+    /// Makes a node.
+    #[must_use]
+    pub fn new(settings: Settings, log: Logger) -> Self {
+        Self { settings, log }
+    }
+
+    /// Binds the ports and starts the tasks.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] if a port can't be bound.
+    pub fn start(self) -> Result<Running, Error> {
+        let pool = Rc::new(Pool::new(Limits::default()));
+        let peer_pool = Rc::new(Pool::new(Limits::default()));
+        let settings = Rc::new(self.settings);
+        let context = Context {
+            active: Watch::default(),
+            platform: Platform::new(settings.platform_address, pool.clone()),
+            pool,
+            router: router::spawn(),
+            peers: Peers::default(),
+            peer_client: peer::Client::new(peer_pool),
+            weights: weights::Watch::default(),
+            metrics: Rc::new(Metrics::new().map_err(Error::Metrics)?),
+            log: self.log,
+            leaving: Flag::new(),
+            settings: settings.clone(),
+        };
+        let stop = Flag::new();
+        let options =
+            Options { closing: context.leaving.clone(), stop: stop.clone(), ..Options::default() };
+        let ids = Rc::new(RequestIds::new(&settings.host, BootClock.now()));
+        let steps = Rc::new(step::Service::new(context.clone()));
+        let callers = Rc::new(caller::Handler::new(context.clone(), ids, steps.clone()));
+        let operators = Rc::new(operator::Handler::new(context.clone(), steps.clone()));
+        let dispatch = Rc::new(Dispatch::new(steps.clone()));
+        let peers = Rc::new(peer::Handler::new(dispatch));
+        let callers = server::listen(settings.caller_address, callers, options.clone())
+            .map_err(|source| Error::Bind { port: "caller", source })?;
+        let peers = server::listen(settings.peer_address, peers, options.clone())
+            .map_err(|source| Error::Bind { port: "peer", source })?;
+        let operators = server::listen(settings.operator_address, operators, options)
+            .map_err(|source| Error::Bind { port: "operator", source })?;
+        monoio::spawn(config::run(context.clone()));
+        monoio::spawn(weights::run(context.clone()));
+        monoio::spawn(peers::run(context.clone()));
+        let listeners = Listeners { callers, operators, peers };
+        info!(log::part(&context.log, "node"), "started";
+            "callers" => %listeners.callers.address());
+        Ok(Running::new(listeners, context, steps, stop))
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/operator/mod.rs
@@ -0,0 +1,5 @@
+//! The operators' port.
+
+mod handler;
+
+pub(crate) use handler::Handler;
--- /dev/null
+++ b/crates/tamarackdock_node/src/peer/message.rs
@@ -0,0 +1,19 @@
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+
+/// A message to another node.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Message {
+    /// A trainer's call that the holder of its step must answer.
+    Step(StepCall),
+}
+
+/// A trainer's call, checked for its key by the node that received it.
+#[serde_as]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct StepCall {
+    pub(crate) method: String,
+    pub(crate) uri: String,
+    #[serde_as(as = "serde_with::Bytes")]
+    pub(crate) body: Vec<u8>,
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/peer/mod.rs
@@ -0,0 +1,13 @@
+//! Messages between nodes over the peer port.
+
+mod client;
+mod failure;
+mod handler;
+mod message;
+mod reply;
+
+pub(crate) use client::Client;
+pub(crate) use failure::Failure;
+pub(crate) use handler::{Dispatch, Handler};
+pub(crate) use message::{Message, StepCall};
+pub(crate) use reply::{Reply, StepAnswer};
--- /dev/null
+++ b/crates/tamarackdock_node/src/peer/reply.rs
@@ -0,0 +1,23 @@
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+
+/// The reply to a message.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Reply {
+    /// Nothing to say.
+    Ok,
+    /// The holder's answer to a trainer.
+    Step(StepAnswer),
+    /// The node does not know what to do with the message.
+    Unsupported,
+}
+
+/// An HTTP answer as the holder of a step made it.
+#[serde_as]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct StepAnswer {
+    pub(crate) status: u16,
+    pub(crate) retry_after: Option<String>,
+    #[serde_as(as = "serde_with::Bytes")]
+    pub(crate) body: Vec<u8>,
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/platform.rs
@@ -0,0 +1,25 @@
+use std::{net::SocketAddr, rc::Rc};
+
+use tamarackdock_platform::{Client, host, object, table, weight};
+use tamarackdock_wire::client::Pool;
+
+/// The platform's services as the tasks use them.
+#[derive(Clone)]
+pub(crate) struct Platform {
+    pub(crate) table: Rc<dyn table::Table>,
+    pub(crate) objects: Rc<dyn object::Store>,
+    pub(crate) hosts: Rc<dyn host::Hosts>,
+    pub(crate) weights: Rc<dyn weight::Store>,
+}
+
+impl Platform {
+    pub(crate) fn new(address: SocketAddr, pool: Rc<Pool>) -> Self {
+        let client = Rc::new(Client::new(address, pool));
+        Self {
+            table: client.clone(),
+            objects: client.clone(),
+            hosts: client.clone(),
+            weights: client,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/running.rs
@@ -0,0 +1,101 @@
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use slog::{info, warn};
+use tamarackdock_wire::{flag::Flag, server::Listener};
+
+use crate::{context::Context, step::Service, telemetry::log};
+
+const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Bound addresses of a node, printed as one JSON line at its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+}
+
+/// The ports of a node.
+pub(crate) struct Listeners {
+    pub(crate) callers: Listener,
+    pub(crate) operators: Listener,
+    pub(crate) peers: Listener,
+}
+
+/// A started node.
+pub struct Running {
+    listeners: Listeners,
+    context: Context,
+    steps: Rc<Service>,
+    stop: Flag,
+}
+
+impl Running {
+    pub(crate) fn new(
+        listeners: Listeners,
+        context: Context,
+        steps: Rc<Service>,
+        stop: Flag,
+    ) -> Self {
+        Self { listeners, context, steps, stop }
+    }
+
+    /// Returns the bound addresses.
+    #[must_use]
+    pub fn addresses(&self) -> Addresses {
+        Addresses {
+            callers: self.listeners.callers.address(),
+            operators: self.listeners.operators.address(),
+            peers: self.listeners.peers.address(),
+        }
+    }
+
+    /// Serves until SIGTERM or SIGINT arrives, then shuts down gracefully.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if the signals can't be handled.
+    pub async fn serve(self) -> io::Result<()> {
+        let signalled = Arc::new(AtomicBool::new(false));
+        signal_hook::flag::register(SIGTERM, signalled.clone())?;
+        signal_hook::flag::register(SIGINT, signalled.clone())?;
+        while !signalled.load(Ordering::Relaxed) {
+            monoio::time::sleep(SIGNAL_POLL_INTERVAL).await;
+        }
+        self.shut_down().await;
+        Ok(())
+    }
+
+    /// Fails the health check, waits until the balancer has seen it, then
+    /// closes the ports and finishes the calls in progress.
+    pub async fn shut_down(&self) {
+        let log = log::part(&self.context.log, "node");
+        let settings = &self.context.settings;
+        info!(log, "leaving"; "open_connections" => self.listeners.callers.open());
+        self.context.leaving.raise();
+        monoio::time::sleep(settings.balancer_grace_ms).await;
+        self.steps.hand_over().await;
+        self.stop.raise();
+        let drained = self.listeners.callers.drained();
+        match monoio::time::timeout(settings.drain_timeout_ms, drained).await {
+            Ok(()) => info!(log, "stopped"),
+            Err(_) => {
+                warn!(log, "stopped with open calls"; "open" => self.listeners.callers.open());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/step/holder.rs
@@ -0,0 +1,218 @@
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
+
+use bytes::Bytes;
+use futures_channel::{mpsc, oneshot};
+use futures_util::StreamExt;
+use slog::{Logger, info};
+use tamarackdock_platform::Error;
+use tamarackdock_rollout::{
+    policy::Hedged,
+    request::{Fields, Request},
+    step::{Row, Step},
+};
+use tamarackdock_types::{
+    TrainerName,
+    clock::{BootClock, Clock},
+    refusal::{Code, Refusal},
+};
+
+use super::{
+    call::{Call, Kind},
+    runner::{Command, Page, Runner},
+};
+use crate::{
+    context::Context,
+    lease::{self, Event},
+    peer::StepAnswer,
+};
+
+/// Steps that stay in memory; earlier ones are read back from the platform when asked for.
+const STEPS_KEPT: usize = 3;
+
+#[derive(Clone)]
+struct Running {
+    request: Request,
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+/// The steps of one trainer on the node that holds its lease.
+pub(super) struct Holder {
+    context: Context,
+    trainer: TrainerName,
+    log: Logger,
+    pub(super) lease: lease::Handle,
+    steps: RefCell<BTreeMap<u64, Running>>,
+}
+
+impl Holder {
+    /// Starts the candidacy for a trainer's lease.
+    pub(super) fn spawn(context: &Context, trainer: &TrainerName, log: &Logger) -> Rc<Self> {
+        let (lease, events) = lease::Handle::spawn(context, &format!("step/{trainer}"));
+        let holder = Rc::new(Self {
+            context: context.clone(),
+            trainer: trainer.clone(),
+            log: log.clone(),
+            lease,
+            steps: RefCell::default(),
+        });
+        monoio::spawn(watch(Rc::downgrade(&holder), events));
+        holder
+    }
+
+    /// Answers a call as the holder.
+    pub(super) async fn answer(&self, call: Call) -> Result<StepAnswer, Refusal> {
+        match call.kind {
+            Kind::Open(open) => {
+                let active = self.context.active.get();
+                let trainer = active.trainer(self.trainer.as_str()).ok_or_else(moved)?;
+                let open = self.open(open.into_request(trainer)?).await?;
+                Ok(StepAnswer::opened(&open.request))
+            }
+            Kind::Read { cursor, wait } => {
+                let open = self.find(call.step).await?;
+                let (reply, answer) = oneshot::channel();
+                let _ = open.commands.unbounded_send(Command::Read { cursor, reply });
+                match monoio::time::timeout(wait, answer).await {
+                    Ok(Ok(Some(page))) => Ok(page_answer(&open.request, page)),
+                    Ok(Ok(None)) => Err(Refusal::not_run(
+                        Code::BadRequest,
+                        "`cursor` is no position that was handed out; use `next_cursor`",
+                    )),
+                    Ok(Err(_)) => Err(moved()),
+                    Err(_) => Ok(StepAnswer::samples(&[], cursor, false)),
+                }
+            }
+            Kind::Acknowledge { cursor } => {
+                let open = self.find(call.step).await?;
+                let _ = open.commands.unbounded_send(Command::Acknowledge { cursor });
+                Ok(StepAnswer::acknowledged(cursor))
+            }
+        }
+    }
+
+    /// Describes the state.
+    pub(super) fn dump(&self) -> serde_json::Value {
+        let steps: Vec<u64> = self.steps.borrow().keys().copied().collect();
+        serde_json::json!({
+            "trainer": self.trainer, "epoch": self.lease.permit(), "steps": steps,
+        })
+    }
+
+    /// Stores the request, so that a next holder finds it, and starts the step.
+    async fn open(&self, request: Request) -> Result<Running, Refusal> {
+        let fields = request.fields();
+        let known = self.steps.borrow().get(&fields.step).cloned();
+        match known {
+            Some(open) if open.request == request => return Ok(open),
+            Some(_) => return Err(conflict()),
+            None => {}
+        }
+        let bytes = serde_json::to_vec(&request)
+            .map_err(|error| Refusal::not_run(Code::Internal, error.to_string()))?;
+        let name = self.object(fields.step);
+        match self.context.platform.objects.put(name, bytes.into()).await {
+            Ok(()) => self.resume(request).await,
+            Err(Error::Conflict { .. }) => Err(conflict()),
+            Err(error) => Err(unavailable(&error)),
+        }
+    }
+
+    async fn find(&self, step: u64) -> Result<Running, Refusal> {
+        let known = self.steps.borrow().get(&step).cloned();
+        if let Some(open) = known {
+            return Ok(open);
+        }
+        let stored = self.context.platform.objects.get(self.object(step)).await;
+        let stored = stored.map_err(|error| unavailable(&error))?;
+        let bytes: Bytes = stored.ok_or_else(|| {
+            Refusal::not_run(Code::NotFound, "no such step; ask for it with `POST /v1/steps`")
+        })?;
+        let request = serde_json::from_slice(&bytes)
+            .map_err(|error| Refusal::not_run(Code::Internal, error.to_string()))?;
+        self.resume(request).await
+    }
+
+    /// Starts the task of a step from its manifest row.
+    async fn resume(&self, request: Request) -> Result<Running, Refusal> {
+        let Fields { step: number, service, .. } = request.fields().clone();
+        let key = format!("step/{}/{number}", self.trainer);
+        let rows = self.context.platform.table.read(vec![key.clone()]).await;
+        let mut rows = rows.map_err(|error| unavailable(&error))?;
+        let row = rows.remove(&key);
+        let row = row.map(|row| Row { revision: row.revision, value: row.value });
+        let epoch = self.lease.permit().ok_or_else(moved)?;
+        // Another call may have started the step meanwhile.
+        if let Some(open) = self.steps.borrow().get(&number) {
+            return Ok(open.clone());
+        }
+        let newest = self.context.weights.get(&service);
+        let now = BootClock.now();
+        let policy = Box::new(Hedged);
+        let step = Step::new(now, request.clone(), epoch, newest, policy, row.as_ref())
+            .map_err(|error| Refusal::not_run(Code::Internal, error.to_string()))?;
+        let (commands, receiver) = mpsc::unbounded();
+        let (inputs, pieces) = mpsc::unbounded();
+        let runner = Runner {
+            context: self.context.clone(),
+            lease: self.lease.clone(),
+            request: request.clone(),
+            step,
+            row: key,
+            log: self.log.clone(),
+            inputs,
+            waiting: BTreeMap::new(),
+            running: std::collections::HashMap::new(),
+        };
+        monoio::spawn(runner.run(receiver, pieces));
+        info!(self.log, "step started"; "trainer" => %self.trainer, "step" => number);
+        let open = Running { request, commands };
+        let mut steps = self.steps.borrow_mut();
+        steps.insert(number, open.clone());
+        while steps.len() > STEPS_KEPT {
+            steps.pop_first();
+        }
+        Ok(open)
+    }
+
+    fn object(&self, step: u64) -> String {
+        format!("steps/{}/{step}/request", self.trainer)
+    }
+}
+
+/// Ends all steps when the lease is lost, since another node goes on with them.
+async fn watch(holder: std::rc::Weak<Holder>, mut events: mpsc::UnboundedReceiver<Event>) {
+    while let Some(event) = events.next().await {
+        let Some(holder) = holder.upgrade() else {
+            return;
+        };
+        match event {
+            Event::Acquired(epoch) => {
+                info!(holder.log, "lease acquired"; "trainer" => %holder.trainer, "epoch" => %epoch);
+            }
+            Event::Lost => {
+                info!(holder.log, "lease lost"; "trainer" => %holder.trainer);
+                holder.steps.borrow_mut().clear();
+            }
+        }
+    }
+}
+
+fn page_answer(request: &Request, page: Page) -> StepAnswer {
+    StepAnswer::samples(&page.samples, page.next, page.next == request.samples())
+}
+
+fn conflict() -> Refusal {
+    let message = "the step was asked for before with other content; use a new step number";
+    Refusal::not_run(Code::Conflict, message)
+}
+
+fn unavailable(error: &Error) -> Refusal {
+    let message = format!("the platform's store does not answer: {error}");
+    Refusal::not_run(Code::StoreUnavailable, message).retry_after(std::time::Duration::from_secs(1))
+}
+
+/// The refusal of a call that reached a node which no longer holds the trainer's lease.
+pub(super) fn moved() -> Refusal {
+    let message = "another node takes the trainer over; ask again";
+    Refusal::not_run(Code::NoTarget, message).retry_after(std::time::Duration::from_secs(1))
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/telemetry/mod.rs
@@ -0,0 +1,4 @@
+pub mod log;
+mod metrics;
+
+pub(crate) use metrics::Metrics;
--- a/crates/tamarackdock_rollout/src/sample.rs
+++ b/crates/tamarackdock_rollout/src/sample.rs
@@ -9,8 +9,10 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sample {
     /// Slot that the sample fills.
+    #[serde(flatten)]
     pub slot: Slot,
     /// Token ids.
+    #[serde(rename = "token_ids")]
     pub tokens: Vec<u32>,
     /// Text of the tokens.
     pub text: String,
--- a/crates/tamarackdock_rollout/src/span.rs
+++ b/crates/tamarackdock_rollout/src/span.rs
@@ -9,5 +9,6 @@
     /// Count of tokens.
     pub tokens: u32,
     /// Version that the engine reported for them.
+    #[serde(rename = "weight_version")]
     pub version: Version,
 }
