Add the target plan and the order state machine

Cause: targets are the cost of the service; too few fail its callers, and orders from two holders start or stop the wrong ones (design.md, sections 4 and 7).

Change: `Elastic` plans each data centre from measured demand plus a buffer, with cheap targets up to the capacity that may go missing when those of any one data centre are reclaimed, and lowers a count only after the hold time. `Fixed` is the baseline. `Orders` brings a data centre to the plan one order at a time: read the receiver's state, record under the epoch's condition, send, read again. An order with unknown outcome is repeated under its own operation id and target name in place of a new one of its kind. A new epoch starts with a read, after the deadlines of earlier epochs if the receiver ignores them.

Conclusion: the plan and the orders keep their bounds as long as the receiver carries out an operation id at most once.

--- a/crates/tamarackdock_lease/src/held.rs
+++ b/crates/tamarackdock_lease/src/held.rs
@@ -38,6 +38,12 @@
         self.permit(now).filter(|_| in_time && self.is_quiet(now))
     }
 
+    /// Returns the epoch, whether or not the lease is still valid.
+    #[must_use]
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
     /// Whether no order of an earlier epoch can arrive any more, so that the
     /// receiver's state can be read.
     #[must_use]
--- /dev/null
+++ b/crates/tamarackdock_spend/src/elastic.rs
@@ -0,0 +1,96 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use tamarackdock_platform::order::Class;
+use tamarackdock_types::{DataCentreName, clock::Instant};
+
+use crate::{Centre, Policy, Wanted, hysteresis::Hysteresis};
+
+/// Bounds of an elastic plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Settings {
+    /// Capacity beyond the measured demand, in percent of it.
+    pub buffer_percent: u64,
+    /// Share of the measured demand, in percent, that the remaining targets must
+    /// carry when all cheap targets of one data centre are reclaimed.
+    pub bearable_percent: u64,
+    /// How long fewer targets must suffice before any is stopped.
+    pub hold: Duration,
+    /// How long no cheap targets are planned after none could be had.
+    pub unavailable: Duration,
+}
+
+#[derive(Debug, Default)]
+struct History {
+    total: Hysteresis,
+    ordinary: Hysteresis,
+    no_cheap_until: Instant,
+}
+
+/// A plan that follows the measured demand, with as many cheap targets as the
+/// loss of any one data centre's allows.
+#[derive(Debug)]
+pub struct Elastic {
+    settings: Settings,
+    histories: BTreeMap<DataCentreName, History>,
+}
+
+impl Elastic {
+    /// Makes the policy.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self { settings, histories: BTreeMap::new() }
+    }
+
+    fn total(&mut self, now: Instant, name: &DataCentreName, centre: &Centre) -> u32 {
+        let capacity = centre.capacity.max(1);
+        let needed = percent(centre.demand, 100 + self.settings.buffer_percent).div_ceil(capacity);
+        let needed = u32::try_from(needed).unwrap_or(u32::MAX).min(centre.limit);
+        let history = self.histories.entry(name.clone()).or_default();
+        history.total.apply(now, needed, self.settings.hold).min(centre.limit)
+    }
+
+    /// Splits a data centre's targets. Fewer cheap ones than `spare` allows are
+    /// harmless, so only the ordinary ones are subject to hysteresis.
+    fn split(&mut self, now: Instant, name: &DataCentreName, total: u32, cheap: u32) -> Wanted {
+        let history = self.histories.entry(name.clone()).or_default();
+        let cheap = if now < history.no_cheap_until { 0 } else { cheap.min(total) };
+        let ordinary = history.ordinary.apply(now, total - cheap, self.settings.hold).min(total);
+        Wanted { ordinary, cheap: total - ordinary }
+    }
+}
+
+impl Policy for Elastic {
+    fn plan(
+        &mut self,
+        now: Instant,
+        centres: &BTreeMap<DataCentreName, Centre>,
+    ) -> BTreeMap<DataCentreName, Wanted> {
+        self.histories.retain(|name, _| centres.contains_key(name));
+        let mut totals = Vec::new();
+        let (mut capacity, mut demand) = (0, 0);
+        for (name, centre) in centres {
+            let total = self.total(now, name, centre);
+            capacity += u64::from(total) * centre.capacity;
+            demand += centre.demand;
+            totals.push((name, centre, total));
+        }
+        let spare = capacity.saturating_sub(percent(demand, self.settings.bearable_percent));
+        let mut plan = BTreeMap::new();
+        for (name, centre, total) in totals {
+            let cheap = u32::try_from(spare / centre.capacity.max(1)).unwrap_or(u32::MAX);
+            plan.insert(name.clone(), self.split(now, name, total, cheap));
+        }
+        plan
+    }
+
+    fn on_unavailable(&mut self, now: Instant, data_centre: &DataCentreName, class: Class) {
+        if class == Class::Cheap {
+            let history = self.histories.entry(data_centre.clone()).or_default();
+            history.no_cheap_until = now + self.settings.unavailable;
+        }
+    }
+}
+
+fn percent(value: u64, percent: u64) -> u64 {
+    value.saturating_mul(percent).div_ceil(100)
+}
--- /dev/null
+++ b/crates/tamarackdock_spend/src/fixed.rs
@@ -0,0 +1,22 @@
+use std::collections::BTreeMap;
+
+use tamarackdock_platform::order::Class;
+use tamarackdock_types::{DataCentreName, clock::Instant};
+
+use crate::{Centre, Policy, Wanted};
+
+/// The baseline: the same number of targets in each data centre at all times.
+#[derive(Debug, Clone, Copy)]
+pub struct Fixed(pub Wanted);
+
+impl Policy for Fixed {
+    fn plan(
+        &mut self,
+        _now: Instant,
+        centres: &BTreeMap<DataCentreName, Centre>,
+    ) -> BTreeMap<DataCentreName, Wanted> {
+        centres.keys().map(|name| (name.clone(), self.0)).collect()
+    }
+
+    fn on_unavailable(&mut self, _now: Instant, _data_centre: &DataCentreName, _class: Class) {}
+}
--- /dev/null
+++ b/crates/tamarackdock_spend/src/input.rs
@@ -0,0 +1,33 @@
+use tamarackdock_platform::{Error, order::Listed};
+
+use crate::Wanted;
+
+/// What the spend task tells the state machine.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// Time has passed, or the lease has changed.
+    Tick,
+    /// The plan has changed.
+    Plan(Wanted),
+    /// The result of a list request.
+    Listed {
+        /// Number of the request.
+        request: u64,
+        /// Targets of the data centre.
+        result: Result<Vec<Listed>, Error>,
+    },
+    /// The result of a record.
+    Recorded {
+        /// Number of the request.
+        request: u64,
+        /// Revision of the record.
+        result: Result<u64, Error>,
+    },
+    /// The result of an order.
+    Sent {
+        /// Number of the request.
+        request: u64,
+        /// Whether the receiver accepted the order.
+        result: Result<(), Error>,
+    },
+}
--- a/crates/tamarackdock_spend/src/lib.rs
+++ b/crates/tamarackdock_spend/src/lib.rs
@@ -1,1 +1,25 @@
-//! Placeholder.
+//! How many targets each data centre needs, and the orders that get them. See
+//! `docs/design.md`, section 7.
+
+mod action;
+mod centre;
+mod elastic;
+mod fixed;
+mod hysteresis;
+mod input;
+mod orders;
+mod policy;
+mod receiver;
+mod record;
+mod wanted;
+
+pub use action::Action;
+pub use centre::Centre;
+pub use elastic::{Elastic, Settings};
+pub use fixed::Fixed;
+pub use input::Input;
+pub use orders::Orders;
+pub use policy::Policy;
+pub use receiver::Receiver;
+pub use record::Record;
+pub use wanted::Wanted;
--- /dev/null
+++ b/crates/tamarackdock_spend/src/orders/record.rs
@@ -0,0 +1,36 @@
+//! Records of orders in the table.
+
+use tamarackdock_lease::Held;
+use tamarackdock_platform::{
+    order::Order,
+    table::{Commit, Write},
+};
+use tamarackdock_types::clock::Instant;
+
+use super::{Orders, Stage};
+use crate::{Action, Record};
+
+impl Orders {
+    /// Records an order under the epoch's condition. A record whose outcome is
+    /// unknown may stay, since nothing is sent for it.
+    pub(super) fn record(
+        &mut self,
+        now: Instant,
+        held: &mut Held,
+        order: Order,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(deadline) = held.record(now) else { return };
+        let key = format!("order/{}/{}-{}", self.data_centre, order.epoch, self.number);
+        let record = Record { order: order.clone(), deadline_ms: deadline.until.as_millis() };
+        let value = serde_json::to_string(&record).expect("an order has a JSON form");
+        let mut writes = vec![Write { key: key.clone(), value: Some(value) }];
+        let last = self.last_key.replace(key.clone()).filter(|last| *last != key);
+        writes.extend(last.map(|key| Write { key, value: None }));
+        let request = self.start_request();
+        let operation = format!("{}-{request}", order.operation);
+        self.stage = Stage::Recording(order, deadline);
+        let commit = Commit { operation, conditions: vec![held.fence()], writes };
+        actions.push(Action::Record { request, commit });
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_spend/tests/schedules/main.rs
@@ -0,0 +1,33 @@
+//! Seeded schedules of three processes that order targets, with drifting clocks,
+//! pauses, restarts, partitions, store outages, and lost and late messages.
+
+mod node;
+mod receiver;
+mod store;
+mod world;
+
+use std::cell::Cell;
+
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const SCHEDULES: u32 = 2_000;
+const SEED: [u8; 32] = *b"tamarackdock spend schedules 001";
+
+/// Guards against orders from two holders, orders on a state that the holder did
+/// not read, more targets than planned, a stop before the replacement runs, and a
+/// plan that is never reached.
+#[test]
+fn orders_come_from_one_holder() {
+    println!("seed {:?}", String::from_utf8_lossy(&SEED));
+    let config = Config { cases: SCHEDULES, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let totals = [const { Cell::new(0) }; 5];
+    let outcome = TestRunner::new_with_rng(config, rng).run(&proptest::num::u64::ANY, |schedule| {
+        let counts = world::World::new(schedule).run()?;
+        totals.iter().zip(counts).for_each(|(total, count)| total.set(total.get() + count));
+        Ok(())
+    });
+    println!("{SCHEDULES} schedules; epochs, orders, repeated, stale, unavailable: {totals:?}");
+    outcome.unwrap();
+    assert!(totals.iter().all(|total| total.get() > u64::from(SCHEDULES) / 20));
+}
--- /dev/null
+++ b/crates/tamarackdock_spend/tests/schedules/receiver.rs
@@ -0,0 +1,107 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::{prop_assert, test_runner::TestCaseError};
+use tamarackdock_platform::{
+    Error,
+    order::{Action, Class, Listed, Order, State},
+};
+use tamarackdock_spend::{Receiver, Wanted};
+use tamarackdock_types::{TargetName, fence::Epoch};
+
+/// The interface that starts and stops targets.
+pub(crate) struct Targets {
+    pub(crate) kind: Receiver,
+    running: BTreeMap<TargetName, Listed>,
+    operations: BTreeSet<String>,
+    newest: Epoch,
+    readers: BTreeSet<Epoch>,
+    /// Whether an earlier holder's order came after the last holder's read, which
+    /// only a receiver that checks epochs may see.
+    disturbed: bool,
+    /// Whether the last list showed a target that was starting.
+    starting: bool,
+    pub(crate) no_cheap_until: u64,
+    pub(crate) most: Wanted,
+    /// Orders, repeated orders, refused stale orders, orders that could not be met.
+    pub(crate) counts: [u64; 4],
+}
+
+impl Targets {
+    pub(crate) fn new(kind: Receiver) -> Self {
+        Self {
+            kind,
+            running: BTreeMap::new(),
+            operations: BTreeSet::new(),
+            newest: Epoch::default(),
+            readers: BTreeSet::new(),
+            disturbed: false,
+            starting: false,
+            no_cheap_until: 0,
+            most: Wanted::default(),
+            counts: [0; 4],
+        }
+    }
+
+    pub(crate) fn list(&mut self, reader: Epoch) -> Vec<Listed> {
+        self.readers.insert(reader);
+        let listed: Vec<_> = self.running.values().cloned().collect();
+        self.starting = listed.iter().any(|target| target.state == State::Starting);
+        self.running.values_mut().for_each(|target| target.state = State::Running);
+        listed
+    }
+
+    pub(crate) fn count(&self, class: Class) -> u32 {
+        let of_class = self.running.values().filter(|target| target.class == class);
+        u32::try_from(of_class.count()).unwrap()
+    }
+
+    pub(crate) fn reclaim(&mut self, until: u64) {
+        self.running.retain(|_, target| target.class == Class::Ordinary);
+        self.no_cheap_until = until;
+    }
+
+    pub(crate) fn order(
+        &mut self,
+        time: u64,
+        order: Order,
+    ) -> Result<Result<(), Error>, TestCaseError> {
+        let ignores = self.kind == Receiver::IgnoresEpoch;
+        if order.epoch < self.newest && !ignores {
+            self.counts[2] += 1;
+            return Ok(Err(Error::StaleEpoch(self.newest)));
+        }
+        let read_later = self.readers.last().is_some_and(|reader| *reader > order.epoch);
+        prop_assert!(order.epoch >= self.newest, "order of {} is late", order.epoch);
+        prop_assert!(!(ignores && read_later), "order of {} after a later read", order.epoch);
+        prop_assert!(self.readers.contains(&order.epoch), "order on a state that was not read");
+        self.disturbed |= read_later;
+        self.newest = order.epoch;
+        if order.class == Class::Cheap
+            && order.action == Action::Start
+            && time < self.no_cheap_until
+        {
+            self.counts[3] += 1;
+            return Ok(Err(Error::Unavailable));
+        }
+        if !self.operations.insert(order.operation) {
+            self.counts[1] += 1;
+            return Ok(Ok(()));
+        }
+        self.counts[0] += 1;
+        match order.action {
+            Action::Start => {
+                let (name, class) = (order.target.clone(), order.class);
+                let target = Listed { name, class, state: State::Starting };
+                self.running.insert(order.target, target);
+            }
+            Action::Stop => {
+                prop_assert!(!(ignores && self.starting), "stop while a target is starting");
+                self.running.remove(&order.target);
+            }
+        }
+        let (ordinary, cheap) = (self.count(Class::Ordinary), self.count(Class::Cheap));
+        let fits = ordinary <= self.most.ordinary && cheap <= self.most.cheap;
+        prop_assert!(self.disturbed || fits, "{ordinary} and {cheap} targets, more than planned");
+        Ok(Ok(()))
+    }
+}
