Add the state machine of weight loads

Cause: engines had nothing that orders them to load new weights.

Change: `Loader` orders the loads of one service's engines. The policy `Waves` keeps to a share of the capacity and to the weight store's rate; the baseline `AllAtOnce` orders every engine at once. Failed loads are repeated with backoff. An unknown outcome is settled by a report that was made after it. A new holder waits until it has heard which engines still load.

--- a/crates/tamarackdock_weights/src/lib.rs
+++ b/crates/tamarackdock_weights/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! Loads of new weights on the engines of a service, in waves under the weight
+//! store's rate. See `docs/design.md`, section 6.
+
+pub mod loader;
+pub mod policy;
--- /dev/null
+++ b/crates/tamarackdock_weights/src/loader/mod.rs
@@ -0,0 +1,206 @@
+//! The state machine that loads the weights of one service.
+
+mod action;
+mod engine;
+mod input;
+mod order;
+mod rate;
+
+use std::{collections::BTreeMap, time::Duration};
+
+pub use action::Action;
+use engine::{Engine, Load};
+pub use input::{Input, State};
+pub use order::Order;
+use rate::Rate;
+use tamarackdock_types::{TargetName, clock::Instant, fence::Epoch, weight::Version};
+
+use crate::policy::{Candidate, Fleet, Policy};
+
+/// Largest age that the newest report of an engine reaches, which is its lag
+/// on arrival plus the time between two reports.
+pub const REPORT_LAG: Duration = Duration::from_secs(2);
+const FIRST_RETRY: Duration = Duration::from_millis(250);
+/// Bounds the time for which a repaired engine stays behind.
+const LONGEST_RETRY: Duration = Duration::from_secs(4);
+
+/// Loads the newest weights on the engines of one service.
+pub struct Loader {
+    epoch: Epoch,
+    policy: Box<dyn Policy>,
+    engines: BTreeMap<TargetName, Engine>,
+    newest: Version,
+    rate: Rate,
+    next: u64,
+    /// A new holder first hears which engines still load for the holder before.
+    starts_at: Instant,
+    done: Option<Version>,
+}
+
+impl Loader {
+    /// Makes the loader of a new holder, which knows no engine yet. It orders
+    /// nothing before [`REPORT_LAG`] has passed.
+    #[must_use]
+    pub fn new(now: Instant, epoch: Epoch, policy: Box<dyn Policy>) -> Self {
+        Self {
+            epoch,
+            policy,
+            engines: BTreeMap::new(),
+            newest: Version::default(),
+            rate: Rate::new(now),
+            next: 0,
+            starts_at: now + REPORT_LAG,
+            done: None,
+        }
+    }
+
+    /// Handles one input and returns what to do next.
+    pub fn handle(&mut self, now: Instant, input: Input) -> Vec<Action> {
+        self.apply(now, input);
+        let mut actions = self.order_loads(now);
+        if now >= self.starts_at && self.is_done() && self.done != Some(self.newest) {
+            self.done = Some(self.newest);
+            actions.push(Action::Done(self.newest));
+        }
+        actions
+    }
+
+    fn is_done(&self) -> bool {
+        let current = |engine: &Engine| engine.version >= self.newest && !engine.is_away();
+        !self.engines.is_empty() && self.engines.values().all(current)
+    }
+
+    fn apply(&mut self, now: Instant, input: Input) {
+        match input {
+            Input::Latest { version, loads_per_second } => {
+                self.newest = self.newest.max(version);
+                self.rate.set(now, loads_per_second);
+            }
+            Input::Reported { target, capacity, version, state } => {
+                self.reported(now, target, capacity, (version, state));
+            }
+            Input::Gone(target) => {
+                self.engines.remove(&target);
+            }
+            Input::Loaded(order) => self.settle(now, order, true),
+            Input::Failed(order) => self.settle(now, order, false),
+            Input::Unknown(order) => self.unknown(now, order),
+            Input::Tick => {}
+        }
+    }
+
+    fn find(&mut self, order: Order) -> Option<(&mut Engine, Version)> {
+        self.engines.values_mut().find_map(|engine| {
+            let version = engine.ordered(order)?;
+            Some((engine, version))
+        })
+    }
+
+    /// Notes the outcome of an order. Responses to earlier orders are ignored.
+    fn settle(&mut self, now: Instant, order: Order, loaded: bool) {
+        match self.find(order) {
+            Some((engine, version)) if loaded => finish(engine, now, version),
+            Some((engine, _)) => fail(engine, now),
+            None => {}
+        }
+    }
+
+    fn unknown(&mut self, now: Instant, order: Order) {
+        if let Some((engine, version)) = self.find(order) {
+            engine.load = Load::Unknown { order, version, since: now };
+        }
+    }
+
+    fn reported(
+        &mut self,
+        now: Instant,
+        target: TargetName,
+        capacity: u32,
+        (version, state): (Version, State),
+    ) {
+        let engine = self.engines.entry(target).or_insert(Engine {
+            capacity,
+            version,
+            reported: state,
+            load: Load::Idle,
+            failures: 0,
+            settled: None,
+        });
+        engine.capacity = capacity;
+        match engine.load {
+            Load::Unknown { version: wanted, .. }
+                if version >= wanted && state == State::Serving =>
+            {
+                finish(engine, now, version);
+            }
+            Load::Unknown { since, .. } if state == State::Serving && is_current(now, since) => {
+                engine.version = version;
+                fail(engine, now);
+            }
+            Load::Ordered { .. } | Load::Unknown { .. } => {}
+            _ if engine.settled.is_some_and(|settled| !is_current(now, settled)) => {}
+            _ => (engine.version, engine.reported) = (version, state),
+        }
+    }
+
+    /// Orders the loads that the policy chooses.
+    fn order_loads(&mut self, now: Instant) -> Vec<Action> {
+        if now < self.starts_at {
+            return Vec::new();
+        }
+        let fleet = self.fleet(now);
+        if fleet.candidates.is_empty() {
+            return Vec::new();
+        }
+        let chosen = self.policy.choose(&fleet);
+        self.rate.spend(chosen.len());
+        chosen.into_iter().filter_map(|target| self.load(target)).collect()
+    }
+
+    fn load(&mut self, target: TargetName) -> Option<Action> {
+        let order = Order { epoch: self.epoch, number: self.next };
+        let version = self.newest;
+        self.engines.get_mut(&target)?.load = Load::Ordered { order, version };
+        self.next += 1;
+        Some(Action::Load { order, target, version })
+    }
+
+    fn fleet(&mut self, now: Instant) -> Fleet {
+        let mut fleet = Fleet::default();
+        for (target, engine) in &self.engines {
+            let capacity = u64::from(engine.capacity);
+            fleet.capacity += capacity;
+            if engine.is_away() {
+                fleet.away += capacity;
+            } else if engine.can_load(now, self.newest) {
+                let (target, version) = (target.clone(), engine.version);
+                fleet.candidates.push(Candidate { target, capacity, version });
+            }
+        }
+        fleet.candidates.sort_by_key(|candidate| candidate.version);
+        fleet.permits = self.rate.permits(now, fleet.candidates.len());
+        fleet
+    }
+}
+
+/// Returns whether a report that arrives now was made after `since`.
+fn is_current(now: Instant, since: Instant) -> bool {
+    now.since(since) > REPORT_LAG
+}
+
+fn finish(engine: &mut Engine, now: Instant, version: Version) {
+    engine.version = version;
+    engine.reported = State::Serving;
+    engine.load = Load::Idle;
+    engine.failures = 0;
+    engine.settled = Some(now);
+}
+
+fn fail(engine: &mut Engine, now: Instant) {
+    let doublings = engine.failures.min(8);
+    let delay = (FIRST_RETRY * 2u32.pow(doublings)).min(LONGEST_RETRY);
+    engine.failures += 1;
+    engine.reported = State::Serving;
+    engine.load = Load::Waiting { until: now + delay };
+    engine.settled = Some(now);
+}
--- /dev/null
+++ b/crates/tamarackdock_weights/src/policy/all_at_once.rs
@@ -0,0 +1,13 @@
+use tamarackdock_types::TargetName;
+
+use super::{Fleet, Policy};
+
+/// The baseline: every engine that is behind loads at once.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct AllAtOnce;
+
+impl Policy for AllAtOnce {
+    fn choose(&self, fleet: &Fleet) -> Vec<TargetName> {
+        fleet.candidates.iter().map(|candidate| candidate.target.clone()).collect()
+    }
+}
