Check the delivery order of groups

Cause: no test compared the order of delivery with the order in which groups became complete.

Change: the two schedules without faults compare both orders.

Conclusion: the order is checked in runs without faults only, since a failed attempt or an expired sample changes when a group counts as complete.

--- a/crates/tamarackdock_rollout/tests/schedules.rs
+++ b/crates/tamarackdock_rollout/tests/schedules.rs
@@ -96,6 +96,7 @@
     };
     let mut world = World::new(plan);
     world.run();
+    world.check_order();
     println!("{} samples, seed 2: {:?}", groups * 8, world.counts);
     world.counts
 }
--- a/crates/tamarackdock_rollout/tests/world/actions.rs
+++ b/crates/tamarackdock_rollout/tests/world/actions.rs
@@ -10,6 +10,20 @@
 use rand::Rng;
 
 impl World {
+    /// Checks that groups came in the order in which they became complete.
+    /// This holds when no attempt fails and no sample expires.
+    pub(crate) fn check_order(&self) {
+        let mut missing = vec![self.plan.group_size; self.plan.groups];
+        let mut complete = Vec::new();
+        for slot in &self.finished {
+            missing[slot.group as usize] -= 1;
+            if missing[slot.group as usize] == 0 {
+                complete.push(slot.group);
+            }
+        }
+        assert_eq!(self.trainer.groups, complete, "groups came in another order");
+    }
+
     pub(super) fn action(&mut self, index: usize, action: Action) {
         match action {
             Action::Start { attempt, slot, resume, .. } => {
--- a/crates/tamarackdock_rollout/tests/world/holder.rs
+++ b/crates/tamarackdock_rollout/tests/world/holder.rs
@@ -44,6 +44,11 @@
         assert!(twice * 20 <= taken, "{twice} of {taken} tokens were generated twice");
     }
 
+    /// Returns the slot of an attempt in progress.
+    pub(super) fn slot(&self, attempt: Attempt) -> Option<Slot> {
+        Some(self.live.get(&attempt)?.slot.clone())
+    }
+
     pub(super) fn piece(&mut self, attempt: Attempt, position: u32, count: usize) {
         match self.live.get_mut(&attempt) {
             Some(live) if live.have == position as usize => live.have += count,
--- a/crates/tamarackdock_rollout/tests/world/mod.rs
+++ b/crates/tamarackdock_rollout/tests/world/mod.rs
@@ -17,6 +17,7 @@
     attempt::Attempt,
     policy::{Baseline, Hedged, Policy},
     request::{Fields, Request},
+    slot::Slot,
     step::{Input, Step},
 };
 use tamarackdock_types::{ServiceName, TrainerName, clock::Instant, fence::Epoch, weight::Version};
@@ -47,6 +48,8 @@
     trainer: Trainer,
     newest: Version,
     complete: bool,
+    /// Slots of the finished attempts, in order.
+    finished: Vec<Slot>,
     pub(crate) counts: Counts,
 }
 
@@ -74,6 +77,7 @@
             trainer: Trainer::default(),
             newest: Version(5),
             complete: false,
+            finished: Vec::new(),
             counts: Counts::default(),
         };
         world.new_holder();
@@ -267,7 +271,11 @@
         }
         match &input {
             Input::WeightsChanged(version) => holder.newest = holder.newest.max(*version),
-            Input::Finished { attempt, .. } | Input::AttemptFailed { attempt } => {
+            Input::Finished { attempt, .. } => {
+                self.finished.extend(holder.slot(*attempt));
+                holder.end(*attempt);
+            }
+            Input::AttemptFailed { attempt } => {
                 holder.end(*attempt);
             }
             Input::Piece { attempt, position, tokens, .. } => {
--- a/crates/tamarackdock_rollout/tests/world/trainer.rs
+++ b/crates/tamarackdock_rollout/tests/world/trainer.rs
@@ -11,6 +11,8 @@
     pages: BTreeMap<u32, Vec<Bytes>>,
     pub(super) slots: BTreeSet<Slot>,
     tokens: BTreeSet<u32>,
+    /// Groups in the order of delivery.
+    pub(super) groups: Vec<u32>,
 }
 
 impl Trainer {
@@ -29,6 +31,9 @@
         let decode = |body: &Bytes| serde_json::from_slice(body).expect("a sample decodes");
         let samples: Vec<Sample> = samples.iter().map(decode).collect();
         for sample in &samples {
+            if sample.slot.index == 0 {
+                self.groups.push(sample.slot.group);
+            }
             assert!(self.slots.insert(sample.slot.clone()), "{:?} came twice", sample.slot);
             let new = sample.tokens.iter().all(|token| self.tokens.insert(*token));
             assert!(new, "a token came twice");
