--- a/crates/standin/src/world/deployment.rs
+++ b/crates/standin/src/world/deployment.rs
@@ -14,7 +14,7 @@
 use super::{MODEL, Options};
 
 /// Name of the plain service of a world.
-pub const PLAIN: &str = "parcels";
+pub(super) const PLAIN: &str = "parcels";
 
 /// Builds the configuration of a world.
 pub(super) fn build(
--- a/crates/tamarackdock_node/src/step/attempt.rs
+++ b/crates/tamarackdock_node/src/step/attempt.rs
@@ -82,17 +82,14 @@
             resume: &self.resume,
         };
         let limits = &self.context.active.get().deployment.limits;
-        match attempt.run(&self.context.pool, limits, &mut pieces).await {
-            Ok(()) => {
-                permit.finish(Outcome::Answered);
-                let generated = pieces.position - position;
-                self.context.metrics.tokens.inc_by(generated.into());
-                Input::Finished { attempt: self.attempt, tokens: pieces.position }
-            }
-            Err(_) => {
-                permit.finish(Outcome::Failed);
-                failed
-            }
+        let result = attempt.run(&self.context.pool, limits, &mut pieces).await;
+        let generated = pieces.position - position;
+        self.context.metrics.tokens.inc_by(generated.into());
+        if result.is_err() {
+            permit.finish(Outcome::Failed);
+            return failed;
         }
+        permit.finish(Outcome::Answered);
+        Input::Finished { attempt: self.attempt, tokens: pieces.position }
     }
 }
--- a/crates/tamarackdock_node/src/step/holder.rs
+++ b/crates/tamarackdock_node/src/step/holder.rs
@@ -73,7 +73,7 @@
                 let (reply, answer) = oneshot::channel();
                 let _ = open.commands.unbounded_send(Command::Read { cursor, reply });
                 match monoio::time::timeout(wait, answer).await {
-                    Ok(Ok(Some(page))) => Ok(page_answer(&open.request, page)),
+                    Ok(Ok(Some(page))) => Ok(page_answer(&open.request, &page)),
                     Ok(Ok(None)) => Err(Refusal::not_run(
                         Code::BadRequest,
                         "`cursor` is no position that was handed out; use `next_cursor`",
@@ -197,7 +197,7 @@
     }
 }
 
-fn page_answer(request: &Request, page: Page) -> StepAnswer {
+fn page_answer(request: &Request, page: &Page) -> StepAnswer {
     StepAnswer::samples(&page.samples, page.next, page.next == request.samples())
 }
 
--- a/crates/tamarackdock_node/src/step/service.rs
+++ b/crates/tamarackdock_node/src/step/service.rs
@@ -61,7 +61,9 @@
     /// Gives all trainers' leases up, so that other nodes go on with their steps.
     pub(crate) async fn hand_over(&self) {
         let holders: Vec<_> = self.holders.borrow().values().cloned().collect();
-        holders.iter().for_each(|holder| holder.lease.release());
+        for holder in &holders {
+            holder.lease.release();
+        }
         let all_idle = async {
             while !holders.iter().all(|holder| holder.lease.is_idle()) {
                 monoio::time::sleep(TAKEOVER_POLL).await;
@@ -86,14 +88,10 @@
             if let Some(answer) = self.forward(&parsed.trainer, call).await {
                 return Ok(answer);
             }
-            match self.context.leaving.is_raised() {
-                true => {
-                    let message = "the node is stopping; ask again";
-                    return Err(Refusal::not_run(Code::Stopping, message)
-                        .retry_after(Duration::from_secs(1)));
-                }
-                false => holder.lease.want(),
+            if self.context.leaving.is_raised() {
+                return Err(stopping());
             }
+            holder.lease.want();
             if monoio::time::Instant::now() >= deadline {
                 return Err(moved());
             }
@@ -131,3 +129,8 @@
         holders.entry(trainer.clone()).or_insert_with(spawn).clone()
     }
 }
+
+fn stopping() -> Refusal {
+    let message = "the node is stopping; ask again";
+    Refusal::not_run(Code::Stopping, message).retry_after(Duration::from_secs(1))
+}
