Read settings and deployment files with all errors at once

Cause: the configuration types had no reader; serde stops at the first error and gives no path. Change: a schema of fields is compared with the parsed file, so that one run reports every fault with line, column, path, problem and remedy. Semantic checks work on the parsed file and run also when fields have faults. Recursion is bounded by the parser (512 levels) and by the schema. A syntax error is reported alone, since the parser does not recover from it. Conclusion: an operator can correct a file in one pass.

--- a/crates/tamarackdock_config/src/deployment/mod.rs
+++ b/crates/tamarackdock_config/src/deployment/mod.rs
@@ -14,6 +14,7 @@
 pub use limits::Limits;
 pub use service::{Access, Kind, Service};
 pub use target::{Class, Role, Target};
+pub(crate) use target::{cold, warm};
 pub use trainer::Trainer;
 
 /// The whole configuration of a deployment.
--- a/crates/tamarackdock_config/src/deployment/target.rs
+++ b/crates/tamarackdock_config/src/deployment/target.rs
@@ -54,10 +54,10 @@
     pub cold_capacity: u32,
 }
 
-const fn warm() -> u32 {
+pub(crate) const fn warm() -> u32 {
     16
 }
 
-const fn cold() -> u32 {
+pub(crate) const fn cold() -> u32 {
     1
 }
--- a/crates/tamarackdock_config/src/lib.rs
+++ b/crates/tamarackdock_config/src/lib.rs
@@ -2,6 +2,7 @@
 //! `docs/design.md`, section 4.
 
 pub mod deployment;
+pub mod reader;
 pub mod settings;
 
 pub use deployment::Deployment;
--- /dev/null
+++ b/crates/tamarackdock_config/src/reader/mod.rs
@@ -0,0 +1,75 @@
+//! Reads settings and deployment files: JSON with comments and trailing
+//! commas. All faults of a file are reported at once, except that a file with
+//! a syntax error gives only that error.
+
+mod duplicates;
+mod place;
+mod problem;
+mod references;
+mod report;
+mod schema;
+mod settings_checks;
+mod shape;
+mod syntax;
+mod values;
+mod walk;
+
+#[cfg(test)]
+mod tests;
+
+use serde::de::DeserializeOwned;
+
+pub use place::Place;
+pub use problem::{Fault, Problem};
+pub use report::Report;
+
+use crate::{Deployment, Settings};
+use walk::Walk;
+
+/// Largest file that is read, in bytes, so that a mistaken path can't use up
+/// the memory of the process.
+pub const MAX_FILE_BYTES: usize = 16 << 20;
+
+/// Reads the shared configuration of a deployment.
+///
+/// # Errors
+///
+/// Returns a [`Report`] with every fault that was found.
+pub fn deployment(file: &str, bytes: &[u8]) -> Result<Deployment, Report> {
+    read(file, bytes, schema::DEPLOYMENT, |walk, root| {
+        duplicates::check(walk, root);
+        references::check(walk, root);
+        values::check(walk, root);
+    })
+}
+
+/// Reads the settings of one process.
+///
+/// # Errors
+///
+/// Returns a [`Report`] with every fault that was found.
+pub fn settings(file: &str, bytes: &[u8]) -> Result<Settings, Report> {
+    read(file, bytes, schema::SETTINGS, settings_checks::check)
+}
+
+fn read<T: DeserializeOwned>(
+    file: &str,
+    bytes: &[u8],
+    fields: &'static [shape::Field],
+    checks: impl FnOnce(&mut Walk<'_>, &jsonc_parser::ast::Value<'_>),
+) -> Result<T, Report> {
+    let fail = |problems| Report::new(file, problems);
+    let text = syntax::text(bytes).map_err(|problem| fail(vec![problem]))?;
+    let root = syntax::parse(text).map_err(|problem| fail(vec![problem]))?;
+    let mut walk = Walk::new(text);
+    walk.object(&root, "", fields);
+    checks(&mut walk, &root);
+    let problems = walk.finish();
+    if !problems.is_empty() {
+        return Err(fail(problems));
+    }
+    serde_json::from_value(syntax::json(&root)).map_err(|error| {
+        let fault = Fault::Value { detail: error.to_string() };
+        fail(vec![Problem { place: Place::default(), path: String::new(), fault }])
+    })
+}
--- /dev/null
+++ b/crates/tamarackdock_config/src/reader/references.rs
@@ -0,0 +1,51 @@
+use std::collections::BTreeSet;
+
+use jsonc_parser::ast::Value;
+
+use super::{
+    Fault,
+    walk::{Item, Walk, field, list},
+};
+
+/// Fields that name an element of another list: list, field, list referred to.
+const REFERENCES: [(&str, &str, &str); 4] = [
+    ("trainers", "account", "accounts"),
+    ("trainers", "service", "services"),
+    ("targets", "service", "services"),
+    ("targets", "data_centre", "data_centres"),
+];
+
+/// Reports references to services, accounts and data centres that don't exist.
+pub(crate) fn check(walk: &mut Walk<'_>, root: &Value<'_>) {
+    for (from, name, to) in REFERENCES {
+        let items = list(root, "", from);
+        let found = items.iter().filter_map(|item| item.field(name));
+        compare(walk, root, found, to);
+    }
+    let accounts = list(root, "", "accounts");
+    let services = accounts.iter().flat_map(|item| list(item.value, &item.path, "services"));
+    compare(walk, root, services, "services");
+}
+
+fn compare<'a, 'b>(
+    walk: &mut Walk<'_>,
+    root: &Value<'_>,
+    found: impl Iterator<Item = Item<'a, 'b>>,
+    to: &'static str,
+) where
+    'a: 'b,
+{
+    // A list that isn't one has its own fault; references to it would only repeat that.
+    if field(root, "", to).is_some_and(|item| item.value.as_array().is_none()) {
+        return;
+    }
+    let items = list(root, "", to);
+    let names: BTreeSet<_> =
+        items.iter().filter_map(|item| item.field("name")?.text().map(str::to_owned)).collect();
+    for item in found {
+        let Some(name) = item.text() else { continue };
+        if !names.contains(name) {
+            walk.fault_at(&item, Fault::Reference { name: name.into(), list: to });
+        }
+    }
+}
