Add configuration versions, acceptance, propagation and the cut-off rule

Change: modules version, accept, propagate and reachability as pure state machines, and a simulation of 6 nodes in 3 data centres with a store. The cut-off rule refuses keys 2.8 s after the sending of the last proof, not 2 s: the head is polled every 2 s, so that a bound of 2 s would refuse calls in each interval. Peers are asked from 2.2 s on. For 'the store is down for all', every other data centre needs a live peer, all live peers (at most 4 in a data centre) must report it, and none may have a commit whose result is unknown. Partitions cut whole data centres there; a host that is cut from all other hosts but not from the store, and one killed between a commit and its result, are not covered.

--- /dev/null
+++ b/crates/tamarackdock_config/src/propagate/receive.rs
@@ -0,0 +1,72 @@
+use tamarackdock_types::HostName;
+
+use super::{Action, Message, Propagation, propagation::send};
+use crate::version::{Checksum, Delta, Number, Snapshot};
+
+impl Propagation {
+    /// Takes a message of a peer.
+    pub fn receive(&mut self, from: &HostName, message: Message) -> Vec<Action> {
+        match message {
+            Message::Announce(number) => self.announced(from, number),
+            Message::Ask(after) => self.asked(from, after),
+            Message::AskFull => vec![send(from.clone(), self.full())],
+            Message::Deltas(deltas) => self.received_deltas(from, deltas),
+            Message::Full { number, checksum, bytes } => {
+                self.received_full(from, number, checksum, &bytes)
+            }
+        }
+    }
+
+    fn announced(&mut self, from: &HostName, number: Number) -> Vec<Action> {
+        self.peers.record(from, number);
+        let own = self.active.number();
+        match number.cmp(&own) {
+            std::cmp::Ordering::Greater => vec![send(from.clone(), Message::Ask(own))],
+            std::cmp::Ordering::Less => vec![send(from.clone(), self.update(number))],
+            std::cmp::Ordering::Equal => Vec::new(),
+        }
+    }
+
+    fn asked(&mut self, from: &HostName, after: Number) -> Vec<Action> {
+        self.peers.record(from, after);
+        let behind = after < self.active.number();
+        behind.then(|| send(from.clone(), self.update(after))).into_iter().collect()
+    }
+
+    fn received_deltas(&mut self, from: &HostName, deltas: Vec<Delta>) -> Vec<Action> {
+        let Some(last) = deltas.last().map(|delta| delta.number) else { return Vec::new() };
+        let origin = deltas.last().map(|delta| delta.origin.clone());
+        self.peers.record(from, last);
+        let before = self.active.number();
+        let (mut actions, damaged) = self.apply(deltas);
+        let own = self.active.number();
+        actions.push(match own < last {
+            true if damaged => send(from.clone(), Message::AskFull),
+            true => send(from.clone(), Message::Ask(own)),
+            false => send(from.clone(), Message::Announce(own)),
+        });
+        // The host that accepted the version collects where it is active.
+        let origin = origin.filter(|origin| own > before && origin != from && *origin != self.me);
+        actions.extend(origin.map(|origin| send(origin, Message::Announce(own))));
+        actions
+    }
+
+    fn received_full(
+        &mut self,
+        from: &HostName,
+        number: Number,
+        checksum: Checksum,
+        bytes: &[u8],
+    ) -> Vec<Action> {
+        self.peers.record(from, number);
+        let mut actions = Vec::new();
+        if number > self.active.number() {
+            match Snapshot::from_bytes(number, checksum, bytes) {
+                Ok(copy) => actions.extend(self.activate(copy)),
+                Err(_) => return Vec::new(),
+            }
+        }
+        actions.push(send(from.clone(), Message::Announce(self.active.number())));
+        actions
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_config/src/version/canonical.rs
@@ -0,0 +1,24 @@
+use crate::Deployment;
+
+/// Orders all lists, so that equal configurations have equal bytes.
+pub(crate) fn ordered(mut deployment: Deployment) -> Deployment {
+    deployment.services.sort_by(|a, b| a.name.cmp(&b.name));
+    deployment.accounts.sort_by(|a, b| a.name.cmp(&b.name));
+    deployment.trainers.sort_by(|a, b| a.name.cmp(&b.name));
+    deployment.data_centres.sort_by(|a, b| a.name.cmp(&b.name));
+    deployment.targets.sort_by(|a, b| a.name.cmp(&b.name));
+    for account in &mut deployment.accounts {
+        account.keys.sort_unstable();
+        account.keys.dedup();
+        account.services.sort_unstable();
+        account.services.dedup();
+    }
+    deployment
+}
+
+/// Serialises an ordered configuration as JSON without spaces, with the fields
+/// in the order of the types. Fails only on a non-finite ratio, which JSON
+/// can't carry and the reader refuses.
+pub(crate) fn bytes(ordered: &Deployment) -> Vec<u8> {
+    serde_json::to_vec(ordered).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/tamarackdock_config/src/version/changes.rs
@@ -0,0 +1,46 @@
+use serde::{Deserialize, Serialize};
+
+use super::section::Section;
+use crate::deployment::{Account, DataCentre, Deployment, Limits, Service, Target, Trainer};
+
+/// Changes of a whole configuration.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Changes {
+    /// Services.
+    pub services: Section<Service>,
+    /// Client accounts.
+    pub accounts: Section<Account>,
+    /// Trainers.
+    pub trainers: Section<Trainer>,
+    /// Data centres.
+    pub data_centres: Section<DataCentre>,
+    /// Targets.
+    pub targets: Section<Target>,
+    /// Bounds, if they changed.
+    pub limits: Option<Limits>,
+}
+
+impl Changes {
+    pub(crate) fn between(old: &Deployment, new: &Deployment) -> Self {
+        Self {
+            services: Section::between(&old.services, &new.services),
+            accounts: Section::between(&old.accounts, &new.accounts),
+            trainers: Section::between(&old.trainers, &new.trainers),
+            data_centres: Section::between(&old.data_centres, &new.data_centres),
+            targets: Section::between(&old.targets, &new.targets),
+            limits: (old.limits != new.limits).then(|| new.limits.clone()),
+        }
+    }
+
+    pub(crate) fn apply(&self, old: &Deployment) -> Deployment {
+        let mut new = old.clone();
+        self.services.apply(&mut new.services);
+        self.accounts.apply(&mut new.accounts);
+        self.trainers.apply(&mut new.trainers);
+        self.data_centres.apply(&mut new.data_centres);
+        self.targets.apply(&mut new.targets);
+        new.limits = self.limits.clone().unwrap_or(new.limits);
+        new
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_config/src/version/delta.rs
@@ -0,0 +1,73 @@
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+use tamarackdock_types::HostName;
+
+use super::{Changes, Checksum, Number, Snapshot};
+
+/// One accepted version as the change from the version before it. This is also
+/// the value of the row `config/v/{n}`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Delta {
+    /// Number of the version.
+    pub number: Number,
+    /// Checksum of the version.
+    pub checksum: Checksum,
+    /// Operation id of the submission.
+    pub operation: String,
+    /// Host that accepted the submission and collects where it is active.
+    pub origin: HostName,
+    /// Changes.
+    pub changes: Changes,
+}
+
+/// A delta can't be applied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum ApplyError {
+    /// The delta belongs to another base version.
+    #[display("the delta of version {delta} does not follow version {base}")]
+    Base {
+        /// Version of the delta.
+        delta: Number,
+        /// Version that it was applied to.
+        base: Number,
+    },
+    /// The result differs from the accepted version; a full copy is needed.
+    #[display("the delta of version {delta} gives another checksum; a full copy is needed")]
+    Checksum {
+        /// Version of the delta.
+        delta: Number,
+    },
+}
+
+impl Delta {
+    /// Computes the change from `base` to `next`.
+    #[must_use]
+    pub fn between(base: &Snapshot, next: &Snapshot, operation: &str, origin: HostName) -> Self {
+        Self {
+            number: next.number(),
+            checksum: next.checksum(),
+            operation: operation.into(),
+            origin,
+            changes: Changes::between(base.deployment(), next.deployment()),
+        }
+    }
+
+    /// Applies the change.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ApplyError`] if `base` is not the version before this one or
+    /// the result is not the accepted version.
+    pub fn apply(&self, base: &Snapshot) -> Result<Snapshot, ApplyError> {
+        if base.number().next() != self.number {
+            return Err(ApplyError::Base { delta: self.number, base: base.number() });
+        }
+        let next = Snapshot::new(self.number, self.changes.apply(base.deployment()));
+        if next.checksum() == self.checksum {
+            Ok(next)
+        } else {
+            Err(ApplyError::Checksum { delta: self.number })
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_config/tests/world/network.rs
@@ -0,0 +1,81 @@
+use super::node::{CENTRES, NODES, centre};
+
+/// How a node reaches the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reach {
+    Up,
+    Down,
+    ResponseLost,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Conditions {
+    /// Whether data centres 0-1, 1-2 and 0-2 are connected.
+    pub(crate) links: [bool; CENTRES],
+    pub(crate) stores: [Reach; NODES],
+    pub(crate) loss_percent: u64,
+    pub(crate) delay_ms: u64,
+    pub(crate) store_delay_ms: u64,
+}
+
+impl Conditions {
+    pub(crate) fn good(stores: [Reach; NODES]) -> Self {
+        Self { links: [true; CENTRES], stores, loss_percent: 0, delay_ms: 100, store_delay_ms: 100 }
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct Network {
+    pub(crate) conditions: Conditions,
+    state: u64,
+}
+
+impl Network {
+    pub(crate) const fn new(seed: u64, conditions: Conditions) -> Self {
+        Self { conditions, state: seed }
+    }
+
+    /// The `SplitMix64` generator.
+    pub(crate) const fn random(&mut self) -> u64 {
+        self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.state;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    pub(crate) const fn below(&mut self, bound: u64) -> u64 {
+        self.random() % bound
+    }
+
+    pub(crate) const fn reach(&self, node: usize) -> Reach {
+        self.conditions.stores[node]
+    }
+
+    pub(crate) const fn store_delay(&mut self, _node: usize) -> u64 {
+        1 + self.below(self.conditions.store_delay_ms)
+    }
+
+    fn linked(&self, a: usize, b: usize) -> bool {
+        let links = self.conditions.links;
+        a == b || links[if a + b == 2 { 2 } else { a.min(b) }]
+    }
+
+    /// Returns the delays of the copies that arrive: none, one or two.
+    pub(crate) fn deliver(&mut self, from: usize, to: usize) -> Vec<u64> {
+        let Conditions { loss_percent, delay_ms, .. } = self.conditions;
+        let lost = !self.linked(centre(from), centre(to)) || self.below(100) < loss_percent;
+        let copies = if lost { 0 } else { 1 + usize::from(self.below(10) == 0) };
+        (0..copies).map(|_| 1 + self.below(delay_ms)).collect()
+    }
+
+    /// Returns the nodes that `node` reaches directly or through others.
+    pub(crate) fn live(&self, node: usize) -> Vec<usize> {
+        let own = centre(node);
+        let reached = |other: usize| {
+            self.linked(own, other)
+                || (0..CENTRES).any(|by| self.linked(own, by) && self.linked(by, other))
+        };
+        (0..NODES).filter(|other| *other != node && reached(centre(*other))).collect()
+    }
+}
