Add node membership by probes

Cause: the platform's host list lags, and design section 4 asks for probes, indirect confirmation, incarnations and digests of bounded size. Change: tamarackdock_membership as a pure state machine. One probe a second in shuffled rounds, up to 3 members asked to confirm, 3 s to refute a suspicion, and dead members probed in their turn. A digest carries statuses without addresses; a member that knows better corrects the sender in its next message. Conclusion: traffic does not grow with the number of nodes beyond the spread of random probes over the busiest node.

--- a/crates/tamarackdock_membership/src/lib.rs
+++ b/crates/tamarackdock_membership/src/lib.rs
@@ -1,1 +1,27 @@
-//! Placeholder.
+//! Liveness of nodes: probes between members correct the platform's lagging
+//! host list. See `docs/design.md`, section 4, "Membership".
+
+mod action;
+mod digest;
+mod entry;
+mod health;
+mod member;
+mod membership;
+mod message;
+mod probe;
+mod receive;
+mod seed;
+mod status;
+mod timing;
+
+pub use action::Action;
+pub use entry::{Entry, Peer};
+pub use health::Health;
+pub use membership::Membership;
+pub use message::{Content, Message};
+pub use seed::Host;
+pub use status::Status;
+pub use timing::{
+    DEAD_PROBES, DIGEST_BYTES, FORGET_AFTER, GOSSIP_REPEATS, INDIRECT_AFTER, INDIRECT_PROBES,
+    MESSAGE_BYTES, PERIOD, SUSPECT_FOR, detection_bound,
+};
--- /dev/null
+++ b/crates/tamarackdock_membership/src/receive.rs
@@ -0,0 +1,95 @@
+use tamarackdock_types::{HostName, clock::Instant};
+
+use crate::{
+    Action, Content, Entry, Health, Membership, Message, Status,
+    member::Member,
+    probe::{Probe, Relay},
+};
+
+impl Membership {
+    /// Takes a message of a member. `random` chooses the sample in the answer.
+    pub fn receive(&mut self, now: Instant, message: Message, random: u64) -> Vec<Action> {
+        let Message { content, sender, digest } = message;
+        let from = sender.status.host.clone();
+        if from == self.own.status.host {
+            return Vec::new();
+        }
+        let mut actions: Vec<_> = self.meet(now, sender).into_iter().collect();
+        actions.extend(digest.into_iter().filter_map(|status| self.merge(now, status)));
+        match content {
+            Content::Probe(number) => {
+                actions.extend(self.send(&from, Content::Answer(number), random));
+            }
+            Content::Answer(number) => actions.extend(self.answered(number, random)),
+            Content::ProbeFor { host, number } => {
+                let own = self.number();
+                self.relays.insert(own, Relay::new(from, number, now));
+                actions.extend(self.send(&host, Content::Probe(own), random));
+            }
+        }
+        actions
+    }
+
+    fn answered(&mut self, number: u64, random: u64) -> Option<Action> {
+        if matches!(&self.probe, Some(Probe { number: own, .. }) if *own == number) {
+            self.probe = None;
+            return None;
+        }
+        let relay = self.relays.remove(&number)?;
+        self.send(&relay.to, Content::Answer(relay.number), random)
+    }
+
+    /// Takes the entry of the sender itself, which is right about its address.
+    fn meet(&mut self, now: Instant, sender: Entry) -> Option<Action> {
+        let Status { host, health, .. } = sender.status.clone();
+        let Some(member) = self.members.get_mut(&host) else {
+            self.members.insert(host.clone(), Member::new(sender, now, false));
+            return Some(Action::Changed { host, health });
+        };
+        member.entry.address = sender.address;
+        member.entry.data_centre = sender.data_centre;
+        self.merge(now, sender.status)
+    }
+
+    fn merge(&mut self, now: Instant, status: Status) -> Option<Action> {
+        if status.host == self.own.status.host {
+            self.refute(&status);
+            return None;
+        }
+        let Status { host, health, .. } = status.clone();
+        let member = self.members.get_mut(&host)?;
+        if !status.supersedes(&member.entry.status) {
+            // The sender is behind: the next message, mostly the answer, corrects it.
+            let behind = member.entry.status.supersedes(&status);
+            member.told = if behind { 0 } else { member.told };
+            return None;
+        }
+        let changed = member.entry.status.health != health;
+        member.entry.status = status;
+        member.told = 0;
+        member.since = now;
+        changed.then_some(Action::Changed { host, health })
+    }
+
+    /// Raises the own incarnation when others hold this node for suspect or dead,
+    /// or remember a later incarnation from before a restart.
+    fn refute(&mut self, status: &Status) {
+        let own = &mut self.own.status;
+        let wrong = status.health != Health::Alive && status.incarnation >= own.incarnation;
+        if wrong || status.incarnation > own.incarnation {
+            own.incarnation = status.incarnation + 1;
+        }
+    }
+
+    /// Returns the own entry as others should see it.
+    #[must_use]
+    pub const fn own(&self) -> &Entry {
+        &self.own
+    }
+
+    /// Tells whether a member has announced that it leaves.
+    #[must_use]
+    pub fn leaving(&self, host: &HostName) -> bool {
+        self.members.get(host).is_some_and(|member| member.entry.status.leaving)
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_membership/tests/membership.rs
@@ -0,0 +1,156 @@
+//! Membership over seeded schedules; a failing one is printed with its seed.
+
+mod world;
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use tamarackdock_membership::{Health, MESSAGE_BYTES, PERIOD, detection_bound};
+use world::{Change, Conditions, World, host};
+
+const NODES: usize = 7;
+const SCHEDULES: u32 = 1000;
+
+fn conditions() -> impl Strategy<Value = Conditions> {
+    let cuts = prop::collection::vec(prop::bool::weighted(0.4), NODES * NODES);
+    (cuts, 0..40_u64, 10..800_u64).prop_map(|(cuts, loss_percent, delay_ms)| Conditions {
+        cuts,
+        loss_percent,
+        delay_ms,
+    })
+}
+
+/// Links that leave each pair of nodes connected, directly or through `hub`.
+fn connected(mut cuts: Vec<bool>, hub: usize) -> Conditions {
+    for node in 0..NODES {
+        cuts[hub * NODES + node] = false;
+        cuts[node * NODES + hub] = false;
+    }
+    Conditions { cuts, loss_percent: 5, delay_ms: 100 }
+}
+
+fn bound_ms() -> u64 {
+    let bound = detection_bound(u32::try_from(NODES).unwrap());
+    u64::try_from(bound.as_millis()).unwrap()
+}
+
+#[derive(Debug, Clone)]
+struct Schedule {
+    seed: u64,
+    phases: Vec<(u64, Conditions)>,
+    last: Vec<bool>,
+    hub: usize,
+    killed: (usize, u64),
+    restarted: (usize, u64),
+}
+
+fn schedule() -> impl Strategy<Value = Schedule> {
+    let phases = prop::collection::vec((2000..12_000_u64, conditions()), 1..3);
+    let last = prop::collection::vec(prop::bool::weighted(0.3), NODES * NODES);
+    let killed = (0..NODES, 0..40_000_u64);
+    let restarted = (0..NODES, 0..12_000_u64);
+    (any::<u64>(), phases, last, 0..NODES, killed, restarted).prop_map(
+        |(seed, phases, last, hub, killed, restarted)| Schedule {
+            seed,
+            phases,
+            last,
+            hub,
+            killed,
+            restarted,
+        },
+    )
+}
+
+fn check(schedule: Schedule) {
+    let Schedule { seed, phases, last, hub, killed: (dead, killed_at), restarted } = schedule;
+    let mut world = World::new(seed, NODES, Conditions::good(NODES));
+    // Sizes take most of the time, so they are measured in a part of the schedules.
+    world.measured = seed.is_multiple_of(8);
+    let mut healed = 3000;
+    for (span, conditions) in phases {
+        world.at(healed, Change::Conditions(conditions));
+        healed += span;
+    }
+    world.at(healed, Change::Conditions(connected(last, hub)));
+    world.at(restarted.1 % healed, Change::Restart(restarted.0));
+    let dead = Some(dead).filter(|dead| *dead != hub && *dead != restarted.0);
+    let killed_at = killed_at % (healed + 8000);
+    if let Some(dead) = dead {
+        world.at(killed_at, Change::Kill(dead));
+    }
+    let names: Vec<_> = (0..NODES).map(host).collect();
+    let mut since = vec![healed; NODES * NODES];
+    world.run(healed + bound_ms() + 10_000, |world, observer| {
+        for subject in (0..NODES).filter(|subject| *subject != observer) {
+            let health = world.nodes[observer].health(&names[subject]);
+            let since = &mut since[observer * NODES + subject];
+            if Some(subject) == dead && world.now > killed_at {
+                let due = healed.max(killed_at) + bound_ms();
+                let found = health.is_none_or(|health| health == Health::Dead);
+                assert!(found || world.now <= due, "node {observer} holds dead {subject} for live");
+            } else if health == Some(Health::Dead) {
+                let late = world.now.saturating_sub(*since);
+                assert!(
+                    late <= bound_ms(),
+                    "node {observer} holds {subject} for dead for {late} ms"
+                );
+            } else {
+                *since = healed.max(world.now);
+            }
+        }
+    });
+    assert!(world.largest <= MESSAGE_BYTES, "a message has {} bytes", world.largest);
+}
+
+fn config(seed: u64) -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(seed);
+    // Two tests with half of the schedules each run at the same time.
+    let cases = SCHEDULES / 2;
+    ProptestConfig { cases, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(config(0x11fe))]
+
+    /// Guards against a live member that stays declared dead though others reach
+    /// it, against a dead one that is not found or comes back, and against
+    /// messages beyond the bound.
+    #[test]
+    fn live_and_dead_members_are_told_apart(schedule in schedule()) {
+        check(schedule);
+    }
+}
+
+proptest! {
+    #![proptest_config(config(0x11ff))]
+
+    /// Guards against the same faults with the second half of the schedules.
+    #[test]
+    fn live_and_dead_members_are_told_apart_again(schedule in schedule()) {
+        check(schedule);
+    }
+}
+
+/// Guards against control traffic that grows with the number of nodes or exceeds
+/// 5,000 bytes/s for a node, sent and received, in the longer JSON form.
+#[test]
+fn traffic_is_bounded_at_420_nodes() {
+    let seconds = 15;
+    let mut rates = Vec::new();
+    for count in [42, 420] {
+        let mut world = World::new(0x420, count, Conditions::good(count));
+        world.measured = true;
+        world.at(5000, Change::Kill(3));
+        let end = seconds * u64::try_from(PERIOD.as_millis()).unwrap();
+        world.run(end, |_, _| {});
+        assert!(world.largest <= MESSAGE_BYTES, "{} bytes", world.largest);
+        let rate = *world.bytes.iter().max().unwrap() / usize::try_from(seconds).unwrap();
+        let dead = host(3);
+        let found = world.nodes.iter().filter(|node| node.health(&dead) == Some(Health::Dead));
+        println!(
+            "{count} nodes: largest message {} bytes, most {rate} bytes/s, {} found the dead one",
+            world.largest,
+            found.count()
+        );
+        rates.push(rate);
+    }
+    assert!(rates.iter().all(|rate| *rate <= 5000), "{rates:?} bytes/s");
+}
