--- a/crates/tamarackdock_membership/tests/membership.rs
+++ b/crates/tamarackdock_membership/tests/membership.rs
@@ -154,3 +154,17 @@
     }
     assert!(rates.iter().all(|rate| *rate <= 5000), "{rates:?} bytes/s");
 }
+
+/// Guards against a leaving member that others go on to choose.
+#[test]
+fn leaving_members_are_not_chosen() {
+    let mut world = World::new(0x1ea, NODES, Conditions::good(NODES));
+    world.run(4000, |_, _| {});
+    world.nodes[2].leave();
+    world.run(4000 + bound_ms(), |_, _| {});
+    for node in world.nodes.iter().filter(|node| !node.own().status.leaving) {
+        assert!(node.leaving(&host(2)));
+        let chosen = (0..20).filter_map(|random| node.choose(random));
+        assert!(chosen.into_iter().all(|peer| peer.host != host(2)));
+    }
+}
