--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -203,6 +203,7 @@
             balancer_grace_ms: self.options.balancer_grace,
             drain_timeout_ms: Duration::from_secs(10),
             log: Log { level, ..Log::default() },
+            policy: self.options.policy,
         };
         self.hosts.push(Node::spawn(settings)?);
         Ok(())
--- a/crates/standin/src/world/options.rs
+++ b/crates/standin/src/world/options.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use tamarackdock_config::settings::Policy;
+
 use crate::engine;
 
 /// Size and behaviour of a world.
@@ -23,6 +25,8 @@
     pub staleness_bound: u64,
     /// How long a leaving node fails its health check before its ports close.
     pub balancer_grace: Duration,
+    /// Policies of the nodes.
+    pub policy: Policy,
     /// Whether nodes log.
     pub logs: bool,
 }
@@ -46,6 +50,7 @@
             trainers: vec!["t1", "t2"],
             staleness_bound: 1,
             balancer_grace: Duration::from_millis(200),
+            policy: Policy::default(),
             logs: false,
         }
     }
--- a/crates/tamarackdock_config/src/reader/schema.rs
+++ b/crates/tamarackdock_config/src/reader/schema.rs
@@ -16,7 +16,18 @@
     required::<SocketAddr>("operator_address"),
     required::<SocketAddr>("peer_address"),
     required::<SocketAddr>("platform_address"),
+    optional::<u64>("balancer_grace_ms"),
+    optional::<u64>("drain_timeout_ms"),
     nested("log", Shape::Object(LOG)),
+    nested("policy", Shape::Object(POLICY)),
+];
+
+const POLICY: &[Field] = &[
+    optional::<settings::Routing>("routing"),
+    optional::<settings::Admission>("admission"),
+    optional::<settings::Stragglers>("stragglers"),
+    optional::<settings::Loading>("loading"),
+    optional::<settings::Spending>("spending"),
 ];
 
 const LOG: &[Field] =
--- a/crates/tamarackdock_config/src/settings/mod.rs
+++ b/crates/tamarackdock_config/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! The settings of one process.
 
 mod log;
+mod policy;
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -9,6 +10,7 @@
 use tamarackdock_types::{DataCentreName, HostName};
 
 pub use log::{Format, Level, Log};
+pub use policy::{Admission, Loading, Policy, Routing, Spending, Stragglers};
 
 /// Settings of one node.
 #[serde_as]
@@ -38,6 +40,9 @@
     /// Logs.
     #[serde(default)]
     pub log: Log,
+    /// Policies; the plain ones are for measurements.
+    #[serde(default)]
+    pub policy: Policy,
 }
 
 const fn balancer_grace() -> Duration {
--- a/crates/tamarackdock_node/src/step/holder.rs
+++ b/crates/tamarackdock_node/src/step/holder.rs
@@ -4,9 +4,10 @@
 use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
 use slog::{Logger, info};
+use tamarackdock_config::settings::Stragglers;
 use tamarackdock_platform::Error;
 use tamarackdock_rollout::{
-    policy::Hedged,
+    policy::{Baseline, Hedged, Policy},
     request::{Fields, Request},
     step::{Row, Step},
 };
@@ -147,7 +148,10 @@
         }
         let newest = self.context.weights.get(&service);
         let now = BootClock.now();
-        let policy = Box::new(Hedged);
+        let policy: Box<dyn Policy> = match self.context.settings.policy.stragglers {
+            Stragglers::Hedged => Box::new(Hedged),
+            Stragglers::Baseline => Box::new(Baseline),
+        };
         let step = Step::new(now, request.clone(), epoch, newest, policy, row.as_ref())
             .map_err(|error| Refusal::not_run(Code::Internal, error.to_string()))?;
         let (commands, receiver) = mpsc::unbounded();
