Choose targets with bounded load, credits, retry budget and quarantine

Cause: the node needs decisions about targets that hold in sum over nodes and that tests can drive without sockets and clocks.

Change: `table::Table`, the policies `RoundRobin` and `Affinity`, `subset`, `credit` (granter, holder, ramp), `retry::Budget`, `quarantine` and `health` as state machines. Affinity weighs the two best targets in rendezvous order that are below 125 % of their share, and prefers the own data centre at equal load. A new granter waits twice the lag of views, the validity of a grant and a margin: with one lag the schedules exceed the capacity. A grant is valid from its request, so that no clocks are compared.

Conclusion: the sum of credits holds as long as confirmed views of the live nodes are no older than the view lag; membership has to ensure that.

--- /dev/null
+++ b/crates/tamarackdock_route/src/credit/mod.rs
@@ -0,0 +1,33 @@
+//! Credits that bound the load of all nodes on a cold target.
+//!
+//! One node grants them, chosen by rendezvous hashing over the live nodes. A
+//! grant is valid at its holder from the moment the holder asked, and counts
+//! at the granter from the moment it answered, so that it ends at the holder
+//! first and no clocks are compared. Nodes must learn of a changed set of live
+//! nodes within [`Terms::view_lag`], or stop granting: see [`Granter::confirm`].
+
+mod granter;
+mod holder;
+mod message;
+mod ramp;
+mod terms;
+
+#[cfg(test)]
+mod tests;
+
+use tamarackdock_types::{HostName, TargetName};
+
+pub use granter::Granter;
+pub use holder::Holder;
+pub use message::{Grant, Request};
+pub use ramp::{Phase, Ramp};
+pub use terms::Terms;
+
+use crate::hash::{fingerprint, score};
+
+/// Returns the node that grants credits for a target.
+#[must_use]
+pub fn granter<'a>(target: &TargetName, live: &'a [HostName]) -> Option<&'a HostName> {
+    let hash = fingerprint(target.as_str().as_bytes());
+    live.iter().max_by_key(|host| (score(fingerprint(host.as_str().as_bytes()), hash), *host))
+}
--- /dev/null
+++ b/crates/tamarackdock_route/src/health/tests.rs
@@ -0,0 +1,28 @@
+use tamarackdock_types::clock::Instant;
+
+use super::Health;
+
+/// Guards against calls that pile up on a dead target, and against a target
+/// that never comes back.
+#[test]
+fn failures_pause_a_target_and_one_probe_brings_it_back() {
+    let at = Instant::from_millis;
+    let mut health = Health::default();
+    health.fail(at(0));
+    health.fail(at(0));
+    health.succeed();
+    health.fail(at(0));
+    health.fail(at(0));
+    assert!(health.is_up() && health.try_call(at(0)));
+    health.fail(at(0));
+    health.fail(at(500));
+    assert!(!health.is_up() && !health.try_call(at(999)));
+    assert!(health.try_call(at(1000)));
+    assert!(!health.try_call(at(1000)), "one probe at a time");
+    health.fail(at(1000));
+    assert!(!health.try_call(at(2999)) && health.try_call(at(3000)));
+    health.abandon();
+    assert!(health.try_call(at(3000)));
+    health.succeed();
+    assert!(health.is_up() && health.try_call(at(3000)) && health.try_call(at(3000)));
+}
--- /dev/null
+++ b/crates/tamarackdock_route/src/latency.rs
@@ -0,0 +1,41 @@
+//! Moving average of a target's latency with detection of steps.
+
+use std::time::Duration;
+
+const WEIGHT: f64 = 0.1;
+const MIN_SAMPLES: u32 = 8;
+const STEP_FACTOR: f64 = 3.0;
+/// So many slow samples in a row are a step; single ones are long prompts.
+const STEP_SAMPLES: u32 = 4;
+
+/// Latency of one target, to the first byte.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Latency {
+    mean_ms: f64,
+    samples: u32,
+    slow: u32,
+}
+
+impl Latency {
+    /// Adds a sample and returns whether the latency has stepped up.
+    pub fn observe(&mut self, sample: Duration) -> bool {
+        let millis = sample.as_secs_f64() * 1000.0;
+        let is_slow = self.samples >= MIN_SAMPLES && millis > STEP_FACTOR * self.mean_ms;
+        if is_slow {
+            // Slow samples stay out of the mean, which would hide a step otherwise.
+            self.slow += 1;
+            return self.slow >= STEP_SAMPLES;
+        }
+        self.slow = 0;
+        let weight = if self.samples == 0 { 1.0 } else { WEIGHT };
+        self.mean_ms += weight * (millis - self.mean_ms);
+        self.samples = self.samples.saturating_add(1);
+        false
+    }
+
+    /// Returns the moving average, or `None` before the first sample.
+    #[must_use]
+    pub fn mean(&self) -> Option<Duration> {
+        (self.samples > 0).then(|| Duration::from_secs_f64(self.mean_ms / 1000.0))
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_route/src/policy/call.rs
@@ -0,0 +1,36 @@
+use tamarackdock_config::deployment::Role;
+use tamarackdock_types::{DataCentreName, ServiceName};
+
+use crate::{Key, Target, table::Table};
+
+/// What a policy needs to know of a call.
+#[derive(Debug, Clone, Copy)]
+pub struct Call<'a> {
+    /// Service that is called.
+    pub service: &'a ServiceName,
+    /// Role that the target must have, if any.
+    pub role: Option<Role>,
+    /// Hash of the start of the prompt.
+    pub prefix: u64,
+    /// The node's own data centre.
+    pub home: &'a DataCentreName,
+    /// Targets that the call tried already.
+    pub tried: &'a [Key],
+    /// Data centres that failed as a whole during the call.
+    pub tried_data_centres: &'a [DataCentreName],
+}
+
+impl Call<'_> {
+    /// Returns the targets that can take the call.
+    pub fn candidates<'t>(&self, table: &'t Table) -> impl Iterator<Item = (Key, &'t Target)> {
+        table.iter().filter(|(key, target)| self.accepts(*key, target))
+    }
+
+    fn accepts(&self, key: Key, target: &Target) -> bool {
+        target.spec.service == *self.service
+            && self.role.is_none_or(|role| role == target.spec.role)
+            && target.calls() < target.limit()
+            && !self.tried.contains(&key)
+            && !self.tried_data_centres.contains(&target.spec.data_centre)
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_route/src/quarantine/tests.rs
@@ -0,0 +1,38 @@
+use std::time::Duration;
+
+use tamarackdock_types::{TargetName, clock::Instant};
+
+use super::{Entry, Quarantine};
+
+const SPAN: Duration = Duration::from_mins(1);
+
+/// Guards against a request that crashes target after target, against one
+/// that is blamed for a single crash, and against entries that never expire.
+#[test]
+fn two_crashed_targets_quarantine_a_request() {
+    let at = |seconds: u64| Instant::from_millis(seconds * 1000);
+    let target = |name: &str| TargetName::new(name).expect("a valid name");
+    let (first, second) = (target("t1"), target("t2"));
+    let mut quarantine = Quarantine::new(SPAN);
+    quarantine.start(1, &first);
+    quarantine.start(2, &first);
+    quarantine.finish(2, &first);
+    assert_eq!(quarantine.crash(&first, at(0)), []);
+    quarantine.start(1, &first);
+    assert_eq!(quarantine.crash(&first, at(1)), [], "the same target counts once");
+    assert!(!quarantine.holds(1, at(1)));
+    quarantine.start(1, &second);
+    quarantine.start(2, &second);
+    let entry = Entry { fingerprint: 1, remaining: SPAN };
+    assert_eq!(quarantine.crash(&second, at(2)), [entry]);
+    assert!(quarantine.holds(1, at(61)) && !quarantine.holds(2, at(3)));
+    assert!(!quarantine.holds(1, at(62)));
+    let mut other = Quarantine::new(SPAN);
+    other.merge(entry, at(10));
+    other.merge(Entry { remaining: Duration::from_secs(5), ..entry }, at(11));
+    assert!(other.holds(1, at(69)) && !other.holds(1, at(70)));
+    quarantine.start(3, &first);
+    quarantine.crash(&first, at(100));
+    quarantine.start(3, &second);
+    assert_eq!(quarantine.crash(&second, at(161)), [], "the first crash has expired");
+}
