Admit calls by weighted fair shares of token capacity

Cause: overload must be shared fairly between client accounts and refused early, with hints that callers can rely on.

Change: `Fair` queues by virtual start for each account in two levels. App calls come first; batch calls earn `batch_percent` of the started tokens while both wait. `buffer_percent` (default 0) keeps capacity free for app calls. A call that the measured drain rate can't serve before its deadline is refused when offered, or at the tick that finds it. `share::split` gives each node its part of the sum; `Fixed` is the baseline.

Found by the schedules: hints were too short while the expected rate counted beside the measured one, while capacity too small for the next call counted as free, and while only the calls ahead counted, since a new call of a fair queue waits as long again. The hint now counts the whole queue.

Bounds: started tokens per weight of two saturated accounts differ by at most one largest call of each; batch calls are within two largest calls of their share; a call retried after its hint and one running time is not refused.

Broken variants, each of which fails its test: ignored weights, starved batch calls, calls held up to their deadline, halved hints, and shares that exceed the capacity.

Sums over nodes hold while all nodes split with the same demands.

--- /dev/null
+++ b/crates/tamarackdock_admit/src/fair/options.rs
@@ -0,0 +1,33 @@
+use std::collections::BTreeMap;
+
+use tamarackdock_types::AccountName;
+
+/// Settings of weighted fair admission.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// The node's share of the targets' capacity, in tokens at once.
+    pub capacity: u64,
+    /// Weights of client accounts. Others have weight 1.
+    pub weights: BTreeMap<AccountName, u32>,
+    /// Least share of batch calls in the started tokens while both levels wait, in percent below 100.
+    pub batch_percent: u64,
+    /// Part of the capacity that only app calls use, in percent. 0 is no buffer.
+    pub buffer_percent: u64,
+    /// Most calls that wait, for each account and level.
+    pub queue: usize,
+    /// Drain rate that is assumed before it is measured, in tokens/s.
+    pub expected_rate: f64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            capacity: 65_536,
+            weights: BTreeMap::new(),
+            batch_percent: 20,
+            buffer_percent: 0,
+            queue: 256,
+            expected_rate: 10_000.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_admit/src/fixed.rs
@@ -0,0 +1,46 @@
+use std::{collections::HashSet, time::Duration};
+
+use tamarackdock_types::clock::Instant;
+
+use crate::{Action, Admission, Call};
+
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The baseline: a fixed number of calls at once, and no queue.
+#[derive(Debug, Clone)]
+pub struct Fixed {
+    limit: usize,
+    running: HashSet<u64>,
+}
+
+impl Fixed {
+    /// Makes a limit in calls at once.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self { limit, running: HashSet::new() }
+    }
+}
+
+impl Admission for Fixed {
+    fn offer(&mut self, call: Call, _now: Instant) -> Vec<Action> {
+        if self.running.len() >= self.limit {
+            return vec![Action::Refuse { id: call.id, retry_after: RETRY_AFTER }];
+        }
+        self.running.insert(call.id);
+        vec![Action::Start { id: call.id }]
+    }
+
+    fn finish(&mut self, id: u64, _now: Instant) -> Vec<Action> {
+        self.running.remove(&id);
+        Vec::new()
+    }
+
+    fn tick(&mut self, _now: Instant) -> Vec<Action> {
+        Vec::new()
+    }
+
+    /// Has no effect, since the limit is fixed.
+    fn set_capacity(&mut self, _capacity: u64, _now: Instant) -> Vec<Action> {
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_admit/src/share.rs
@@ -0,0 +1,77 @@
+//! A node's share of the capacity that all nodes use together.
+
+use std::collections::BTreeMap;
+
+use tamarackdock_types::{AccountName, HostName};
+
+/// Part of the capacity that is split evenly, in percent, so that a node that
+/// was idle can start calls before the others know of its demand.
+const EVEN_PERCENT: u64 = 5;
+
+/// Demand of one client account on one node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Demand {
+    /// Weight of the account.
+    pub weight: u32,
+    /// Tokens of its started and waiting calls.
+    pub tokens: u64,
+}
+
+/// Demand by node and account.
+pub type Demands = BTreeMap<HostName, BTreeMap<AccountName, Demand>>;
+
+/// Returns each node's share of `capacity` tokens. The shares sum up to at
+/// most the capacity, so that limits hold over all nodes with the same input.
+///
+/// Accounts get weighted max-min fair parts of the capacity, and each part is
+/// split over the nodes in proportion to the account's demand there. What no
+/// account demands is split evenly.
+#[must_use]
+pub fn split(capacity: u64, demands: &Demands) -> BTreeMap<&HostName, u64> {
+    let nodes = demands.len().max(1) as u64;
+    let fair = capacity - capacity * EVEN_PERCENT / 100;
+    let mut accounts: BTreeMap<&AccountName, Demand> = BTreeMap::new();
+    for (account, demand) in demands.values().flatten() {
+        let sum = accounts.entry(account).or_insert(Demand { weight: demand.weight, tokens: 0 });
+        sum.tokens += demand.tokens;
+    }
+    let parts = max_min(fair, &accounts);
+    let left = capacity - parts.values().sum::<u64>();
+    let of_node = |node: &BTreeMap<AccountName, Demand>| -> u64 {
+        let part = |(account, demand): (&AccountName, &Demand)| {
+            scale(parts[account], demand.tokens, accounts[account].tokens)
+        };
+        node.iter().map(part).sum()
+    };
+    demands.iter().map(|(host, node)| (host, of_node(node) + left / nodes)).collect()
+}
+
+/// Gives small demands whole and splits the rest by weight.
+fn max_min<'a>(
+    capacity: u64,
+    accounts: &BTreeMap<&'a AccountName, Demand>,
+) -> BTreeMap<&'a AccountName, u64> {
+    let mut order: Vec<(&AccountName, Demand)> =
+        accounts.iter().map(|(name, demand)| (*name, *demand)).collect();
+    let weight = |demand: &Demand| u64::from(demand.weight.max(1));
+    order.sort_by(|(_, left), (_, right)| {
+        let by_weight =
+            |one: &Demand, other: &Demand| u128::from(one.tokens) * u128::from(weight(other));
+        by_weight(left, right).cmp(&by_weight(right, left))
+    });
+    let mut weights: u64 = order.iter().map(|(_, demand)| weight(demand)).sum();
+    let mut left = capacity;
+    let mut parts = BTreeMap::new();
+    for (name, demand) in order {
+        let part = demand.tokens.min(scale(left, weight(&demand), weights));
+        parts.insert(name, part);
+        left -= part;
+        weights -= weight(&demand);
+    }
+    parts
+}
+
+fn scale(value: u64, part: u64, whole: u64) -> u64 {
+    let scaled = u128::from(value) * u128::from(part) / u128::from(whole.max(1));
+    u64::try_from(scaled).unwrap_or(u64::MAX)
+}
