Admit calls fairly and choose targets by prefix, load and credits

Cause: the router took the least loaded target and admitted everything. Change: the router task runs weighted fair admission, bounded-load affinity, the retry budget, quarantine with crashes confirmed by a load poll and told to all nodes, connection health with probes, and credits for cold targets granted by one node over the peer port; samples and apps share one queue with two levels. A broken connection alone no longer counts as a crash: the target gets no new calls until its restart id is known.

--- a/crates/tamarackdock_node/src/caller/access.rs
+++ b/crates/tamarackdock_node/src/caller/access.rs
@@ -2,6 +2,7 @@
 
 use tamarackdock_config::deployment::{Access, Service};
 use tamarackdock_types::{
+    AccountName,
     key::Hash,
     refusal::{Code, Refusal},
 };
@@ -9,6 +10,8 @@
 
 use crate::active::{Active, Key};
 
+/// Account for which calls of open services count.
+const OPEN_ACCOUNT: &str = "open";
 const SCHEME: &str = "Bearer ";
 
 /// Returns the key that came with a request.
@@ -21,21 +24,30 @@
     active.key(&Hash::of(shown.trim().as_bytes())).ok_or_else(unknown_key)
 }
 
-/// Returns the service that a request may use, and the flag that ends the call.
-pub(crate) fn service(
-    active: &Active,
-    request: &Request,
-    name: &str,
-) -> Result<(Rc<Service>, Flag), Refusal> {
+/// What a caller may use.
+pub(crate) struct Grant {
+    pub(crate) service: Rc<Service>,
+    /// Account that the call counts for.
+    pub(crate) account: AccountName,
+    /// Raised when the call must end.
+    pub(crate) withdrawn: Flag,
+}
+
+/// Returns the service that a request may use.
+pub(crate) fn service(active: &Active, request: &Request, name: &str) -> Result<Grant, Refusal> {
     let found = active.service(name).cloned();
     match found {
-        Some(service) if service.access == Access::Open => Ok((service, Flag::new())),
+        Some(service) if service.access == Access::Open => {
+            let account = AccountName::new(OPEN_ACCOUNT).expect("a constant name");
+            Ok(Grant { service, account, withdrawn: Flag::new() })
+        }
         // Without a key, whether a service exists is not told.
         found => {
             let key = key(active, request)?;
             match found {
                 Some(service) if key.account.services.contains(&service.name) => {
-                    Ok((service, key.withdrawn.clone()))
+                    let (account, withdrawn) = (key.account.name.clone(), key.withdrawn.clone());
+                    Ok(Grant { service, account, withdrawn })
                 }
                 Some(_) | None => {
                     let message = format!("the key's account has no service `{name}`");
--- a/crates/tamarackdock_node/src/caller/completion.rs
+++ b/crates/tamarackdock_node/src/caller/completion.rs
@@ -6,6 +6,7 @@
 use http::{HeaderValue, StatusCode};
 use serde::Deserialize;
 use serde_json::json;
+use tamarackdock_admit::Level;
 use tamarackdock_types::{
     refusal::{Code, Refusal},
     weight::Version,
@@ -16,10 +17,11 @@
     stream::{self, Piece},
 };
 
-use super::access;
+use super::access::{self, Grant};
 use crate::{
     context::Context,
-    engine::{Event, Generation, Priority, Sink},
+    engine::{Event, Generation, Sink},
+    router::Admitted,
 };
 
 const MAX_TOKENS_DEFAULT: u32 = 16;
@@ -53,7 +55,7 @@
         Refusal::not_run(Code::BadRequest, format!("the body is no completion request: {error}"))
     })?;
     let active = context.active.get();
-    let (service, withdrawn) = access::service(&active, request, &body.model)?;
+    let Grant { service, account, withdrawn } = access::service(&active, request, &body.model)?;
     let mut extra = body.extra;
     extra.retain(|name, _| !RESERVED.contains(&name.as_str()));
     let generation = Generation {
@@ -61,14 +63,15 @@
         service: service.name.clone(),
         prompt: body.prompt,
         max_tokens: body.max_tokens,
-        priority: Priority::App,
+        level: Level::App,
         idempotent: service.idempotent,
         extra,
     };
+    let admitted = context.router.admit(generation.admit(account)).await?;
     if body.stream {
-        return Ok(streamed(context.clone(), generation, withdrawn));
+        return Ok(streamed(context.clone(), generation, withdrawn, admitted));
     }
-    whole(context, &generation, &withdrawn).await
+    whole(context, &generation, &withdrawn, admitted).await
 }
 
 #[derive(Default)]
@@ -91,7 +94,9 @@
     context: &Context,
     generation: &Generation,
     withdrawn: &Flag,
+    admitted: Admitted,
 ) -> Result<Response, Refusal> {
+    let _admitted = admitted;
     let mut collected = Collected::default();
     let summary = {
         let work = generation.run(context, &mut collected);
@@ -132,9 +137,15 @@
     }
 }
 
-fn streamed(context: Context, generation: Generation, withdrawn: Flag) -> Response {
+fn streamed(
+    context: Context,
+    generation: Generation,
+    withdrawn: Flag,
+    admitted: Admitted,
+) -> Response {
     let (mut pieces, receiver) = stream::channel();
     let producer = async move {
+        let _admitted = admitted;
         let mut forwarder = Forwarder {
             id: generation.id.clone(),
             model: generation.service.as_str().into(),
--- a/crates/tamarackdock_node/src/caller/plain.rs
+++ b/crates/tamarackdock_node/src/caller/plain.rs
@@ -1,12 +1,18 @@
+use std::time::Duration;
+
 use bytes::Bytes;
 use futures_util::{
     future::{Either, select},
     pin_mut,
 };
 use http::{HeaderName, header};
-use tamarackdock_config::deployment::{Role, Service, Target};
+use tamarackdock_admit::Level;
+use tamarackdock_config::deployment::{Service, Target};
+use tamarackdock_route::fingerprint;
 use tamarackdock_types::{
+    AccountName,
     call::Ran,
+    clock::{BootClock, Clock},
     refusal::{Code, Refusal},
 };
 use tamarackdock_wire::{
@@ -14,13 +20,15 @@
     server::{Body, Request, Response},
 };
 
-use super::access;
+use super::access::{self, Grant};
 use crate::{
     context::Context,
-    router::{Outcome, Query},
+    router::{Admit, Outcome, Query},
 };
 
 const MAX_ATTEMPTS: usize = 3;
+/// Longest wait of a call for its start.
+const WAIT: Duration = Duration::from_secs(3);
 
 /// Header fields that belong to one connection, or that targets must not see.
 const NOT_FORWARDED: [HeaderName; 9] = [
@@ -43,8 +51,8 @@
     id: String,
 ) -> Result<Response, Refusal> {
     let active = context.active.get();
-    let (service, withdrawn) = access::service(&active, request, service)?;
-    let call = Call { context, request, service: &service, id };
+    let Grant { service, account, withdrawn } = access::service(&active, request, service)?;
+    let call = Call { context, request, service: &service, account, id };
     let work = call.run();
     let ended = withdrawn.wait();
     pin_mut!(work, ended);
@@ -58,27 +66,42 @@
     context: &'a Context,
     request: &'a Request,
     service: &'a Service,
+    account: AccountName,
     id: String,
 }
 
 impl Call<'_> {
     async fn run(&self) -> Result<Response, Refusal> {
+        let _admitted = self.context.router.admit(self.admit()).await?;
+        let deadline = BootClock.now() + WAIT;
         let mut tried = Vec::new();
         loop {
-            let service = self.service.name.clone();
-            let query = Query { service, role: Role::App, tried: tried.clone() };
+            let query = Query {
+                service: self.service.name.clone(),
+                level: Level::App,
+                prefix: fingerprint(self.request.path().as_bytes()),
+                fingerprint: self.fingerprint(),
+                tried: tried.clone(),
+                is_retry: !tried.is_empty(),
+                deadline,
+            };
             let permit = self.context.router.choose(query).await?;
             let target = permit.target().clone();
             self.context.metrics.attempts.inc();
             let error = match self.send(&target).await {
                 Ok(answer) => {
-                    permit.finish(Outcome::Answered);
+                    permit.finish(Outcome::Answered { first_byte: None });
                     return Ok(pass_on(answer));
                 }
                 Err(error) => error,
             };
-            permit.finish(Outcome::Failed);
-            tried.push(target.name);
+            permit.finish(match error {
+                Error::Connect => Outcome::Unreachable,
+                Error::OutOfStep => Outcome::Cancelled,
+                Error::Broken => Outcome::Broken,
+                Error::Silent | Error::Invalid(_) => Outcome::Failed,
+            });
+            tried.push(target.name.clone());
             let safe = self.service.idempotent || error.ran() == Ran::No;
             if !safe || tried.len() >= MAX_ATTEMPTS {
                 return Err(refusal_of(error));
@@ -86,6 +109,22 @@
         }
     }
 
+    fn admit(&self) -> Admit {
+        Admit {
+            service: self.service.name.clone(),
+            account: self.account.clone(),
+            level: Level::App,
+            tokens: 1,
+            deadline: BootClock.now() + WAIT,
+        }
+    }
+
+    fn fingerprint(&self) -> u64 {
+        let uri = fingerprint(self.request.uri.to_string().as_bytes());
+        let method = fingerprint(self.request.method.as_str().as_bytes());
+        uri ^ method.rotate_left(1) ^ fingerprint(&self.request.body).rotate_left(2)
+    }
+
     async fn send(&self, target: &Target) -> Result<Whole, Error> {
         let limits = &self.context.active.get().deployment.limits;
         let deadlines = Deadlines {
--- a/crates/tamarackdock_node/src/dispatch.rs
+++ b/crates/tamarackdock_node/src/dispatch.rs
@@ -6,17 +6,19 @@
 
 use crate::{
     peer::{self, Message, Reply},
+    router,
     step::Service,
 };
 
 /// The parts of a node that other nodes talk to.
 pub(crate) struct Dispatch {
     steps: Rc<Service>,
+    router: router::Handle,
 }
 
 impl Dispatch {
-    pub(crate) fn new(steps: Rc<Service>) -> Self {
-        Self { steps }
+    pub(crate) fn new(steps: Rc<Service>, router: router::Handle) -> Self {
+        Self { steps, router }
     }
 }
 
@@ -24,6 +26,17 @@
     fn dispatch(&self, message: Message) -> LocalBoxFuture<'_, Reply> {
         async move {
             match message {
+                Message::Credit { target, holder, request } => {
+                    Reply::Credit(self.router.grant(target, holder, request).await)
+                }
+                Message::Crashed { target, fingerprints } => {
+                    self.router.crashed(target, fingerprints);
+                    Reply::Ok
+                }
+                Message::Quarantine(entries) => {
+                    self.router.quarantine(entries);
+                    Reply::Ok
+                }
                 Message::Step(call) => {
                     let answer = self.steps.answer_as_holder(&call).await;
                     answer.map_or(Reply::Unsupported, Reply::Step)
--- a/crates/tamarackdock_node/src/engine/attempt.rs
+++ b/crates/tamarackdock_node/src/engine/attempt.rs
@@ -1,12 +1,21 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use futures_util::{
+    future::{Either, select},
+    pin_mut,
+};
 use http::{Method, Request, StatusCode, header};
 use serde::Serialize;
+use tamarackdock_admit::Level;
 use tamarackdock_config::deployment::{Limits, Target};
 use tamarackdock_types::call::Ran;
-use tamarackdock_wire::client::{self, Deadlines, Pool};
+use tamarackdock_wire::{
+    client::{self, Deadlines, Pool},
+    flag::Flag,
+};
 
 use super::{Event, Generation, Sink, sse::Parser};
+use crate::router::Outcome;
 
 const DONE: &[u8] = b"[DONE]";
 
@@ -28,18 +37,34 @@
     /// The answer belongs to another request.
     #[display("the target answered another request")]
     Crossed,
+    /// The credit of the attempt on a cold target expired.
+    #[display("the target may not go on with the call during its cold start")]
+    Withdrawn,
     /// The reader of the answer left.
     #[display("the caller left")]
     Abandoned,
 }
 
 impl Failure {
+    /// Returns what the router learns of the target.
+    pub(crate) fn outcome(self) -> Outcome {
+        match self {
+            Self::Connection(client::Error::Connect) => Outcome::Unreachable,
+            Self::Connection(client::Error::Broken) => Outcome::Broken,
+            Self::Connection(client::Error::OutOfStep) | Self::Abandoned | Self::Withdrawn => {
+                Outcome::Cancelled
+            }
+            Self::Rejected(_) => Outcome::Answered { first_byte: None },
+            Self::Connection(_) | Self::Refused | Self::Invalid | Self::Crossed => Outcome::Failed,
+        }
+    }
+
     /// Returns whether the attempt may have run.
     pub(crate) fn ran(self) -> Ran {
         match self {
             Self::Connection(error) => error.ran(),
             Self::Refused => Ran::No,
-            Self::Rejected(_) | Self::Invalid | Self::Crossed | Self::Abandoned => Ran::Unknown,
+            _ => Ran::Unknown,
         }
     }
 }
@@ -52,7 +77,7 @@
     prompt: &'a str,
     max_tokens: u32,
     stream: bool,
-    priority: super::Priority,
+    priority: &'static str,
     #[serde(skip_serializing_if = "<[u32]>::is_empty")]
     resume_tokens: &'a [u32],
 }
@@ -63,6 +88,8 @@
     pub(crate) target: &'a Target,
     pub(crate) id: String,
     pub(crate) resume: &'a [u32],
+    /// Raised when the attempt must stop.
+    pub(crate) withdrawn: Flag,
 }
 
 impl Attempt<'_> {
@@ -72,6 +99,21 @@
         pool: &Pool,
         limits: &Limits,
         sink: &mut dyn Sink,
+    ) -> Result<(), Failure> {
+        let work = self.exchange(pool, limits, sink);
+        let withdrawn = self.withdrawn.wait();
+        pin_mut!(work, withdrawn);
+        match select(work, withdrawn).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => Err(Failure::Withdrawn),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        pool: &Pool,
+        limits: &Limits,
+        sink: &mut dyn Sink,
     ) -> Result<(), Failure> {
         let deadlines = Deadlines {
             first_byte: limits.first_byte_ms,
@@ -95,7 +137,10 @@
             prompt: &self.generation.prompt,
             max_tokens: self.generation.max_tokens,
             stream: true,
-            priority: self.generation.priority,
+            priority: match self.generation.level {
+                Level::App => "app",
+                Level::Batch => "batch",
+            },
             resume_tokens: self.resume,
         };
         let body = serde_json::to_vec(&body).map_err(|_| Failure::Invalid)?;
--- a/crates/tamarackdock_node/src/engine/generation.rs
+++ b/crates/tamarackdock_node/src/engine/generation.rs
@@ -1,28 +1,29 @@
+use std::time::Duration;
+
 use futures_util::future::LocalBoxFuture;
-use serde::Serialize;
 use slog::debug;
-use tamarackdock_config::deployment::Role;
+use tamarackdock_admit::Level;
+use tamarackdock_route::fingerprint;
 use tamarackdock_types::{
-    ServiceName,
+    AccountName, ServiceName,
     call::Ran,
+    clock::{BootClock, Clock, Instant},
     refusal::{Code, Refusal},
 };
 
 use super::{Attempt, Event, Failure};
 use crate::{
     context::Context,
-    router::{Outcome, Query},
+    router::{Admit, Outcome, Query},
 };
 
 const MAX_ATTEMPTS: usize = 4;
-
-/// How urgent a generation is for the engines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub(crate) enum Priority {
-    App,
-    Batch,
-}
+/// Start of a prompt that decides its target: a few blocks of a prefix cache.
+const PREFIX_BYTES: usize = 256;
+/// Longest wait of an app call for its start.
+const APP_WAIT: Duration = Duration::from_secs(3);
+/// Longest wait of a sample for its start.
+const BATCH_WAIT: Duration = Duration::from_mins(1);
 
 /// Receives the events of a generation.
 pub(crate) trait Sink {
@@ -37,7 +38,8 @@
     pub(crate) service: ServiceName,
     pub(crate) prompt: String,
     pub(crate) max_tokens: u32,
-    pub(crate) priority: Priority,
+    /// How urgent it is for admission and for the engines.
+    pub(crate) level: Level,
     /// Whether it may run more than once.
     pub(crate) idempotent: bool,
     /// Other fields of the caller's request, passed to the engine as they are.
@@ -54,10 +56,22 @@
 struct Recorder<'a> {
     sink: &'a mut dyn Sink,
     tokens: Vec<u32>,
+    begin: Instant,
+    first_byte: Option<Duration>,
+}
+
+impl Recorder<'_> {
+    /// Begins the measurement of an attempt.
+    fn begin(&mut self) {
+        self.begin = BootClock.now();
+        self.first_byte = None;
+    }
 }
 
 impl Sink for Recorder<'_> {
     fn accept(&mut self, event: Event) -> LocalBoxFuture<'_, bool> {
+        let begin = self.begin;
+        self.first_byte.get_or_insert_with(|| BootClock.now().since(begin));
         self.tokens.extend_from_slice(&event.tokens);
         self.sink.accept(event)
     }
@@ -73,20 +87,41 @@
         sink: &mut dyn Sink,
     ) -> Result<Summary, Refusal> {
         let limits = context.active.get().deployment.limits.clone();
-        let mut recorder = Recorder { sink, tokens: Vec::new() };
+        let mut recorder =
+            Recorder { sink, tokens: Vec::new(), begin: BootClock.now(), first_byte: None };
         let mut tried = Vec::new();
+        let deadline = BootClock.now() + self.wait();
+        let mut is_retry = false;
+        let mut last = None;
         loop {
-            let query =
-                Query { service: self.service.clone(), role: self.role(), tried: tried.clone() };
-            let permit = context.router.choose(query).await?;
+            let query = Query {
+                service: self.service.clone(),
+                level: self.level,
+                prefix: self.prefix(),
+                fingerprint: self.fingerprint(),
+                tried: tried.clone(),
+                is_retry,
+                deadline,
+            };
+            // The failure of the last attempt says more than that there is no retry.
+            let permit = match (context.router.choose(query).await, last) {
+                (Ok(permit), _) => permit,
+                (Err(refusal), Some(failure)) if refusal.code != Code::Quarantined => {
+                    return Err(refusal_of(failure));
+                }
+                (Err(refusal), _) => return Err(refusal),
+            };
             let target = permit.target().clone();
             context.metrics.attempts.inc();
             let resume = recorder.tokens.clone();
             let id = format!("{}-{}", self.id, tried.len());
-            let attempt = Attempt { generation: self, target: &target, id, resume: &resume };
+            let withdrawn = permit.withdrawn();
+            let attempt =
+                Attempt { generation: self, target: &target, id, resume: &resume, withdrawn };
+            recorder.begin();
             let failure = match attempt.run(&context.pool, &limits, &mut recorder).await {
                 Ok(()) => {
-                    permit.finish(Outcome::Answered);
+                    permit.finish(Outcome::Answered { first_byte: recorder.first_byte });
                     let tokens = recorder.tokens.len() as u64;
                     context.metrics.tokens.inc_by(tokens);
                     return Ok(Summary { tokens });
@@ -94,38 +129,57 @@
                 Err(failure) => failure,
             };
             debug!(context.log, "attempt failed"; "target" => %target.name, "error" => %failure);
-            permit.finish(outcome_of(failure));
-            tried.push(target.name);
+            permit.finish(failure.outcome());
+            tried.push(target.name.clone());
             if !self.may_retry(failure, tried.len()) {
                 return Err(refusal_of(failure));
             }
+            is_retry = failure != Failure::Withdrawn;
+            last = Some(failure);
         }
     }
 
-    fn role(&self) -> Role {
-        match self.priority {
-            Priority::App => Role::App,
-            Priority::Batch => Role::Training,
+    /// Describes the call to admission.
+    pub(crate) fn admit(&self, account: AccountName) -> Admit {
+        Admit {
+            service: self.service.clone(),
+            account,
+            level: self.level,
+            tokens: self.max_tokens.into(),
+            deadline: BootClock.now() + self.wait(),
+        }
+    }
+
+    /// Hash of the start of the prompt, by which engines with a warm cache are found.
+    pub(crate) fn prefix(&self) -> u64 {
+        let bytes = self.prompt.as_bytes();
+        fingerprint(&bytes[..bytes.len().min(PREFIX_BYTES)])
+    }
+
+    /// Hash of the whole request, by which a repeated one is known.
+    pub(crate) fn fingerprint(&self) -> u64 {
+        let service = fingerprint(self.service.as_str().as_bytes());
+        service ^ fingerprint(self.prompt.as_bytes())
+    }
+
+    /// How long the call may wait for its start.
+    fn wait(&self) -> Duration {
+        match self.level {
+            Level::App => APP_WAIT,
+            Level::Batch => BATCH_WAIT,
         }
     }
 
     fn may_retry(&self, failure: Failure, attempts: usize) -> bool {
         match failure {
             Failure::Abandoned | Failure::Rejected(_) => false,
+            Failure::Withdrawn => self.idempotent,
             _ if attempts >= MAX_ATTEMPTS => false,
             _ => self.idempotent || failure.ran() == Ran::No,
         }
     }
 }
 
-fn outcome_of(failure: Failure) -> Outcome {
-    match failure {
-        Failure::Abandoned => Outcome::Cancelled,
-        Failure::Rejected(_) => Outcome::Answered,
-        _ => Outcome::Failed,
-    }
-}
-
 fn refusal_of(failure: Failure) -> Refusal {
     let code = match failure {
         Failure::Rejected(_) => Code::BadRequest,
--- a/crates/tamarackdock_node/src/engine/mod.rs
+++ b/crates/tamarackdock_node/src/engine/mod.rs
@@ -5,6 +5,7 @@
 mod generation;
 mod sse;
 
-pub(crate) use attempt::{Attempt, Failure};
+pub(crate) use attempt::Attempt;
+use attempt::Failure;
 pub(crate) use event::Event;
-pub(crate) use generation::{Generation, Priority, Sink};
+pub(crate) use generation::{Generation, Sink};
--- a/crates/tamarackdock_node/src/node.rs
+++ b/crates/tamarackdock_node/src/node.rs
@@ -49,13 +49,22 @@
         let pool = Rc::new(Pool::new(Limits::default()));
         let peer_pool = Rc::new(Pool::new(Limits::default()));
         let settings = Rc::new(self.settings);
+        let peers = Peers::default();
+        let peer_client = peer::Client::new(peer_pool);
+        let router = router::spawn(router::Parts {
+            settings: settings.clone(),
+            peers: peers.clone(),
+            peer_client: peer_client.clone(),
+            pool: pool.clone(),
+            log: self.log.clone(),
+        });
         let context = Context {
             active: Watch::default(),
             platform: Platform::new(settings.platform_address, pool.clone()),
             pool,
-            router: router::spawn(),
-            peers: Peers::default(),
-            peer_client: peer::Client::new(peer_pool),
+            router,
+            peers,
+            peer_client,
             weights: weights::Watch::default(),
             metrics: Rc::new(Metrics::new().map_err(Error::Metrics)?),
             log: self.log,
@@ -69,7 +78,7 @@
         let steps = Rc::new(step::Service::new(context.clone()));
         let callers = Rc::new(caller::Handler::new(context.clone(), ids, steps.clone()));
         let operators = Rc::new(operator::Handler::new(context.clone(), steps.clone()));
-        let dispatch = Rc::new(Dispatch::new(steps.clone()));
+        let dispatch = Rc::new(Dispatch::new(steps.clone(), context.router.clone()));
         let peers = Rc::new(peer::Handler::new(dispatch));
         let callers = server::listen(settings.caller_address, callers, options.clone())
             .map_err(|source| Error::Bind { port: "caller", source })?;
--- a/crates/tamarackdock_node/src/peer/message.rs
+++ b/crates/tamarackdock_node/src/peer/message.rs
@@ -1,9 +1,17 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
+use tamarackdock_route::{credit, quarantine};
+use tamarackdock_types::{HostName, TargetName};
 
 /// A message to another node.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum Message {
+    /// A node asks for credits of a cold target.
+    Credit { target: TargetName, holder: HostName, request: credit::Request },
+    /// A target crashed while it ran requests with these fingerprints.
+    Crashed { target: TargetName, fingerprints: Vec<u64> },
+    /// Requests are held back.
+    Quarantine(Vec<quarantine::Entry>),
     /// A trainer's call that the holder of its step must answer.
     Step(StepCall),
 }
--- a/crates/tamarackdock_node/src/peer/reply.rs
+++ b/crates/tamarackdock_node/src/peer/reply.rs
@@ -1,11 +1,14 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
+use tamarackdock_route::credit;
 
 /// The reply to a message.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum Reply {
     /// Nothing to say.
     Ok,
+    /// Credits, if there are any.
+    Credit(Option<credit::Grant>),
     /// The holder's answer to a trainer.
     Step(StepAnswer),
     /// The node does not know what to do with the message.
--- a/crates/tamarackdock_node/src/peers.rs
+++ b/crates/tamarackdock_node/src/peers.rs
@@ -20,6 +20,11 @@
         Some(self.0.borrow().get(host)?.address)
     }
 
+    /// Returns the other nodes that are alive.
+    pub(crate) fn live(&self) -> Vec<Host> {
+        self.0.borrow().values().cloned().collect()
+    }
+
     fn replace(&self, hosts: Vec<Host>) {
         let hosts = hosts.into_iter().map(|host| (host.name.clone(), host));
         *self.0.borrow_mut() = hosts.collect();
@@ -31,7 +36,11 @@
     let log = log::part(&context.log, "peers");
     loop {
         match context.platform.hosts.list().await {
-            Ok(hosts) => context.peers.replace(hosts),
+            Ok(hosts) => {
+                let own = &context.settings.host;
+                let others = hosts.into_iter().filter(|host| host.name != *own);
+                context.peers.replace(others.collect());
+            }
             Err(error) => debug!(log, "poll failed"; "error" => %error),
         }
         monoio::time::sleep(POLL_INTERVAL).await;
--- /dev/null
+++ b/crates/tamarackdock_node/src/router/crash.rs
@@ -0,0 +1,137 @@
+use std::{collections::HashMap, time::Duration};
+
+use slog::{info, warn};
+use tamarackdock_route::{Key, State};
+use tamarackdock_types::{TargetName, clock::Instant};
+use tamarackdock_wire::client::Deadlines;
+
+use super::{message::Done, state::Router};
+use crate::peer::{self, Message};
+
+const NOTIFY_DEADLINES: Deadlines = Deadlines {
+    connect: Duration::from_millis(300),
+    first_byte: Duration::from_secs(1),
+    between_bytes: Duration::from_secs(1),
+};
+
+/// Attempts that broke on targets of which it is not known yet whether they crashed.
+#[derive(Debug, Default)]
+pub(super) struct Suspects(HashMap<TargetName, Suspect>);
+
+#[derive(Debug)]
+struct Suspect {
+    fingerprints: Vec<u64>,
+    restart_id: Option<String>,
+}
+
+impl Suspects {
+    /// Whether it is not known yet whether a target crashed.
+    pub(super) fn covers(&self, target: &TargetName) -> bool {
+        self.0.contains_key(target)
+    }
+
+    /// Whether a request broke on such a target.
+    pub(super) fn names(&self, fingerprint: u64) -> bool {
+        self.0.values().any(|suspect| suspect.fingerprints.contains(&fingerprint))
+    }
+}
+
+impl Router {
+    /// Takes a broken connection. The target gets no new calls until a load
+    /// poll has told whether it crashed or only the connection was lost.
+    pub(super) fn suspect(&mut self, done: Done, now: Instant) {
+        let Some(extra) = self.extra.get(&done.key) else { return };
+        let restart_id = self.table.get(done.key).and_then(|t| t.restart_id().map(str::to_owned));
+        let name = extra.target.name.clone();
+        let reports = extra.reports;
+        let new = || Suspect { fingerprints: Vec::new(), restart_id };
+        self.suspects.0.entry(name.clone()).or_insert_with(new).fingerprints.push(done.fingerprint);
+        if reports {
+            self.refresh_state(done.key);
+            self.poll(done.key, now);
+        } else {
+            // Without reports, a broken connection is all that can be known.
+            self.confirm_crash(&name, None, now);
+        }
+    }
+
+    /// Takes a report, or its absence, from a target that is suspected of a crash.
+    pub(super) fn confirm_crash(
+        &mut self,
+        target: &TargetName,
+        restart_id: Option<&str>,
+        now: Instant,
+    ) {
+        let Some(suspect) = self.suspects.0.remove(target) else { return };
+        let is_crashed = restart_id.is_none() || restart_id != suspect.restart_id.as_deref();
+        if is_crashed {
+            info!(self.log, "target crashed"; "target" => %target);
+            let entries = self.quarantine.crash(target, now);
+            if !entries.is_empty() {
+                warn!(self.log, "requests held back"; "count" => entries.len());
+                self.notify(&Message::Quarantine(entries));
+            }
+            let fingerprints = suspect.fingerprints;
+            self.notify(&Message::Crashed { target: target.clone(), fingerprints });
+            self.set_crashed(target);
+        } else {
+            for fingerprint in suspect.fingerprints {
+                self.quarantine.finish(fingerprint, target);
+            }
+            if let Some(key) = self.table.key(target) {
+                self.refresh_state(key);
+            }
+        }
+        self.serve_parked(now);
+    }
+
+    /// Takes a crash that another node saw.
+    pub(super) fn crash_elsewhere(
+        &mut self,
+        target: &TargetName,
+        fingerprints: &[u64],
+        now: Instant,
+    ) {
+        for fingerprint in fingerprints {
+            self.quarantine.start(*fingerprint, target);
+        }
+        let _ = self.quarantine.crash(target, now);
+        if let Some(key) = self.table.key(target) {
+            self.poll(key, now);
+        }
+    }
+
+    /// A target without reports is left to its connections' health.
+    fn set_crashed(&mut self, target: &TargetName) {
+        let Some(key) = self.table.key(target) else { return };
+        let reports = self.extra.get(&key).is_some_and(|extra| extra.reports);
+        if let Some(extra) = self.extra.get_mut(&key) {
+            extra.warm_since = None;
+            extra.failures += 1;
+        }
+        if reports && !self.credits_are_off() {
+            self.table.set_state(key, State::Crashed);
+        }
+        self.refresh_state(key);
+    }
+
+    /// Takes a failure to connect.
+    pub(super) fn unreachable(&mut self, key: Key, now: Instant) {
+        if let Some(extra) = self.extra.get_mut(&key) {
+            extra.health.fail(now);
+            extra.failures += 1;
+        }
+        self.refresh_state(key);
+    }
+
+    /// Tells all other nodes.
+    fn notify(&self, message: &Message) {
+        for host in self.parts.peers.live() {
+            let client: peer::Client = self.parts.peer_client.clone();
+            let message = message.clone();
+            monoio::spawn(async move {
+                let _ = client.call(host.address, &message, NOTIFY_DEADLINES).await;
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/router/credits.rs
@@ -0,0 +1,131 @@
+use std::time::Duration;
+
+use tamarackdock_config::settings::Routing;
+use tamarackdock_route::{
+    Key, State,
+    credit::{self, Grant, Request, Terms},
+};
+use tamarackdock_types::{HostName, TargetName, clock::Instant};
+use tamarackdock_wire::client::Deadlines;
+
+use super::{Message, state::Router};
+use crate::peer::{self, Reply};
+
+/// Long enough for most calls on a cold target, since calls whose credit
+/// expires are stopped.
+pub(super) const TERMS: Terms = Terms {
+    validity: Duration::from_secs(5),
+    view_lag: Duration::from_secs(2),
+    margin: Duration::from_millis(100),
+};
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+const DEADLINES: Deadlines = Deadlines {
+    connect: Duration::from_millis(300),
+    first_byte: Duration::from_secs(1),
+    between_bytes: Duration::from_secs(1),
+};
+
+/// The node's part in the credits of cold targets.
+#[derive(Debug)]
+pub(super) struct Credits {
+    host: HostName,
+}
+
+impl Credits {
+    pub(super) fn new(host: HostName) -> Self {
+        Self { host }
+    }
+}
+
+impl Router {
+    /// Whether cold targets get calls without credits, as in the baseline.
+    pub(super) fn credits_are_off(&self) -> bool {
+        self.parts.settings.policy.routing == Routing::RoundRobin
+    }
+
+    /// Confirms the granting role, drops expired credits and asks for new ones.
+    pub(super) fn tick_credits(&mut self, now: Instant) {
+        if self.credits_are_off() {
+            return;
+        }
+        let mut live: Vec<HostName> =
+            self.parts.peers.live().into_iter().map(|host| host.name).collect();
+        live.push(self.credits.host.clone());
+        let keys: Vec<Key> = self.extra.keys().copied().collect();
+        for key in keys {
+            let Some(extra) = self.extra.get_mut(&key) else { continue };
+            let granter = credit::granter(&extra.target.name, &live).cloned();
+            extra.granter.confirm(granter.as_ref() == Some(&self.credits.host), now);
+            let excess = extra.holder.expire(now);
+            self.stop_excess(key, excess);
+            let is_cold = self.table.get(key).is_some_and(|target| target.state == State::Cold);
+            if let (true, Some(granter)) = (is_cold, granter) {
+                self.ask(key, &granter, now);
+            }
+            self.refresh_credits(key, now);
+        }
+    }
+
+    /// Grants credits as the chosen node.
+    pub(super) fn grant(
+        &mut self,
+        target: &TargetName,
+        holder: &HostName,
+        request: Request,
+        now: Instant,
+    ) -> Option<Grant> {
+        let key = self.table.key(target)?;
+        self.extra.get_mut(&key)?.granter.request(holder, request, now)
+    }
+
+    /// Takes a grant.
+    pub(super) fn granted(&mut self, key: Key, grant: Grant, now: Instant) {
+        if let Some(extra) = self.extra.get_mut(&key) {
+            extra.holder.grant(grant, now);
+        }
+        self.refresh_credits(key, now);
+        self.serve_parked(now);
+    }
+
+    fn refresh_credits(&mut self, key: Key, now: Instant) {
+        let credits = self.extra.get(&key).map_or(0, |extra| extra.holder.in_force(now));
+        self.table.set_credits(key, credits);
+    }
+
+    /// Stops calls whose credits have expired.
+    fn stop_excess(&mut self, key: Key, excess: u32) {
+        let running = self.attempts.values().filter(|a| a.key == key && a.has_credit);
+        let running = running.filter(|a| !a.withdrawn.is_raised());
+        for attempt in running.take(excess as usize) {
+            attempt.withdrawn.raise();
+        }
+    }
+
+    fn ask(&mut self, key: Key, granter: &HostName, now: Instant) {
+        let Some(extra) = self.extra.get_mut(&key) else { return };
+        let has_demand = self.parked.iter().any(|p| p.query.service == extra.target.service);
+        if now < extra.next_ask || !has_demand {
+            return;
+        }
+        extra.next_ask = now + ASK_INTERVAL;
+        let request = extra.holder.ask(extra.target.cold_capacity, now);
+        let target = extra.target.name.clone();
+        if *granter == self.credits.host {
+            let host = self.credits.host.clone();
+            if let Some(grant) = extra.granter.request(&host, request, now) {
+                extra.holder.grant(grant, now);
+            }
+            return;
+        }
+        let Some(address) = self.parts.peers.address(granter) else { return };
+        let holder = self.credits.host.clone();
+        let message = peer::Message::Credit { target, holder, request };
+        let (client, sender) = (self.parts.peer_client.clone(), self.sender.clone());
+        monoio::spawn(async move {
+            if let Ok(Reply::Credit(Some(grant))) = client.call(address, &message, DEADLINES).await
+            {
+                let _ = sender.unbounded_send(Message::CreditGrant { key, grant });
+            }
+        });
+    }
+}
--- a/crates/tamarackdock_node/src/router/handle.rs
+++ b/crates/tamarackdock_node/src/router/handle.rs
@@ -1,12 +1,13 @@
 use std::rc::Rc;
 
 use futures_channel::{mpsc, oneshot};
+use tamarackdock_route::{credit, quarantine};
 use tamarackdock_types::{
-    ServiceName,
+    HostName, ServiceName, TargetName,
     refusal::{Code, Refusal},
 };
 
-use super::{Capacity, Message, Permit, Query};
+use super::{Admit, Admitted, Capacity, Message, Permit, Query};
 use crate::active::Active;
 
 /// Sends messages to the router task.
@@ -20,29 +21,65 @@
 
     /// Announces a new configuration.
     pub(crate) fn configure(&self, active: Rc<Active>) {
-        let _ = self.0.unbounded_send(Message::Configure(active));
+        self.send(Message::Configure(active));
+    }
+
+    /// Waits until a call may start.
+    pub(crate) async fn admit(&self, admit: Admit) -> Result<Admitted, Refusal> {
+        let (reply, answer) = oneshot::channel();
+        self.send(Message::Admit { admit, reply });
+        answer.await.unwrap_or_else(|_| Err(stopping()))
     }
 
     /// Chooses a target for an attempt.
     pub(crate) async fn choose(&self, query: Query) -> Result<Permit, Refusal> {
         let (reply, answer) = oneshot::channel();
-        let _ = self.0.unbounded_send(Message::Choose { query, reply });
-        answer
-            .await
-            .unwrap_or_else(|_| Err(Refusal::not_run(Code::Stopping, "the node is stopping")))
+        self.send(Message::Choose { query, reply });
+        answer.await.unwrap_or_else(|_| Err(stopping()))
+    }
+
+    /// Grants credits of a cold target to another node.
+    pub(crate) async fn grant(
+        &self,
+        target: TargetName,
+        holder: HostName,
+        request: credit::Request,
+    ) -> Option<credit::Grant> {
+        let (reply, answer) = oneshot::channel();
+        self.send(Message::CreditRequest { target, holder, request, reply });
+        answer.await.ok().flatten()
+    }
+
+    /// Takes a crash that another node saw.
+    pub(crate) fn crashed(&self, target: TargetName, fingerprints: Vec<u64>) {
+        self.send(Message::Crashed { target, fingerprints });
+    }
+
+    /// Takes requests that another node holds back.
+    pub(crate) fn quarantine(&self, entries: Vec<quarantine::Entry>) {
+        self.send(Message::Quarantine(entries));
     }
 
     /// Counts the places for a service's samples.
     pub(crate) async fn capacity(&self, service: ServiceName) -> Capacity {
         let (reply, answer) = oneshot::channel();
-        let _ = self.0.unbounded_send(Message::Capacity { service, reply });
+        self.send(Message::Capacity { service, reply });
         answer.await.unwrap_or_default()
     }
 
     /// Describes the router's state.
     pub(crate) async fn dump(&self) -> serde_json::Value {
         let (reply, answer) = oneshot::channel();
-        let _ = self.0.unbounded_send(Message::Dump { reply });
+        self.send(Message::Dump { reply });
         answer.await.unwrap_or_default()
     }
+
+    fn send(&self, message: Message) {
+        // Fails only while the runtime is dropped.
+        let _ = self.0.unbounded_send(message);
+    }
+}
+
+fn stopping() -> Refusal {
+    Refusal::not_run(Code::Stopping, "the node is stopping")
 }
--- a/crates/tamarackdock_node/src/router/mod.rs
+++ b/crates/tamarackdock_node/src/router/mod.rs
@@ -1,11 +1,23 @@
-//! The task that chooses targets and owns their load counts.
+//! The task that admits calls and chooses targets, and owns the counts for
+//! both. See `docs/design.md`, section 5.
 
+mod admission;
+mod admitted;
+mod crash;
+mod credits;
+mod dump;
 mod handle;
 mod message;
+mod parked;
 mod permit;
-mod task;
+mod placement;
+mod poll;
+mod report;
+mod state;
+mod targets;
 
+pub(crate) use admitted::Admitted;
 pub(crate) use handle::Handle;
-pub(crate) use message::{Capacity, Message, Query};
+pub(crate) use message::{Admit, Capacity, Message, Query};
 pub(crate) use permit::{Outcome, Permit};
-pub(crate) use task::spawn;
+pub(crate) use state::{Parts, spawn};
--- a/crates/tamarackdock_node/src/router/permit.rs
+++ b/crates/tamarackdock_node/src/router/permit.rs
@@ -1,17 +1,25 @@
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use futures_channel::mpsc;
 use tamarackdock_config::deployment::Target;
+use tamarackdock_wire::flag::Flag;
 
-use super::Message;
+use super::{Message, message::Done};
 
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Outcome {
     /// The target gave a whole answer.
-    Answered,
-    /// The target failed.
+    Answered {
+        /// Time to the first byte, if it was measured.
+        first_byte: Option<Duration>,
+    },
+    /// The target did not answer in time, or not as its interface says.
     Failed,
+    /// No connection could be made.
+    Unreachable,
+    /// The connection broke, as in a crash.
+    Broken,
     /// The attempt was given up before its end.
     Cancelled,
 }
@@ -19,29 +27,39 @@
 /// The right to run one attempt on a target. Dropping it frees the place.
 pub(crate) struct Permit {
     target: Rc<Target>,
-    outcome: Outcome,
+    done: Done,
     router: mpsc::UnboundedSender<Message>,
+    withdrawn: Flag,
 }
 
 impl Permit {
-    pub(crate) fn new(target: Rc<Target>, router: mpsc::UnboundedSender<Message>) -> Self {
-        Self { target, outcome: Outcome::Cancelled, router }
+    pub(super) fn new(
+        target: Rc<Target>,
+        done: Done,
+        router: mpsc::UnboundedSender<Message>,
+        withdrawn: Flag,
+    ) -> Self {
+        Self { target, done, router, withdrawn }
     }
 
-    pub(crate) fn target(&self) -> &Target {
+    pub(crate) fn target(&self) -> &Rc<Target> {
         &self.target
     }
 
+    /// Raised when the attempt must stop, since the credit under which it runs
+    /// on a cold target has expired.
+    pub(crate) fn withdrawn(&self) -> Flag {
+        self.withdrawn.clone()
+    }
+
     /// Ends the attempt.
     pub(crate) fn finish(mut self, outcome: Outcome) {
-        self.outcome = outcome;
+        self.done.outcome = outcome;
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let target = self.target.name.clone();
-        let done = Message::Done { target, outcome: self.outcome };
-        let _ = self.router.unbounded_send(done);
+        let _ = self.router.unbounded_send(Message::Done(self.done));
     }
 }
--- /dev/null
+++ b/crates/tamarackdock_node/src/router/state.rs
@@ -0,0 +1,179 @@
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use futures_channel::{mpsc, oneshot};
+use futures_util::{
+    StreamExt,
+    future::{Either, select},
+    pin_mut,
+};
+use monoio::time::sleep_until;
+use slog::Logger;
+use tamarackdock_admit::Call;
+use tamarackdock_config::Settings;
+use tamarackdock_route::{
+    Key,
+    policy::{Affinity, Policy, RoundRobin},
+    quarantine::Quarantine,
+    retry::Budget,
+    table::Table,
+};
+use tamarackdock_types::{
+    ServiceName,
+    clock::{BootClock, Clock, Instant},
+    refusal::Refusal,
+};
+use tamarackdock_wire::{client::Pool, flag::Flag};
+
+use super::{
+    Admitted, Handle, Message, admission::Pools, crash::Suspects, credits::Credits, parked::Parked,
+    targets::Extra,
+};
+use crate::{active::Active, peer, peers::Peers, telemetry::log};
+
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a request that crashed two targets is refused.
+pub(super) const QUARANTINE_SPAN: Duration = Duration::from_mins(1);
+const RETRY_RATIO: f64 = 0.1;
+
+/// What the router task works with.
+pub(crate) struct Parts {
+    pub(crate) settings: Rc<Settings>,
+    pub(crate) peers: Peers,
+    pub(crate) peer_client: peer::Client,
+    pub(crate) pool: Rc<Pool>,
+    pub(crate) log: Logger,
+}
+
+/// Starts the router task.
+pub(crate) fn spawn(parts: Parts) -> Handle {
+    let (sender, receiver) = mpsc::unbounded();
+    let policy: Box<dyn Policy> = match parts.settings.policy.routing {
+        tamarackdock_config::settings::Routing::Affinity => Box::new(Affinity),
+        tamarackdock_config::settings::Routing::RoundRobin => Box::new(RoundRobin::default()),
+    };
+    let router = Router {
+        pools: Pools::new(parts.settings.policy.admission),
+        credits: Credits::new(parts.settings.host.clone()),
+        log: log::part(&parts.log, "router"),
+        parts,
+        active: Rc::default(),
+        table: Table::default(),
+        extra: HashMap::new(),
+        policy,
+        budget: Budget::new(RETRY_RATIO),
+        quarantine: Quarantine::new(QUARANTINE_SPAN),
+        suspects: Suspects::default(),
+        admits: HashMap::new(),
+        parked: Vec::new(),
+        attempts: HashMap::new(),
+        next_id: 0,
+        sender: sender.clone(),
+    };
+    monoio::spawn(router.run(receiver));
+    Handle::new(sender)
+}
+
+/// An attempt in progress.
+pub(super) struct Running {
+    pub(super) key: Key,
+    pub(super) withdrawn: Flag,
+    /// Whether it runs under a credit.
+    pub(super) has_credit: bool,
+}
+
+/// A call that waits to be admitted.
+pub(super) struct Waiting {
+    pub(super) service: ServiceName,
+    pub(super) call: Call,
+    pub(super) reply: Option<oneshot::Sender<Result<Admitted, Refusal>>>,
+}
+
+/// The router's state, owned by its task.
+pub(super) struct Router {
+    pub(super) parts: Parts,
+    pub(super) log: Logger,
+    pub(super) active: Rc<Active>,
+    pub(super) table: Table,
+    pub(super) extra: HashMap<Key, Extra>,
+    pub(super) policy: Box<dyn Policy>,
+    pub(super) pools: Pools,
+    pub(super) budget: Budget,
+    pub(super) quarantine: Quarantine,
+    pub(super) suspects: Suspects,
+    pub(super) credits: Credits,
+    pub(super) admits: HashMap<u64, Waiting>,
+    pub(super) parked: Vec<Parked>,
+    pub(super) attempts: HashMap<u64, Running>,
+    pub(super) next_id: u64,
+    pub(super) sender: mpsc::UnboundedSender<Message>,
+}
+
+impl Router {
+    async fn run(mut self, mut receiver: mpsc::UnboundedReceiver<Message>) {
+        let mut next_tick = monoio::time::Instant::now();
+        loop {
+            // Checked here, since a steady flow of messages would starve the timer.
+            if monoio::time::Instant::now() >= next_tick {
+                next_tick = monoio::time::Instant::now() + TICK_INTERVAL;
+                self.tick(BootClock.now());
+            }
+            let message = receiver.next();
+            let tick = sleep_until(next_tick);
+            pin_mut!(message, tick);
+            match select(message, tick).await {
+                Either::Left((Some(message), _)) => self.handle(message, BootClock.now()),
+                Either::Left((None, _)) => return,
+                Either::Right(_) => {}
+            }
+        }
+    }
+
+    pub(super) fn next_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    fn handle(&mut self, message: Message, now: Instant) {
+        match message {
+            Message::Configure(active) => self.configure(active, now),
+            Message::Admit { admit, reply } => self.admit(admit, reply, now),
+            Message::Finish { call } => self.finish_call(call, now),
+            Message::Choose { query, reply } => self.choose(query, reply, now),
+            Message::Done(done) => self.done(done, now),
+            Message::Report { key, report, next } => {
+                self.polled(key, next);
+                self.report(key, report, now);
+            }
+            Message::Probed { key, is_up, next } => {
+                self.polled(key, next);
+                self.probed(key, is_up, now);
+            }
+            Message::CreditRequest { target, holder, request, reply } => {
+                let _ = reply.send(self.grant(&target, &holder, request, now));
+            }
+            Message::CreditGrant { key, grant } => self.granted(key, grant, now),
+            Message::Crashed { target, fingerprints } => {
+                self.crash_elsewhere(&target, &fingerprints, now);
+            }
+            Message::Quarantine(entries) => {
+                for entry in entries {
+                    self.quarantine.merge(entry, now);
+                }
+            }
+            Message::Capacity { service, reply } => {
+                let _ = reply.send(self.capacity(&service));
+            }
+            Message::Dump { reply } => {
+                let _ = reply.send(self.dump(now));
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        self.poll_due(now);
+        self.tick_credits(now);
+        self.tick_admission(now);
+        self.quarantine.expire(now);
+        self.serve_parked(now);
+    }
+}
--- a/crates/tamarackdock_node/src/step/attempt.rs
+++ b/crates/tamarackdock_node/src/step/attempt.rs
@@ -1,12 +1,17 @@
+use std::time::Duration;
+
 use futures_channel::mpsc;
 use futures_util::{
     FutureExt,
     future::{Either, LocalBoxFuture, select},
     pin_mut,
 };
-use tamarackdock_config::deployment::Role;
+use tamarackdock_admit::Level;
 use tamarackdock_rollout::{attempt::Attempt, step::Input};
-use tamarackdock_types::TargetName;
+use tamarackdock_types::{
+    AccountName, TargetName,
+    clock::{BootClock, Clock, Instant},
+};
 use tamarackdock_wire::flag::Flag;
 
 use crate::{
@@ -18,6 +23,8 @@
 /// One attempt of a slot.
 pub(super) struct Task {
     pub(super) context: Context,
+    /// Account of the trainer.
+    pub(super) account: AccountName,
     pub(super) attempt: Attempt,
     pub(super) generation: Generation,
     pub(super) resume: Vec<u32>,
@@ -29,11 +36,15 @@
 struct Pieces {
     attempt: Attempt,
     position: u32,
+    begin: Instant,
+    first_byte: Option<Duration>,
     inputs: mpsc::UnboundedSender<Input>,
 }
 
 impl Sink for Pieces {
     fn accept(&mut self, event: Event) -> LocalBoxFuture<'_, bool> {
+        let begin = self.begin;
+        self.first_byte.get_or_insert_with(|| BootClock.now().since(begin));
         let position = self.position;
         self.position += u32::try_from(event.tokens.len()).unwrap_or(u32::MAX);
         let piece = Input::Piece {
@@ -61,10 +72,19 @@
 
     async fn attempt(&self) -> Input {
         let failed = Input::AttemptFailed { attempt: self.attempt };
+        let admit = self.generation.admit(self.account.clone());
+        let deadline = admit.deadline;
+        let Ok(_admitted) = self.context.router.admit(admit).await else {
+            return failed;
+        };
         let query = Query {
             service: self.generation.service.clone(),
-            role: Role::Training,
+            level: Level::Batch,
+            prefix: self.generation.prefix(),
+            fingerprint: self.generation.fingerprint(),
             tried: self.avoid.iter().cloned().collect(),
+            is_retry: false,
+            deadline,
         };
         let Ok(permit) = self.context.router.choose(query).await else {
             return failed;
@@ -74,22 +94,29 @@
         let _ = self.inputs.unbounded_send(started);
         self.context.metrics.attempts.inc();
         let position = u32::try_from(self.resume.len()).unwrap_or(u32::MAX);
-        let mut pieces = Pieces { attempt: self.attempt, position, inputs: self.inputs.clone() };
+        let mut pieces = Pieces {
+            attempt: self.attempt,
+            position,
+            begin: BootClock.now(),
+            first_byte: None,
+            inputs: self.inputs.clone(),
+        };
         let attempt = engine::Attempt {
             generation: &self.generation,
             target: &target,
             id: self.generation.id.clone(),
             resume: &self.resume,
+            withdrawn: permit.withdrawn(),
         };
         let limits = &self.context.active.get().deployment.limits;
         let result = attempt.run(&self.context.pool, limits, &mut pieces).await;
         let generated = pieces.position - position;
         self.context.metrics.tokens.inc_by(generated.into());
-        if result.is_err() {
-            permit.finish(Outcome::Failed);
+        if let Err(failure) = result {
+            permit.finish(failure.outcome());
             return failed;
         }
-        permit.finish(Outcome::Answered);
+        permit.finish(Outcome::Answered { first_byte: pieces.first_byte });
         Input::Finished { attempt: self.attempt, tokens: pieces.position }
     }
 }
--- a/crates/tamarackdock_node/src/step/holder.rs
+++ b/crates/tamarackdock_node/src/step/holder.rs
@@ -156,7 +156,10 @@
             .map_err(|error| Refusal::not_run(Code::Internal, error.to_string()))?;
         let (commands, receiver) = mpsc::unbounded();
         let (inputs, pieces) = mpsc::unbounded();
+        let active = self.context.active.get();
+        let trainer = active.trainer(self.trainer.as_str()).ok_or_else(moved)?;
         let runner = Runner {
+            account: trainer.account.clone(),
             context: self.context.clone(),
             lease: self.lease.clone(),
             request: request.clone(),
--- a/crates/tamarackdock_node/src/step/runner.rs
+++ b/crates/tamarackdock_node/src/step/runner.rs
@@ -12,6 +12,7 @@
 };
 use monoio::time::{Instant, sleep_until};
 use slog::{Logger, error, info};
+use tamarackdock_admit::Level;
 use tamarackdock_platform::{
     Error,
     table::{Commit, Condition, Write},
@@ -22,17 +23,13 @@
     step::{Action, Input, Step},
 };
 use tamarackdock_types::{
-    TargetName,
+    AccountName, TargetName,
     clock::{BootClock, Clock},
 };
 use tamarackdock_wire::flag::Flag;
 
 use super::attempt;
-use crate::{
-    context::Context,
-    engine::{Generation, Priority},
-    lease,
-};
+use crate::{context::Context, engine::Generation, lease};
 
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -55,6 +52,7 @@
 pub(super) struct Runner {
     pub(super) context: Context,
     pub(super) lease: lease::Handle,
+    pub(super) account: AccountName,
     pub(super) request: Request,
     pub(super) step: Step,
     pub(super) row: String,
@@ -170,7 +168,7 @@
             service: fields.service.clone(),
             prompt: prompt.to_owned(),
             max_tokens: fields.max_tokens,
-            priority: Priority::Batch,
+            level: Level::Batch,
             idempotent: true,
             extra: serde_json::Map::from_iter([("seed".to_owned(), seed.into())]),
         }
@@ -187,6 +185,7 @@
         self.running.retain(|_, flag| !flag.is_raised());
         self.running.insert(attempt, cancelled.clone());
         let task = attempt::Task {
+            account: self.account.clone(),
             context: self.context.clone(),
             attempt,
             generation,
--- a/crates/tamarackdock_route/src/target.rs
+++ b/crates/tamarackdock_route/src/target.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Returns the restart id that it reported last.
+    #[must_use]
+    pub fn restart_id(&self) -> Option<&str> {
+        self.restart_id.as_deref()
+    }
+
     /// Returns the calls that count against [`Target::limit`].
     #[must_use]
     pub fn calls(&self) -> u32 {
