Count usage on the nodes and report sealed windows

No task ran the usage state machines, so nothing was counted or reported and the demo's reported tokens were always 0.

Each event that an engine attempt receives is now counted at once for the client account of the call, samples for the trainer's account, so that failed and cancelled attempts are included. Batches go to the table every second and to the next peer in the ring of names every 200 ms. A peer checks copies that had no news for 3 s against the table. Windows are 5 s of Unix time and close 2 s after their end. The reporter runs under the lease `usage/0`, which is checked directly before each send. A leaving node flushes, waits up to 5 s until its last window is reported, which the holder closes early when it leaves itself, and releases the lease.

The platform stand-in can fail the table and the report interface without effect. Tests kill the holder between seal and send, lose 30 % of the responses, and kill a node before its flush; in each, the reports sum up to exactly the engines' own counts.

--- a/crates/standin/examples/demo/script.rs
+++ b/crates/standin/examples/demo/script.rs
@@ -71,13 +71,14 @@
     count_trainers(&trainers, &mut summary);
     count_app(app, &mut summary);
     summary.usage_received_tokens += world::received_tokens(&trainers);
-    summary.usage_true_tokens = world.generated_tokens();
     summary.keys_seen_by_targets = world.keys_seen();
     let after = live.last_served().map(|at| at.saturating_duration_since(withdrawn));
     let after = after.unwrap_or_default().as_millis();
     summary.withdrawn_key_served_after_ms = u64::try_from(after).unwrap_or(u64::MAX);
     world.shut_down();
     say("all nodes have shut down");
+    summary.usage_reported_tokens = world.reported_tokens();
+    summary.usage_true_tokens = world.generated_tokens();
     summary.seconds = begin.elapsed().as_secs_f64();
     Ok(summary)
 }
--- a/crates/standin/src/platform/faults.rs
+++ b/crates/standin/src/platform/faults.rs
@@ -12,6 +12,10 @@
     pub lose_next: u32,
     /// Share of all writes that take effect and lose their response, from 0 to 1.
     pub lose_share: f64,
+    /// Whether the table service fails without any effect.
+    pub table_down: bool,
+    /// Whether the report interface fails without any effect.
+    pub reports_down: bool,
     /// Responses that were lost so far.
     pub lost: u64,
     random: ChaCha8Rng,
@@ -23,11 +27,22 @@
             delay: Duration::ZERO,
             lose_next: 0,
             lose_share: 0.0,
+            table_down: false,
+            reports_down: false,
             lost: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
 
+    /// Returns whether an area of the interface fails.
+    pub(super) fn is_down(&self, area: &str) -> bool {
+        match area {
+            "table" => self.table_down,
+            "reports" => self.reports_down,
+            _ => false,
+        }
+    }
+
     /// Decides whether the response of a write is lost.
     pub(super) fn is_lost(&mut self) -> bool {
         let by_count = self.lose_next > 0;
--- a/crates/standin/src/platform/handler.rs
+++ b/crates/standin/src/platform/handler.rs
@@ -77,6 +77,9 @@
 fn route(state: &mut State, request: &Request) -> Response {
     let parts = request.path().trim_start_matches('/').split_once('/');
     let (area, rest) = parts.unwrap_or((request.path().trim_start_matches('/'), ""));
+    if state.faults.is_down(area) {
+        return reply(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+    }
     match (request.method.as_str(), area, rest) {
         ("POST", "table", "read") => read(state, request),
         ("POST", "table", "scan") => scan(state, request),
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -2,6 +2,8 @@
 
 mod deployment;
 mod options;
+mod reports;
+mod state;
 
 use std::{
     io::{self, Read as _, Write as _},
--- a/crates/tamarackdock_node/src/caller/access.rs
+++ b/crates/tamarackdock_node/src/caller/access.rs
@@ -2,6 +2,7 @@
 
 use tamarackdock_config::deployment::{Access, Service};
 use tamarackdock_types::{
+    AccountName,
     key::Hash,
     refusal::{Code, Refusal},
 };
@@ -21,21 +22,22 @@
     active.key(&Hash::of(shown.trim().as_bytes())).ok_or_else(unknown_key)
 }
 
-/// Returns the service that a request may use, and the flag that ends the call.
+/// Returns the service that a request may use, the flag that ends the call, and
+/// the client account that came with the key.
 pub(crate) fn service(
     active: &Active,
     request: &Request,
     name: &str,
-) -> Result<(Rc<Service>, Flag), Refusal> {
+) -> Result<(Rc<Service>, Flag, Option<AccountName>), Refusal> {
     let found = active.service(name).cloned();
     match found {
-        Some(service) if service.access == Access::Open => Ok((service, Flag::new())),
+        Some(service) if service.access == Access::Open => Ok((service, Flag::new(), None)),
         // Without a key, whether a service exists is not told.
         found => {
             let key = key(active, request)?;
             match found {
                 Some(service) if key.account.services.contains(&service.name) => {
-                    Ok((service, key.withdrawn.clone()))
+                    Ok((service, key.withdrawn.clone(), Some(key.account.name.clone())))
                 }
                 Some(_) | None => {
                     let message = format!("the key's account has no service `{name}`");
--- a/crates/tamarackdock_node/src/caller/completion.rs
+++ b/crates/tamarackdock_node/src/caller/completion.rs
@@ -53,12 +53,13 @@
         Refusal::not_run(Code::BadRequest, format!("the body is no completion request: {error}"))
     })?;
     let active = context.active.get();
-    let (service, withdrawn) = access::service(&active, request, &body.model)?;
+    let (service, withdrawn, account) = access::service(&active, request, &body.model)?;
     let mut extra = body.extra;
     extra.retain(|name, _| !RESERVED.contains(&name.as_str()));
     let generation = Generation {
         id,
         service: service.name.clone(),
+        account,
         prompt: body.prompt,
         max_tokens: body.max_tokens,
         priority: Priority::App,
--- a/crates/tamarackdock_node/src/caller/plain.rs
+++ b/crates/tamarackdock_node/src/caller/plain.rs
@@ -18,6 +18,7 @@
 use crate::{
     context::Context,
     router::{Outcome, Query},
+    usage::Meter,
 };
 
 const MAX_ATTEMPTS: usize = 3;
@@ -43,8 +44,9 @@
     id: String,
 ) -> Result<Response, Refusal> {
     let active = context.active.get();
-    let (service, withdrawn) = access::service(&active, request, service)?;
-    let call = Call { context, request, service: &service, id };
+    let (service, withdrawn, account) = access::service(&active, request, service)?;
+    let meter = context.usage.meter(account);
+    let call = Call { context, request, service: &service, id, meter };
     let work = call.run();
     let ended = withdrawn.wait();
     pin_mut!(work, ended);
@@ -59,6 +61,7 @@
     request: &'a Request,
     service: &'a Service,
     id: String,
+    meter: Meter,
 }
 
 impl Call<'_> {
@@ -72,6 +75,7 @@
             self.context.metrics.attempts.inc();
             let error = match self.send(&target).await {
                 Ok(answer) => {
+                    self.meter.count_call();
                     permit.finish(Outcome::Answered);
                     return Ok(pass_on(answer));
                 }
--- a/crates/tamarackdock_node/src/dispatch.rs
+++ b/crates/tamarackdock_node/src/dispatch.rs
@@ -7,16 +7,18 @@
 use crate::{
     peer::{self, Message, Reply},
     step::Service,
+    usage,
 };
 
 /// The parts of a node that other nodes talk to.
 pub(crate) struct Dispatch {
     steps: Rc<Service>,
+    usage: usage::Handle,
 }
 
 impl Dispatch {
-    pub(crate) fn new(steps: Rc<Service>) -> Self {
-        Self { steps }
+    pub(crate) fn new(steps: Rc<Service>, usage: usage::Handle) -> Self {
+        Self { steps, usage }
     }
 }
 
@@ -28,6 +30,10 @@
                     let answer = self.steps.answer_as_holder(&call).await;
                     answer.map_or(Reply::Unsupported, Reply::Step)
                 }
+                Message::Usage { origin, batches } => {
+                    self.usage.keep(origin, batches);
+                    Reply::Ok
+                }
             }
         }
         .boxed_local()
--- a/crates/tamarackdock_node/src/engine/attempt.rs
+++ b/crates/tamarackdock_node/src/engine/attempt.rs
@@ -7,6 +7,7 @@
 use tamarackdock_wire::client::{self, Deadlines, Pool};
 
 use super::{Event, Generation, Sink, sse::Parser};
+use crate::usage::Meter;
 
 const DONE: &[u8] = b"[DONE]";
 
@@ -63,6 +64,7 @@
     pub(crate) target: &'a Target,
     pub(crate) id: String,
     pub(crate) resume: &'a [u32],
+    pub(crate) meter: Meter,
 }
 
 impl Attempt<'_> {
@@ -83,7 +85,8 @@
         let mut lease = lease.map_err(Failure::Connection)?;
         let answer = lease.connection().send(request).await.map_err(Failure::Connection)?;
         self.check(&answer)?;
-        pass_events(answer, sink).await?;
+        self.meter.count_call();
+        pass_events(answer, &self.meter, sink).await?;
         pool.give_back(lease);
         Ok(())
     }
@@ -123,7 +126,11 @@
     }
 }
 
-async fn pass_events(mut answer: client::Answer<'_>, sink: &mut dyn Sink) -> Result<(), Failure> {
+async fn pass_events(
+    mut answer: client::Answer<'_>,
+    meter: &Meter,
+    sink: &mut dyn Sink,
+) -> Result<(), Failure> {
     let mut parser = Parser::default();
     let mut is_done = false;
     while let Some(bytes) = answer.next().await.map_err(Failure::Connection)? {
@@ -134,6 +141,7 @@
                 continue;
             }
             let event = Event::parse(&data).ok_or(Failure::Invalid)?;
+            meter.count_tokens(event.tokens.len());
             if !sink.accept(event).await {
                 return Err(Failure::Abandoned);
             }
--- a/crates/tamarackdock_node/src/engine/generation.rs
+++ b/crates/tamarackdock_node/src/engine/generation.rs
@@ -3,7 +3,7 @@
 use slog::debug;
 use tamarackdock_config::deployment::Role;
 use tamarackdock_types::{
-    ServiceName,
+    AccountName, ServiceName,
     call::Ran,
     refusal::{Code, Refusal},
 };
@@ -35,6 +35,8 @@
 pub(crate) struct Generation {
     pub(crate) id: String,
     pub(crate) service: ServiceName,
+    /// Client account that is charged, or `None` on open routes.
+    pub(crate) account: Option<AccountName>,
     pub(crate) prompt: String,
     pub(crate) max_tokens: u32,
     pub(crate) priority: Priority,
@@ -83,7 +85,8 @@
             context.metrics.attempts.inc();
             let resume = recorder.tokens.clone();
             let id = format!("{}-{}", self.id, tried.len());
-            let attempt = Attempt { generation: self, target: &target, id, resume: &resume };
+            let meter = context.usage.meter(self.account.clone());
+            let attempt = Attempt { generation: self, target: &target, id, resume: &resume, meter };
             let failure = match attempt.run(&context.pool, &limits, &mut recorder).await {
                 Ok(()) => {
                     permit.finish(Outcome::Answered);
--- a/crates/tamarackdock_node/src/lib.rs
+++ b/crates/tamarackdock_node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod runtime;
 mod step;
 mod telemetry;
+mod usage;
 mod weights;
 
 pub use error::Error;
--- a/crates/tamarackdock_node/src/node.rs
+++ b/crates/tamarackdock_node/src/node.rs
@@ -24,7 +24,7 @@
     running::Listeners,
     step,
     telemetry::{Metrics, log},
-    weights,
+    usage, weights,
 };
 
 /// A node that can be started on the current thread's runtime.
@@ -49,6 +49,9 @@
         let pool = Rc::new(Pool::new(Limits::default()));
         let peer_pool = Rc::new(Pool::new(Limits::default()));
         let settings = Rc::new(self.settings);
+        let metrics = Rc::new(Metrics::new().map_err(Error::Metrics)?);
+        let (usage, usage_messages) =
+            usage::channel(&settings.host, &metrics).map_err(Error::Metrics)?;
         let context = Context {
             active: Watch::default(),
             platform: Platform::new(settings.platform_address, pool.clone()),
@@ -57,7 +60,8 @@
             peers: Peers::default(),
             peer_client: peer::Client::new(peer_pool),
             weights: weights::Watch::default(),
-            metrics: Rc::new(Metrics::new().map_err(Error::Metrics)?),
+            usage,
+            metrics,
             log: self.log,
             leaving: Flag::new(),
             settings: settings.clone(),
@@ -69,7 +73,7 @@
         let steps = Rc::new(step::Service::new(context.clone()));
         let callers = Rc::new(caller::Handler::new(context.clone(), ids, steps.clone()));
         let operators = Rc::new(operator::Handler::new(context.clone(), steps.clone()));
-        let dispatch = Rc::new(Dispatch::new(steps.clone()));
+        let dispatch = Rc::new(Dispatch::new(steps.clone(), context.usage.clone()));
         let peers = Rc::new(peer::Handler::new(dispatch));
         let callers = server::listen(settings.caller_address, callers, options.clone())
             .map_err(|source| Error::Bind { port: "caller", source })?;
@@ -80,6 +84,7 @@
         monoio::spawn(config::run(context.clone()));
         monoio::spawn(weights::run(context.clone()));
         monoio::spawn(peers::run(context.clone()));
+        usage::spawn(&context, usage_messages);
         let listeners = Listeners { callers, operators, peers };
         info!(log::part(&context.log, "node"), "started";
             "callers" => %listeners.callers.address());
--- a/crates/tamarackdock_node/src/operator/handler.rs
+++ b/crates/tamarackdock_node/src/operator/handler.rs
@@ -42,6 +42,7 @@
             "config_version": self.context.active.get().version,
             "leaving": self.context.leaving.is_raised(),
             "steps": self.steps.dump(),
+            "usage": self.context.usage.dump().await,
             "router": self.context.router.dump().await,
         });
         Response::json(StatusCode::OK, &body)
--- a/crates/tamarackdock_node/src/peer/message.rs
+++ b/crates/tamarackdock_node/src/peer/message.rs
@@ -1,11 +1,14 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
+use tamarackdock_usage::{Batch, Keys};
 
 /// A message to another node.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum Message {
     /// A trainer's call that the holder of its step must answer.
     Step(StepCall),
+    /// Unflushed counts of the sender, to be flushed if it dies.
+    Usage { origin: Keys, batches: Vec<Batch> },
 }
 
 /// A trainer's call, checked for its key by the node that received it.
--- a/crates/tamarackdock_node/src/peers.rs
+++ b/crates/tamarackdock_node/src/peers.rs
@@ -1,6 +1,8 @@
 //! Addresses of the other nodes.
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell, collections::BTreeMap, net::SocketAddr, ops::Bound, rc::Rc, time::Duration,
+};
 
 use slog::debug;
 use tamarackdock_platform::host::Host;
@@ -20,6 +22,14 @@
         Some(self.0.borrow().get(host)?.address)
     }
 
+    /// Returns the peer port of the node after `host` in the ring of names.
+    pub(crate) fn next_after(&self, host: &HostName) -> Option<SocketAddr> {
+        let peers = self.0.borrow();
+        let after = peers.range((Bound::Excluded(host), Bound::Unbounded));
+        let (name, next) = after.chain(peers.iter()).next()?;
+        (name != host).then_some(next.address)
+    }
+
     fn replace(&self, hosts: Vec<Host>) {
         let hosts = hosts.into_iter().map(|host| (host.name.clone(), host));
         *self.0.borrow_mut() = hosts.collect();
--- a/crates/tamarackdock_node/src/running.rs
+++ b/crates/tamarackdock_node/src/running.rs
@@ -14,7 +14,7 @@
 use slog::{info, warn};
 use tamarackdock_wire::{flag::Flag, server::Listener};
 
-use crate::{context::Context, step::Service, telemetry::log};
+use crate::{context::Context, step::Service, telemetry::log, usage};
 
 const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -91,7 +91,9 @@
         self.steps.hand_over().await;
         self.stop.raise();
         let drained = self.listeners.callers.drained();
-        match monoio::time::timeout(settings.drain_timeout_ms, drained).await {
+        let drained = monoio::time::timeout(settings.drain_timeout_ms, drained).await;
+        usage::finish(&self.context).await;
+        match drained {
             Ok(()) => info!(log, "stopped"),
             Err(_) => {
                 warn!(log, "stopped with open calls"; "open" => self.listeners.callers.open());
--- a/crates/tamarackdock_node/src/step/attempt.rs
+++ b/crates/tamarackdock_node/src/step/attempt.rs
@@ -80,6 +80,7 @@
             target: &target,
             id: self.generation.id.clone(),
             resume: &self.resume,
+            meter: self.context.usage.meter(self.generation.account.clone()),
         };
         let limits = &self.context.active.get().deployment.limits;
         let result = attempt.run(&self.context.pool, limits, &mut pieces).await;
--- a/crates/tamarackdock_node/src/step/runner.rs
+++ b/crates/tamarackdock_node/src/step/runner.rs
@@ -22,7 +22,7 @@
     step::{Action, Input, Step},
 };
 use tamarackdock_types::{
-    TargetName,
+    AccountName, TargetName,
     clock::{BootClock, Clock},
 };
 use tamarackdock_wire::flag::Flag;
@@ -168,6 +168,7 @@
         Generation {
             id: format!("{}-{}-{attempt}", fields.trainer, fields.step),
             service: fields.service.clone(),
+            account: self.account(),
             prompt: prompt.to_owned(),
             max_tokens: fields.max_tokens,
             priority: Priority::Batch,
@@ -176,6 +177,13 @@
         }
     }
 
+    /// Returns the client account of the trainer.
+    fn account(&self) -> Option<AccountName> {
+        let active = self.context.active.get();
+        let trainer = active.trainer(self.request.fields().trainer.as_str())?;
+        Some(trainer.account.clone())
+    }
+
     fn start(
         &mut self,
         attempt: Attempt,
--- a/crates/tamarackdock_node/src/telemetry/metrics.rs
+++ b/crates/tamarackdock_node/src/telemetry/metrics.rs
@@ -1,4 +1,6 @@
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder, core::Collector,
+};
 
 /// Counters of a node, in the text format of Prometheus on request.
 pub(crate) struct Metrics {
@@ -40,6 +42,15 @@
         Ok(metrics)
     }
 
+    /// Adds a metric of one part.
+    pub(crate) fn register<T: Collector + Clone + 'static>(
+        &self,
+        metric: T,
+    ) -> prometheus::Result<T> {
+        self.registry.register(Box::new(metric.clone()))?;
+        Ok(metric)
+    }
+
     /// Returns all metrics as text.
     pub(crate) fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- /dev/null
+++ b/crates/tamarackdock_node/src/usage/elect.rs
@@ -0,0 +1,37 @@
+use std::time::Duration;
+
+use tamarackdock_platform::{Error, table::Condition};
+use tamarackdock_types::fence::Epoch;
+
+use super::{
+    Handle,
+    message::Message,
+    schedule::{SHARD, window},
+};
+use crate::platform::Platform;
+
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Finds the window with which a new reporter starts, and tells the task.
+pub(super) async fn elect(platform: Platform, usage: Handle, epoch: Epoch, fence: Condition) {
+    let first = loop {
+        match first_window(&platform).await {
+            Ok(first) => break first,
+            Err(_) => monoio::time::sleep(RETRY_INTERVAL).await,
+        }
+    };
+    let _ = usage.messages.unbounded_send(Message::Elected { epoch, fence, first });
+}
+
+/// Before the first report, the table has rows of the nodes but no head row, and
+/// the lowest window among them is the first.
+async fn first_window(platform: &Platform) -> Result<u64, Error> {
+    let key = format!("usage/head/{}", SHARD.0);
+    let rows = platform.table.read(vec![key.clone()]).await?;
+    if let Some(head) = rows.get(&key).and_then(|row| row.value.parse().ok()) {
+        return Ok(head);
+    }
+    let rows = platform.table.scan("usage/".into()).await?;
+    let windows = rows.iter().filter_map(|row| row.key.split('/').nth(1)?.parse::<u64>().ok());
+    Ok(windows.min().unwrap_or_else(window))
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/usage/handle.rs
@@ -0,0 +1,82 @@
+use std::{
+    cell::RefCell,
+    hash::{BuildHasher, RandomState},
+    rc::Rc,
+};
+
+use futures_channel::{mpsc, oneshot};
+use tamarackdock_types::{
+    AccountName, HostName,
+    clock::{BootClock, Clock},
+};
+use tamarackdock_usage::{Batch, Counter, Figures, Keys};
+
+use super::{
+    Meter,
+    message::Message,
+    metrics::Metrics,
+    schedule::{SETTINGS, SHARD, window},
+};
+use crate::telemetry;
+
+/// Counts usage and sends messages to the usage task.
+#[derive(Clone)]
+pub(crate) struct Handle {
+    pub(super) counter: Rc<RefCell<Counter>>,
+    pub(super) metrics: Rc<Metrics>,
+    pub(super) messages: mpsc::UnboundedSender<Message>,
+}
+
+/// Makes the handle and the messages for the task, see [`super::spawn`].
+pub(crate) fn channel(
+    host: &HostName,
+    metrics: &telemetry::Metrics,
+) -> prometheus::Result<(Handle, mpsc::UnboundedReceiver<Message>)> {
+    let (messages, receiver) = mpsc::unbounded();
+    let keys = Keys { shard: SHARD.0, host: host.clone(), run: random() };
+    let counter = Counter::new(keys, SETTINGS, window(), BootClock.now());
+    let metrics = Rc::new(Metrics::new(metrics)?);
+    let counter = Rc::new(RefCell::new(counter));
+    Ok((Handle { counter, metrics, messages }, receiver))
+}
+
+/// Returns a number that no other run draws; the standard library seeds its
+/// hashers from the system's random source.
+pub(super) fn random() -> u64 {
+    RandomState::new().hash_one(std::process::id())
+}
+
+impl Handle {
+    /// Makes the meter of an attempt.
+    pub(crate) fn meter(&self, account: Option<AccountName>) -> Meter {
+        Meter::new(self.clone(), account)
+    }
+
+    /// Keeps a peer's unflushed batches.
+    pub(crate) fn keep(&self, origin: Keys, batches: Vec<Batch>) {
+        let _ = self.messages.unbounded_send(Message::Keep { origin, batches });
+    }
+
+    /// Describes the state.
+    pub(crate) async fn dump(&self) -> serde_json::Value {
+        self.ask(|reply| Message::Dump { reply }).await.unwrap_or_default()
+    }
+
+    pub(super) fn count(&self, account: AccountName, figures: Figures) {
+        self.metrics.calls.inc_by(figures.calls);
+        self.metrics.tokens.inc_by(figures.tokens);
+        let mut counter = self.counter.borrow_mut();
+        counter.set_window(window());
+        counter.count(account, figures);
+    }
+
+    /// Sends a message and returns the reply, or `None` if the task has ended.
+    pub(super) async fn ask<T>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<T>) -> Message,
+    ) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.messages.unbounded_send(message(reply));
+        answer.await.ok()
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/usage/metrics.rs
@@ -0,0 +1,32 @@
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts};
+
+use crate::telemetry;
+
+/// Counters of the usage part.
+pub(super) struct Metrics {
+    pub(super) calls: IntCounter,
+    pub(super) tokens: IntCounter,
+    pub(super) reports: IntCounterVec,
+    pub(super) unflushed: IntGauge,
+}
+
+impl Metrics {
+    pub(super) fn new(metrics: &telemetry::Metrics) -> prometheus::Result<Self> {
+        let reports = Opts::new("tamarackdock_usage_reports_total", "Usage reports by outcome.");
+        Ok(Self {
+            calls: metrics.register(IntCounter::new(
+                "tamarackdock_usage_calls_total",
+                "Calls counted for client accounts.",
+            )?)?,
+            tokens: metrics.register(IntCounter::new(
+                "tamarackdock_usage_tokens_total",
+                "Tokens received from targets and counted for client accounts.",
+            )?)?,
+            reports: metrics.register(IntCounterVec::new(reports, &["outcome"])?)?,
+            unflushed: metrics.register(IntGauge::new(
+                "tamarackdock_usage_unflushed_batches",
+                "Batches of counts that are not in the table.",
+            )?)?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/usage/perform.rs
@@ -0,0 +1,78 @@
+//! Requests of the state machines to the platform and to peers.
+
+use tamarackdock_platform::Error;
+use tamarackdock_types::fence::Epoch;
+use tamarackdock_usage::{Action, Batch, Input, Keys};
+use tamarackdock_wire::client::Deadlines;
+
+use super::{
+    message::{Message, Owner},
+    task::Task,
+};
+use crate::peer;
+
+impl Task {
+    pub(super) fn act(&mut self, owner: Owner, action: Action) {
+        let table = self.context.platform.table.clone();
+        match action {
+            Action::Read { request, keys } => self.answer(owner, async move {
+                let result = table.read(keys).await.map(|rows| rows.into_values().collect());
+                Input::Rows { request, result }
+            }),
+            Action::Scan { request, prefix } => self.answer(owner, async move {
+                Input::Rows { request, result: table.scan(prefix).await }
+            }),
+            Action::Commit { request, commit } => self.answer(owner, async move {
+                Input::Done { request, result: table.commit(commit).await.map(drop) }
+            }),
+            Action::Report { request, report, bytes } => {
+                self.report(owner, request, (report, bytes));
+            }
+            Action::Copy { origin, batches } => self.copy(origin, batches),
+            Action::Stopped => self.reporter = None,
+            Action::Wake(_) => {}
+        }
+    }
+
+    fn answer(&self, owner: Owner, work: impl Future<Output = Input> + 'static) {
+        let messages = self.context.usage.messages.clone();
+        monoio::spawn(async move {
+            let _ = messages.unbounded_send(Message::Answer(owner, work.await));
+        });
+    }
+
+    /// Sends a sealed report, with the lease checked directly before.
+    fn report(&self, owner: Owner, request: u64, (window, bytes): (u64, bytes::Bytes)) {
+        let lease = self.lease.clone();
+        let reports = self.context.platform.reports.clone();
+        let outcomes = self.context.usage.metrics.reports.clone();
+        self.answer(owner, async move {
+            let result = match owner {
+                Owner::Reporter(epoch) if lease.permit() == Some(epoch) => {
+                    reports.send(window, bytes).await
+                }
+                _ => Err(Error::Unreachable),
+            };
+            let outcome = if result.is_ok() { "accepted" } else { "failed" };
+            outcomes.with_label_values(&[outcome]).inc();
+            Input::Done { request, result }
+        });
+    }
+
+    /// Sends copies to the peer that keeps them. Unflushed batches are sent
+    /// again with the next copy, so a lost message needs no care.
+    fn copy(&self, origin: Keys, batches: Vec<Batch>) {
+        let Some(address) = self.context.peers.next_after(&self.context.settings.host) else {
+            return;
+        };
+        let client = self.context.peer_client.clone();
+        let message = peer::Message::Usage { origin, batches };
+        monoio::spawn(async move {
+            let _ = client.call(address, &message, Deadlines::default()).await;
+        });
+    }
+
+    pub(super) fn is_reporter(&self, epoch: Epoch) -> bool {
+        self.reporter.as_ref().is_some_and(|(held, _)| *held == epoch)
+    }
+}
--- a/crates/tamarackdock_usage/src/copies.rs
+++ b/crates/tamarackdock_usage/src/copies.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Returns the kept copies by run, without those that are being flushed.
+    pub fn kept(&self) -> impl Iterator<Item = (&Keys, &[Batch])> {
+        self.kept.iter().map(|(origin, batches)| (origin, batches.as_slice()))
+    }
+
     /// Whether no copy is being flushed, so that the process can stop.
     #[must_use]
     pub fn is_idle(&self) -> bool {
--- a/crates/tamarackdock_usage/src/counter/mod.rs
+++ b/crates/tamarackdock_usage/src/counter/mod.rs
@@ -42,6 +42,18 @@
         self.open.add(self.window, account, figures);
     }
 
+    /// Returns the lowest window that may still take counts of this node.
+    #[must_use]
+    pub fn open_window(&self) -> u64 {
+        self.flush.window()
+    }
+
+    /// Returns the number of batches that are not in the table.
+    #[must_use]
+    pub fn unflushed(&self) -> usize {
+        self.flush.batches().len()
+    }
+
     /// Whether all counts are in the table, so that the process can stop.
     #[must_use]
     pub fn is_flushed(&self) -> bool {
--- a/crates/tamarackdock_usage/src/flush.rs
+++ b/crates/tamarackdock_usage/src/flush.rs
@@ -48,6 +48,10 @@
         self.window = self.window.max(window);
     }
 
+    pub(crate) fn window(&self) -> u64 {
+        self.window
+    }
+
     pub(crate) fn is_idle(&self) -> bool {
         !self.in_flight
     }
--- a/crates/tamarackdock_usage/src/reporter/mod.rs
+++ b/crates/tamarackdock_usage/src/reporter/mod.rs
@@ -74,6 +74,12 @@
         }
     }
 
+    /// Returns the window to report next.
+    #[must_use]
+    pub fn window(&self) -> u64 {
+        self.window
+    }
+
     /// Allows windows below `window` to be closed.
     pub fn set_closable(&mut self, window: u64) {
         self.closable = self.closable.max(window);
