--- a/crates/tamarackdock_node/src/caller/access.rs
+++ b/crates/tamarackdock_node/src/caller/access.rs
@@ -10,8 +10,6 @@
 
 use crate::active::{Active, Key};
 
-/// Account for which calls of open services count.
-const OPEN_ACCOUNT: &str = "open";
 const SCHEME: &str = "Bearer ";
 
 /// Returns the key that came with a request.
@@ -27,8 +25,8 @@
 /// What a caller may use.
 pub(crate) struct Grant {
     pub(crate) service: Rc<Service>,
-    /// Account that the call counts for.
-    pub(crate) account: AccountName,
+    /// Client account that the call counts for, `None` on open routes.
+    pub(crate) account: Option<AccountName>,
     /// Raised when the call must end.
     pub(crate) withdrawn: Flag,
 }
@@ -38,16 +36,15 @@
     let found = active.service(name).cloned();
     match found {
         Some(service) if service.access == Access::Open => {
-            let account = AccountName::new(OPEN_ACCOUNT).expect("a constant name");
-            Ok(Grant { service, account, withdrawn: Flag::new() })
+            Ok(Grant { service, account: None, withdrawn: Flag::new() })
         }
         // Without a key, whether a service exists is not told.
         found => {
             let key = key(active, request)?;
             match found {
                 Some(service) if key.account.services.contains(&service.name) => {
-                    let (account, withdrawn) = (key.account.name.clone(), key.withdrawn.clone());
-                    Ok(Grant { service, account, withdrawn })
+                    let account = Some(key.account.name.clone());
+                    Ok(Grant { service, account, withdrawn: key.withdrawn.clone() })
                 }
                 Some(_) | None => {
                     let message = format!("the key's account has no service `{name}`");
--- a/crates/tamarackdock_node/src/caller/completion.rs
+++ b/crates/tamarackdock_node/src/caller/completion.rs
@@ -61,13 +61,14 @@
     let generation = Generation {
         id,
         service: service.name.clone(),
+        account,
         prompt: body.prompt,
         max_tokens: body.max_tokens,
         level: Level::App,
         idempotent: service.idempotent,
         extra,
     };
-    let admitted = context.router.admit(generation.admit(account)).await?;
+    let admitted = context.router.admit(generation.admit()).await?;
     if body.stream {
         return Ok(streamed(context.clone(), generation, withdrawn, admitted));
     }
--- a/crates/tamarackdock_node/src/caller/plain.rs
+++ b/crates/tamarackdock_node/src/caller/plain.rs
@@ -23,7 +23,9 @@
 use super::access::{self, Grant};
 use crate::{
     context::Context,
+    engine::account_or_open,
     router::{Admit, Outcome, Query},
+    usage::Meter,
 };
 
 const MAX_ATTEMPTS: usize = 3;
@@ -52,7 +54,8 @@
 ) -> Result<Response, Refusal> {
     let active = context.active.get();
     let Grant { service, account, withdrawn } = access::service(&active, request, service)?;
-    let call = Call { context, request, service: &service, account, id };
+    let meter = context.usage.meter(account.clone());
+    let call = Call { context, request, service: &service, account, id, meter };
     let work = call.run();
     let ended = withdrawn.wait();
     pin_mut!(work, ended);
@@ -66,8 +69,9 @@
     context: &'a Context,
     request: &'a Request,
     service: &'a Service,
-    account: AccountName,
+    account: Option<AccountName>,
     id: String,
+    meter: Meter,
 }
 
 impl Call<'_> {
@@ -90,6 +94,7 @@
             self.context.metrics.attempts.inc();
             let error = match self.send(&target).await {
                 Ok(answer) => {
+                    self.meter.count_call();
                     permit.finish(Outcome::Answered { first_byte: None });
                     return Ok(pass_on(answer));
                 }
@@ -112,7 +117,7 @@
     fn admit(&self) -> Admit {
         Admit {
             service: self.service.name.clone(),
-            account: self.account.clone(),
+            account: account_or_open(self.account.as_ref()),
             level: Level::App,
             tokens: 1,
             deadline: BootClock.now() + WAIT,
--- a/crates/tamarackdock_node/src/dispatch.rs
+++ b/crates/tamarackdock_node/src/dispatch.rs
@@ -8,17 +8,19 @@
     peer::{self, Message, Reply},
     router,
     step::Service,
+    usage,
 };
 
 /// The parts of a node that other nodes talk to.
 pub(crate) struct Dispatch {
     steps: Rc<Service>,
     router: router::Handle,
+    usage: usage::Handle,
 }
 
 impl Dispatch {
-    pub(crate) fn new(steps: Rc<Service>, router: router::Handle) -> Self {
-        Self { steps, router }
+    pub(crate) fn new(steps: Rc<Service>, router: router::Handle, usage: usage::Handle) -> Self {
+        Self { steps, router, usage }
     }
 }
 
@@ -41,6 +43,10 @@
                     let answer = self.steps.answer_as_holder(&call).await;
                     answer.map_or(Reply::Unsupported, Reply::Step)
                 }
+                Message::Usage { origin, batches } => {
+                    self.usage.keep(origin, batches);
+                    Reply::Ok
+                }
             }
         }
         .boxed_local()
--- a/crates/tamarackdock_node/src/engine/attempt.rs
+++ b/crates/tamarackdock_node/src/engine/attempt.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{Event, Generation, Sink, sse::Parser};
-use crate::router::Outcome;
+use crate::{router::Outcome, usage::Meter};
 
 const DONE: &[u8] = b"[DONE]";
 
@@ -90,6 +90,7 @@
     pub(crate) resume: &'a [u32],
     /// Raised when the attempt must stop.
     pub(crate) withdrawn: Flag,
+    pub(crate) meter: Meter,
 }
 
 impl Attempt<'_> {
@@ -125,7 +126,8 @@
         let mut lease = lease.map_err(Failure::Connection)?;
         let answer = lease.connection().send(request).await.map_err(Failure::Connection)?;
         self.check(&answer)?;
-        pass_events(answer, sink).await?;
+        self.meter.count_call();
+        pass_events(answer, &self.meter, sink).await?;
         pool.give_back(lease);
         Ok(())
     }
@@ -168,7 +170,11 @@
     }
 }
 
-async fn pass_events(mut answer: client::Answer<'_>, sink: &mut dyn Sink) -> Result<(), Failure> {
+async fn pass_events(
+    mut answer: client::Answer<'_>,
+    meter: &Meter,
+    sink: &mut dyn Sink,
+) -> Result<(), Failure> {
     let mut parser = Parser::default();
     let mut is_done = false;
     while let Some(bytes) = answer.next().await.map_err(Failure::Connection)? {
@@ -179,6 +185,7 @@
                 continue;
             }
             let event = Event::parse(&data).ok_or(Failure::Invalid)?;
+            meter.count_tokens(event.tokens.len());
             if !sink.accept(event).await {
                 return Err(Failure::Abandoned);
             }
--- a/crates/tamarackdock_node/src/engine/generation.rs
+++ b/crates/tamarackdock_node/src/engine/generation.rs
@@ -18,6 +18,7 @@
 };
 
 const MAX_ATTEMPTS: usize = 4;
+const OPEN_ACCOUNT: &str = "open";
 /// Start of a prompt that decides its target: a few blocks of a prefix cache.
 const PREFIX_BYTES: usize = 256;
 /// Longest wait of an app call for its start.
@@ -36,6 +37,8 @@
 pub(crate) struct Generation {
     pub(crate) id: String,
     pub(crate) service: ServiceName,
+    /// Client account that is charged, or `None` on open routes.
+    pub(crate) account: Option<AccountName>,
     pub(crate) prompt: String,
     pub(crate) max_tokens: u32,
     /// How urgent it is for admission and for the engines.
@@ -116,8 +119,15 @@
             let resume = recorder.tokens.clone();
             let id = format!("{}-{}", self.id, tried.len());
             let withdrawn = permit.withdrawn();
-            let attempt =
-                Attempt { generation: self, target: &target, id, resume: &resume, withdrawn };
+            let meter = context.usage.meter(self.account.clone());
+            let attempt = Attempt {
+                generation: self,
+                target: &target,
+                id,
+                resume: &resume,
+                withdrawn,
+                meter,
+            };
             recorder.begin();
             let failure = match attempt.run(&context.pool, &limits, &mut recorder).await {
                 Ok(()) => {
@@ -140,10 +150,10 @@
     }
 
     /// Describes the call to admission.
-    pub(crate) fn admit(&self, account: AccountName) -> Admit {
+    pub(crate) fn admit(&self) -> Admit {
         Admit {
             service: self.service.clone(),
-            account,
+            account: account_or_open(self.account.as_ref()),
             level: self.level,
             tokens: self.max_tokens.into(),
             deadline: BootClock.now() + self.wait(),
@@ -191,3 +201,8 @@
         Ran::Unknown | Ran::Yes => Refusal::unknown(code, failure.to_string()),
     }
 }
+
+/// Returns the account by which a call is admitted. All calls of open routes share one.
+pub(crate) fn account_or_open(account: Option<&AccountName>) -> AccountName {
+    account.cloned().unwrap_or_else(|| AccountName::new(OPEN_ACCOUNT).expect("a constant name"))
+}
--- a/crates/tamarackdock_node/src/engine/mod.rs
+++ b/crates/tamarackdock_node/src/engine/mod.rs
@@ -8,4 +8,4 @@
 pub(crate) use attempt::Attempt;
 use attempt::Failure;
 pub(crate) use event::Event;
-pub(crate) use generation::{Generation, Sink};
+pub(crate) use generation::{Generation, Sink, account_or_open};
--- a/crates/tamarackdock_node/src/step/attempt.rs
+++ b/crates/tamarackdock_node/src/step/attempt.rs
@@ -9,7 +9,7 @@
 use tamarackdock_admit::Level;
 use tamarackdock_rollout::{attempt::Attempt, step::Input};
 use tamarackdock_types::{
-    AccountName, TargetName,
+    TargetName,
     clock::{BootClock, Clock, Instant},
 };
 use tamarackdock_wire::flag::Flag;
@@ -23,8 +23,6 @@
 /// One attempt of a slot.
 pub(super) struct Task {
     pub(super) context: Context,
-    /// Account of the trainer.
-    pub(super) account: AccountName,
     pub(super) attempt: Attempt,
     pub(super) generation: Generation,
     pub(super) resume: Vec<u32>,
@@ -72,7 +70,7 @@
 
     async fn attempt(&self) -> Input {
         let failed = Input::AttemptFailed { attempt: self.attempt };
-        let admit = self.generation.admit(self.account.clone());
+        let admit = self.generation.admit();
         let deadline = admit.deadline;
         let Ok(_admitted) = self.context.router.admit(admit).await else {
             return failed;
@@ -107,6 +105,7 @@
             id: self.generation.id.clone(),
             resume: &self.resume,
             withdrawn: permit.withdrawn(),
+            meter: self.context.usage.meter(self.generation.account.clone()),
         };
         let limits = &self.context.active.get().deployment.limits;
         let result = attempt.run(&self.context.pool, limits, &mut pieces).await;
--- a/crates/tamarackdock_node/src/step/runner.rs
+++ b/crates/tamarackdock_node/src/step/runner.rs
@@ -52,6 +52,7 @@
 pub(super) struct Runner {
     pub(super) context: Context,
     pub(super) lease: lease::Handle,
+    /// Account of the trainer.
     pub(super) account: AccountName,
     pub(super) request: Request,
     pub(super) step: Step,
@@ -166,6 +167,7 @@
         Generation {
             id: format!("{}-{}-{attempt}", fields.trainer, fields.step),
             service: fields.service.clone(),
+            account: Some(self.account.clone()),
             prompt: prompt.to_owned(),
             max_tokens: fields.max_tokens,
             level: Level::Batch,
@@ -185,7 +187,6 @@
         self.running.retain(|_, flag| !flag.is_raised());
         self.running.insert(attempt, cancelled.clone());
         let task = attempt::Task {
-            account: self.account.clone(),
             context: self.context.clone(),
             attempt,
             generation,
