Add the operators' command

Operators had no tool for the operators' port. `tamarackctl` checks, compares, submits and shows configurations, makes and changes keys, takes data centres out, and reads state and metrics.

A request goes to the next `--node` if it surely had no effect. A submission is also repeated there by its operation id after an unknown outcome. Changes of keys and data centres are not, since docs/api.md lists no operation id for them; they exit with 4 and name the options for a repetition. `roll-forward` takes a file, and there is no `reports`, since the interface has neither earlier versions nor reports.

Seven tests run the binary against a fake of the port, which loses answers, answers with unknown outcomes, stops and lags.

--- /dev/null
+++ b/crates/tamarackdock_node/tests/ctl.rs
@@ -0,0 +1,156 @@
+//! Runs the real `tamarackctl` against a small fake of the operators' port.
+
+#[path = "ctl/fake.rs"]
+mod fake;
+#[path = "ctl/support.rs"]
+mod support;
+
+use fake::{Fake, Fault, Store};
+use serde_json::Value;
+use support::{FILE, HASH, ctl, ctl_with, file, repeat_options};
+
+/// Guards against a command that doesn't do what it says, in text or in JSON.
+#[test]
+fn every_command_prints_and_exits_0() {
+    let fake = Fake::spawn(&Store::shared());
+    let node = fake.node();
+    let path = file("every", FILE);
+    for line in [
+        "check PATH",
+        "submit PATH -n NODE --wait 1",
+        "diff PATH -n NODE",
+        "show -n NODE",
+        "roll-forward PATH -n NODE",
+        "key issue shop HASH -n NODE",
+        "key withdraw shop HASH -n NODE",
+        "data-centre out d1 -n NODE",
+        "data-centre in d1 -n NODE",
+        "dump -n NODE",
+        "dump --all -n NODE",
+        "metrics -n NODE",
+        "key new",
+    ] {
+        let line = line.replace("PATH", &path).replace("NODE", &node).replace("HASH", HASH);
+        let text = ctl(&line);
+        assert_eq!(text.code, 0, "{line}: {text:?}");
+        let json = ctl(&format!("{line} --json"));
+        assert_eq!(json.code, 0, "{line}: {json:?}");
+        serde_json::from_str::<Value>(&json.out).unwrap_or_else(|_| panic!("{line}: {json:?}"));
+        let help = ctl(&format!("{line} --help"));
+        assert!(help.code == 0 && help.out.starts_with("Usage: tamarackctl "), "{help:?}");
+    }
+}
+
+/// Guards against a `show` whose output can't be submitted again, and against
+/// a difference that names the wrong item or field.
+#[test]
+fn shown_file_is_valid_and_differences_name_items() {
+    let fake = Fake::spawn(&Store::shared());
+    let node = fake.node();
+    assert_eq!(ctl(&format!("submit {} -n {node}", file("base", FILE))).code, 0);
+    let shown = file("shown", &ctl(&format!("show -n {node}")).out);
+    assert_eq!(ctl(&format!("check {shown}")).code, 0);
+    let same = ctl(&format!("diff {shown} -n {node}"));
+    assert_eq!(same.out, "no change against version 1\n");
+    let changed = FILE
+        .replace("\"weight\": 2", "\"weight\": 3")
+        .replace("\"e1\"", "\"e2\"")
+        .replace("\"retry_ratio\": 0.2", "\"retry_ratio\": 0.3");
+    let different = ctl(&format!("diff {} -n {node}", file("changed", &changed)));
+    insta::assert_snapshot!(different.out);
+}
+
+/// Guards against a lost answer that makes two versions of one submission, and
+/// against an unknown outcome that is reported as a failure.
+#[test]
+fn lost_answer_of_a_submission_is_repeated_once_by_operation_id() {
+    let store = Store::shared();
+    let (first, second) = (Fake::spawn(&store), Fake::spawn(&store));
+    let path = file("lost", FILE);
+    first.set(Fault::Lose);
+    let moved = ctl(&format!("submit {path} --base 0 -n {} -n {}", first.node(), second.node()));
+    assert_eq!((moved.code, store.lock().unwrap().version), (0, 1), "{moved:?}");
+    let alone = ctl(&format!("submit {path} --base 1 -n {}", first.node()));
+    assert_eq!((alone.code, store.lock().unwrap().version), (4, 2), "{alone:?}");
+    first.set(Fault::None);
+    let options = repeat_options(&alone.err);
+    let again = ctl(&format!("submit {path} {options} -n {}", first.node()));
+    assert_eq!((again.code, store.lock().unwrap().version), (0, 2), "{again:?}");
+}
+
+/// Guards against a lost key change, which nodes may not recognise as a
+/// repetition, being sent to another node.
+#[test]
+fn lost_answer_of_a_key_change_is_left_to_the_operator() {
+    let store = Store::shared();
+    let (first, second) = (Fake::spawn(&store), Fake::spawn(&store));
+    for fault in [Fault::Lose, Fault::Internal, Fault::Garbled] {
+        first.set(fault);
+        let nodes = format!("-n {} -n {}", first.node(), second.node());
+        let lost = ctl(&format!("key issue shop {HASH} {nodes}"));
+        assert_eq!((lost.code, second.requests()), (4, 0), "{fault:?}: {lost:?}");
+        assert!(repeat_options(&lost.err).starts_with("--operation "), "{lost:?}");
+    }
+}
+
+/// Guards against an operator being stopped by one host that is down or leaving.
+#[test]
+fn next_node_is_tried_when_the_first_surely_did_nothing() {
+    let store = Store::shared();
+    let (first, second) = (Fake::spawn(&store), Fake::spawn(&store));
+    first.set(Fault::Stopping);
+    for node in [first.node(), support::closed_port()] {
+        let line = format!("data-centre out d1 -n {node} -n {}", second.node());
+        let moved = ctl(&line);
+        assert_eq!(moved.code, 0, "{moved:?}");
+    }
+    assert_eq!(store.lock().unwrap().version, 2);
+    let all = format!("dump --all -n {} -n {}", second.node(), support::closed_port());
+    let partial = ctl(&all);
+    assert!(partial.code == 1 && partial.out.contains(&second.node()), "{partial:?}");
+}
+
+/// Guards against wrong exit codes, and against a request for an invalid file.
+#[test]
+fn exit_codes_tell_refused_invalid_and_pending_apart() {
+    let fake = Fake::spawn(&Store::shared());
+    let node = fake.node();
+    let path = file("codes", FILE);
+    let invalid = file("invalid", &FILE.replace("\"kind\": \"model\"", "\"kind\": \"modle\""));
+    for line in [
+        format!("submit {invalid} -n {node}"),
+        format!("check {invalid}"),
+        format!("check {invalid} --json"),
+        format!("submit {path}"),
+        format!("submit {path}.none -n {node}"),
+        format!("submit {path} -n {node} --wait x"),
+        format!("submit {path} -n {node} --operation a&b"),
+        format!("key issue Shop {HASH} -n {node}"),
+        format!("key issue shop 12 -n {node}"),
+        "sbumit".into(),
+    ] {
+        let answer = ctl(&line);
+        assert_eq!((answer.code, fake.requests()), (2, 0), "{line}: {answer:?}");
+    }
+    let conflict = ctl(&format!("submit {path} --base 5 -n {node}"));
+    assert!(conflict.code == 1 && conflict.err.contains("tamarackctl diff"), "{conflict:?}");
+    fake.set(Fault::Pending);
+    let pending = ctl(&format!("submit {path} -n {node} --wait 1"));
+    assert!(pending.code == 3 && pending.out.contains("not yet on: n1"), "{pending:?}");
+    assert_eq!(ctl(&format!("submit {path} -n {node}")).code, 0);
+}
+
+/// Guards against keys that repeat, and against a hash other than the node's.
+#[test]
+fn new_keys_differ_and_hash_like_the_node() {
+    let read = |json: &str| serde_json::from_str::<Value>(json).unwrap();
+    let (one, other) = (read(&ctl("key new --json").out), read(&ctl("key new --json").out));
+    assert_ne!(one["key"], other["key"]);
+    let key = one["key"].as_str().unwrap();
+    let expected = tamarackdock_types::key::Hash::of(key.as_bytes()).to_string();
+    assert_eq!(one["hash"], expected.as_str());
+    let hashed = ctl_with("key hash", &format!("{key}\n"));
+    assert_eq!((hashed.code, hashed.out.trim()), (0, expected.as_str()));
+    assert_eq!(ctl_with("key hash", "\n").code, 2);
+    assert_eq!(ctl_with("key hash", "two words\n").code, 2);
+}
--- /dev/null
+++ b/crates/tamarackdock_node/tests/ctl/fake.rs
@@ -0,0 +1,175 @@
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, Mutex, mpsc},
+};
+
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use http::{HeaderValue, StatusCode};
+use serde_json::{Value, json};
+use tamarackdock_config::{Deployment, reader};
+use tamarackdock_node::runtime;
+use tamarackdock_types::refusal::{Code, Refusal};
+use tamarackdock_wire::{
+    server::{Handler, Options, Request, Response, listen},
+    stream,
+};
+
+/// How a fake treats changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fault {
+    None,
+    /// The change takes effect and its answer is lost.
+    Lose,
+    /// The change takes effect and the answer says that nothing is known.
+    Internal,
+    /// The change takes effect and the answer is not the documented one.
+    Garbled,
+    /// The node takes no changes.
+    Stopping,
+    /// One node lacks the version.
+    Pending,
+}
+
+/// The accepted versions, shared by the fakes of one test.
+#[derive(Default)]
+pub(crate) struct Store {
+    pub(crate) version: u64,
+    deployment: Deployment,
+    operations: HashMap<String, u64>,
+}
+
+impl Store {
+    pub(crate) fn shared() -> Arc<Mutex<Self>> {
+        Arc::default()
+    }
+
+    /// Accepts a change and recognises a repeated one.
+    fn accept(&mut self, request: &Request) -> Result<u64, Refusal> {
+        let operation = request.parameter("operation").expect("an operation id").to_owned();
+        if let Some(version) = self.operations.get(&operation) {
+            return Ok(*version);
+        }
+        if request.path() == "/config" {
+            if request.parameter("base") != Some(&self.version.to_string()) {
+                return Err(Refusal::not_run(Code::Conflict, "`base` is not the newest version"));
+            }
+            let read = reader::deployment("body", &request.body);
+            self.deployment =
+                read.map_err(|report| Refusal::not_run(Code::BadRequest, report.to_string()))?;
+        }
+        self.version += 1;
+        self.operations.insert(operation, self.version);
+        Ok(self.version)
+    }
+}
+
+/// A fake operators' port on a thread of its own, which lives as long as the test process.
+pub(crate) struct Fake {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+struct State {
+    fault: Fault,
+    requests: usize,
+}
+
+struct Port {
+    store: Arc<Mutex<Store>>,
+    state: Arc<Mutex<State>>,
+}
+
+impl Fake {
+    pub(crate) fn spawn(store: &Arc<Mutex<Store>>) -> Self {
+        let state = Arc::new(Mutex::new(State { fault: Fault::None, requests: 0 }));
+        let (store, shared) = (store.clone(), state.clone());
+        let (sender, receiver) = mpsc::channel();
+        std::thread::spawn(move || {
+            runtime::build().unwrap().block_on(async move {
+                let port = Rc::new(Port { store, state: shared });
+                let any = SocketAddr::from(([127, 0, 0, 1], 0));
+                let listener = listen(any, port, Options::default()).unwrap();
+                sender.send(listener.address()).unwrap();
+                std::future::pending::<()>().await;
+            });
+        });
+        Self { address: receiver.recv().unwrap(), state }
+    }
+
+    pub(crate) fn node(&self) -> String {
+        self.address.to_string()
+    }
+
+    pub(crate) fn set(&self, fault: Fault) {
+        self.state.lock().unwrap().fault = fault;
+    }
+
+    pub(crate) fn requests(&self) -> usize {
+        self.state.lock().unwrap().requests
+    }
+}
+
+impl Port {
+    fn answer(&self, request: &Request) -> Result<Response, Refusal> {
+        self.state.lock().unwrap().requests += 1;
+        let parts: Vec<_> = request.path().split('/').skip(1).collect();
+        match (request.method.as_str(), parts.as_slice()) {
+            ("GET", ["metrics"]) => {
+                let text =
+                    "# TYPE tamarackdock_attempts_total counter\ntamarackdock_attempts_total 3\n";
+                Ok(Response::new(StatusCode::OK, "text/plain; version=0.0.4", text))
+            }
+            ("GET", ["debug", "state"]) => Ok(ok(&json!({"host": "n0", "leaving": false}))),
+            ("GET", ["config"]) => {
+                let store = self.store.lock().unwrap();
+                Ok(ok(
+                    &json!({"version": store.version, "checksum": "c", "deployment": store.deployment}),
+                ))
+            }
+            ("POST", ["config"] | ["data-centres", _, "in" | "out"])
+            | ("POST" | "DELETE", ["accounts", _, "keys", _]) => self.change(request),
+            _ => Err(Refusal::not_run(Code::NotFound, "no such route")),
+        }
+    }
+
+    fn change(&self, request: &Request) -> Result<Response, Refusal> {
+        let fault = self.state.lock().unwrap().fault;
+        if fault == Fault::Stopping {
+            return Err(Refusal::not_run(Code::Stopping, "the node is stopping"));
+        }
+        let version = self.store.lock().unwrap().accept(request)?;
+        let (active_on, missing) = match fault {
+            Fault::Lose => return Ok(lost()),
+            Fault::Garbled => return Ok(ok(&json!({}))),
+            Fault::Internal => return Err(Refusal::unknown(Code::Internal, "failed")),
+            Fault::Pending => (vec!["n0"], vec!["n1"]),
+            _ => (vec!["n0", "n1"], vec![]),
+        };
+        Ok(ok(&json!({
+            "version": version, "checksum": "c", "active_on": active_on, "missing": missing
+        })))
+    }
+}
+
+impl Handler for Port {
+    fn handle(&self, request: Request) -> LocalBoxFuture<'_, Response> {
+        async move { self.answer(&request).unwrap_or_else(Response::from) }.boxed_local()
+    }
+}
+
+fn ok(value: &Value) -> Response {
+    Response::json(StatusCode::OK, value)
+}
+
+/// A body that breaks off before its end.
+fn lost() -> Response {
+    let nothing = std::future::ready(()).boxed_local();
+    Response::stream(
+        StatusCode::OK,
+        HeaderValue::from_static("text/plain"),
+        stream::channel().1,
+        nothing,
+    )
+}
--- /dev/null
+++ b/crates/tamarackdock_node/tests/ctl/support.rs
@@ -0,0 +1,65 @@
+use std::{
+    io::Write as _,
+    net::TcpListener,
+    process::{Command, Stdio},
+};
+
+pub(crate) const HASH: &str = "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae";
+pub(crate) const FILE: &str = r#"{
+  // A deployment with one item of each list.
+  "services": [{"name": "m", "kind": "model"}],
+  "accounts": [{"name": "shop", "weight": 2, "services": ["m"]}],
+  "trainers": [{"name": "t", "account": "shop", "service": "m", "staleness_bound": 1}],
+  "data_centres": [{"name": "d1", "region": "north"}],
+  "targets": [{"name": "e1", "service": "m", "data_centre": "d1", "address": "127.0.0.1:9000"}],
+  "limits": {"retry_ratio": 0.2},
+}"#;
+
+/// What a run of the command left.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) code: i32,
+    pub(crate) out: String,
+    pub(crate) err: String,
+}
+
+/// Runs a command line whose words have no spaces.
+pub(crate) fn ctl(line: &str) -> Answer {
+    ctl_with(line, "")
+}
+
+pub(crate) fn ctl_with(line: &str, input: &str) -> Answer {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_tamarackctl"))
+        .args(line.split_whitespace())
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // A command that doesn't read its input may close it first.
+    let _ = child.stdin.take().unwrap().write_all(input.as_bytes());
+    let output = child.wait_with_output().unwrap();
+    Answer {
+        code: output.status.code().unwrap(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// Writes a file for one test and returns its path.
+pub(crate) fn file(name: &str, text: &str) -> String {
+    let path = format!("{}/ctl-{name}.jsonc", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+/// Returns an address on which nothing listens.
+pub(crate) fn closed_port() -> String {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
+}
+
+/// Returns the options that an error asks to repeat the command with.
+pub(crate) fn repeat_options(error: &str) -> String {
+    let rest = error.split_once("repeat with `").expect(error).1;
+    rest.split_once('`').unwrap().0.into()
+}
--- /dev/null
+++ b/crates/tamarackdock_operate/src/command/check.rs
@@ -0,0 +1,43 @@
+use serde_json::json;
+use tamarackdock_config::reader::{self, Problem, Report};
+
+use super::file;
+use crate::{Console, Error, Exit, arguments::Arguments};
+
+/// Checks a file and prints all of its errors.
+pub(crate) fn run(arguments: &Arguments, console: &mut Console<'_>) -> Result<Exit, Error> {
+    let path = arguments.get(0);
+    let bytes = file::bytes(path)?;
+    let report = if arguments.has("settings") {
+        reader::settings(path, &bytes).err()
+    } else {
+        reader::deployment(path, &bytes).err()
+    };
+    match report {
+        report if arguments.json() => print_json(path, report.as_ref(), console),
+        Some(report) => Err(report.into()),
+        None => {
+            console.line(format_args!("`{path}` is valid"))?;
+            Ok(Exit::Done)
+        }
+    }
+}
+
+fn print_json(
+    path: &str,
+    report: Option<&Report>,
+    console: &mut Console<'_>,
+) -> Result<Exit, Error> {
+    let form = |problem: &Problem| {
+        json!({
+            "line": problem.place.line,
+            "column": problem.place.column,
+            "path": problem.path,
+            "message": problem.fault.to_string(),
+            "remedy": problem.fault.remedy(),
+        })
+    };
+    let errors: Vec<_> = report.iter().flat_map(|report| report.problems()).map(form).collect();
+    console.json(&json!({"file": path, "valid": report.is_none(), "errors": errors}))?;
+    Ok(if report.is_none() { Exit::Done } else { Exit::Invalid })
+}
--- /dev/null
+++ b/crates/tamarackdock_operate/src/command/mod.rs
@@ -0,0 +1,11 @@
+//! One module for each command.
+
+pub(crate) mod change;
+pub(crate) mod check;
+pub(crate) mod diff;
+pub(crate) mod dump;
+mod file;
+pub(crate) mod key;
+pub(crate) mod metrics;
+pub(crate) mod show;
+pub(crate) mod submit;
