--- /dev/null
+++ b/crates/tamarackdock_config/src/reader/entry.rs
@@ -0,0 +1,35 @@
+use super::shape::{Field, Shape};
+
+/// One field of a file, for tools that describe the files.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Entry {
+    /// Path, such as `targets[].name`; `accounts[].keys[]` is an element of a list.
+    pub path: String,
+    /// Whether the field must be given.
+    pub required: bool,
+    /// Whether it holds a value instead of an object or list.
+    pub is_leaf: bool,
+}
+
+/// Lists fields and those within them.
+pub(crate) fn entries(fields: &'static [Field]) -> Vec<Entry> {
+    let mut all = Vec::new();
+    for field in fields {
+        add(&mut all, field.name, field.required, &field.shape);
+    }
+    all
+}
+
+fn add(all: &mut Vec<Entry>, path: &str, required: bool, shape: &'static Shape) {
+    let is_leaf = matches!(shape, Shape::Leaf(_));
+    all.push(Entry { path: path.into(), required, is_leaf });
+    match shape {
+        Shape::Leaf(_) => {}
+        Shape::Object(fields) => {
+            for field in *fields {
+                add(all, &format!("{path}.{}", field.name), field.required, &field.shape);
+            }
+        }
+        Shape::List(element) => add(all, &format!("{path}[]"), false, element),
+    }
+}
--- a/crates/tamarackdock_config/src/reader/mod.rs
+++ b/crates/tamarackdock_config/src/reader/mod.rs
@@ -3,6 +3,7 @@
 //! a syntax error gives only that error.
 
 mod duplicates;
+mod entry;
 mod place;
 mod problem;
 mod references;
@@ -19,6 +20,7 @@
 
 use serde::de::DeserializeOwned;
 
+pub use entry::Entry;
 pub use place::Place;
 pub use problem::{Fault, Problem};
 pub use report::Report;
@@ -52,6 +54,18 @@
     read(file, bytes, schema::SETTINGS, settings_checks::check)
 }
 
+/// Lists the fields of a deployment file.
+#[must_use]
+pub fn deployment_fields() -> Vec<Entry> {
+    entry::entries(schema::DEPLOYMENT)
+}
+
+/// Lists the fields of a settings file.
+#[must_use]
+pub fn settings_fields() -> Vec<Entry> {
+    entry::entries(schema::SETTINGS)
+}
+
 fn read<T: DeserializeOwned>(
     file: &str,
     bytes: &[u8],
