Describe operation

Operators had no pages. docs/operators/ covers installation, keys, data centres, metrics, the state dump, alarms, replacement of hosts and a store outage, and says on each page what is not built yet.

A test runs the commands of all pages in order against the fake port, compares the settings file with the reader's fields and defaults, and checks that named metrics, codes, log lines and links exist.

--- a/crates/tamarackdock_node/tests/ctl.rs
+++ b/crates/tamarackdock_node/tests/ctl.rs
@@ -2,6 +2,8 @@
 
 #[path = "ctl/fake.rs"]
 mod fake;
+#[path = "ctl/pages.rs"]
+mod pages;
 #[path = "ctl/support.rs"]
 mod support;
 
