Run membership between nodes

Cause: nodes took the platform's lagging host list for the truth, so that a killed node stayed listed and a planned leave was not seen.

Change: a task runs the membership state machine over the peer port.

--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -1,6 +1,7 @@
 //! A small deployment in one process: nodes and the stand-ins around them.
 
 mod deployment;
+mod operator;
 mod options;
 
 use std::{
@@ -21,6 +22,7 @@
 };
 use tamarackdock_types::{DataCentreName, HostName, ServiceName, key::Hash, weight::Version};
 
+pub use operator::Answer;
 pub use options::Options;
 
 use crate::{
@@ -104,6 +106,16 @@
         self.hosts.iter().map(|node| node.addresses().callers).collect()
     }
 
+    /// Sends a request to the operators' port of a node.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection, or one of the kind `InvalidData` for
+    /// an answer that is not JSON.
+    pub fn operate(&self, node: usize, method: &str, path: &str, body: &str) -> io::Result<Answer> {
+        operator::send(self.hosts[node].addresses().operators, method, path, body)
+    }
+
     /// Publishes a version in the weight store, and lets trainers count staleness from it.
     pub fn publish_weights(&mut self, version: Version, watch: &Watch) {
         watch.publish(version);
--- /dev/null
+++ b/crates/standin/src/world/operator.rs
@@ -0,0 +1,46 @@
+use std::{
+    io::{self, Read as _, Write as _},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use serde_json::Value;
+
+/// Longer than the longest wait of an operators' request.
+const TIMEOUT: Duration = Duration::from_secs(40);
+
+/// An answer of the operators' port.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Value,
+}
+
+/// Sends a request and reads the whole answer.
+pub(super) fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> io::Result<Answer> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(TIMEOUT))?;
+    let length = body.len();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: {address}\r\ncontent-length: {length}\r\n\
+         connection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes())?;
+    stream.write_all(body.as_bytes())?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    parse(&text).ok_or_else(|| io::ErrorKind::InvalidData.into())
+}
+
+fn parse(text: &str) -> Option<Answer> {
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some(Answer { status, body: serde_json::from_str(body).ok()? })
+}
--- a/crates/tamarackdock_node/src/context.rs
+++ b/crates/tamarackdock_node/src/context.rs
@@ -5,7 +5,7 @@
 use tamarackdock_wire::{client::Pool, flag::Flag};
 
 use crate::{
-    active::Watch, peer, peers::Peers, platform::Platform, router, telemetry::Metrics, weights,
+    active::Watch, membership::Peers, peer, platform::Platform, router, telemetry::Metrics, weights,
 };
 
 /// What the tasks of a node share.
--- a/crates/tamarackdock_node/src/dispatch.rs
+++ b/crates/tamarackdock_node/src/dispatch.rs
@@ -5,6 +5,7 @@
 use futures_util::{FutureExt, future::LocalBoxFuture};
 
 use crate::{
+    membership,
     peer::{self, Message, Reply},
     step::Service,
 };
@@ -12,11 +13,12 @@
 /// The parts of a node that other nodes talk to.
 pub(crate) struct Dispatch {
     steps: Rc<Service>,
+    membership: Rc<membership::Service>,
 }
 
 impl Dispatch {
-    pub(crate) fn new(steps: Rc<Service>) -> Self {
-        Self { steps }
+    pub(crate) fn new(steps: Rc<Service>, membership: Rc<membership::Service>) -> Self {
+        Self { steps, membership }
     }
 }
 
@@ -28,6 +30,7 @@
                     let answer = self.steps.answer_as_holder(&call).await;
                     answer.map_or(Reply::Unsupported, Reply::Step)
                 }
+                Message::Membership(message) => Reply::Membership(self.membership.receive(message)),
             }
         }
         .boxed_local()
--- /dev/null
+++ b/crates/tamarackdock_node/src/membership/dump.rs
@@ -0,0 +1,11 @@
+use serde_json::{Value, json};
+
+use super::Peers;
+
+impl Peers {
+    /// Describes the state.
+    pub(crate) fn dump(&self) -> Value {
+        let own = self.with(|members| members.own().clone());
+        json!({ "own": own, "revision": self.revision(), "members": self.all() })
+    }
+}
--- a/crates/tamarackdock_node/src/node.rs
+++ b/crates/tamarackdock_node/src/node.rs
@@ -1,7 +1,8 @@
-use std::rc::Rc;
+use std::{net::SocketAddr, rc::Rc};
 
 use slog::{Logger, info};
 use tamarackdock_config::Settings;
+use tamarackdock_membership::Peer;
 use tamarackdock_types::clock::{BootClock, Clock};
 use tamarackdock_wire::{
     client::Pool,
@@ -17,8 +18,8 @@
     config,
     context::Context,
     dispatch::Dispatch,
-    operator, peer, peers,
-    peers::Peers,
+    membership::{self, Peers},
+    operator, peer,
     platform::Platform,
     router,
     running::Listeners,
@@ -69,7 +70,8 @@
         let steps = Rc::new(step::Service::new(context.clone()));
         let callers = Rc::new(caller::Handler::new(context.clone(), ids, steps.clone()));
         let operators = Rc::new(operator::Handler::new(context.clone(), steps.clone()));
-        let dispatch = Rc::new(Dispatch::new(steps.clone()));
+        let members = Rc::new(membership::Service::new(context.clone()));
+        let dispatch = Rc::new(Dispatch::new(steps.clone(), members.clone()));
         let peers = Rc::new(peer::Handler::new(dispatch));
         let callers = server::listen(settings.caller_address, callers, options.clone())
             .map_err(|source| Error::Bind { port: "caller", source })?;
@@ -79,10 +81,16 @@
             .map_err(|source| Error::Bind { port: "operator", source })?;
         monoio::spawn(config::run(context.clone()));
         monoio::spawn(weights::run(context.clone()));
-        monoio::spawn(peers::run(context.clone()));
         let listeners = Listeners { callers, operators, peers };
+        context.peers.start(own(&settings, listeners.peers.address()), BootClock.now());
+        monoio::spawn(membership::run(context.clone(), members.clone()));
         info!(log::part(&context.log, "node"), "started";
             "callers" => %listeners.callers.address());
-        Ok(Running::new(listeners, context, steps, stop))
+        Ok(Running::new(listeners, context, steps, members, stop))
     }
 }
+
+fn own(settings: &Settings, address: SocketAddr) -> Peer {
+    let (host, data_centre) = (settings.host.clone(), settings.data_centre.clone());
+    Peer { host, address, data_centre }
+}
--- a/crates/tamarackdock_node/src/operator/handler.rs
+++ b/crates/tamarackdock_node/src/operator/handler.rs
@@ -41,6 +41,7 @@
             "data_centre": self.context.settings.data_centre,
             "config_version": self.context.active.get().version,
             "leaving": self.context.leaving.is_raised(),
+            "membership": self.context.peers.dump(),
             "steps": self.steps.dump(),
             "router": self.context.router.dump().await,
         });
--- a/crates/tamarackdock_node/src/peer/message.rs
+++ b/crates/tamarackdock_node/src/peer/message.rs
@@ -1,11 +1,14 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
+use tamarackdock_membership as membership;
 
 /// A message to another node.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum Message {
     /// A trainer's call that the holder of its step must answer.
     Step(StepCall),
+    /// A probe, its answer, or a request to probe.
+    Membership(membership::Message),
 }
 
 /// A trainer's call, checked for its key by the node that received it.
--- a/crates/tamarackdock_node/src/peer/reply.rs
+++ b/crates/tamarackdock_node/src/peer/reply.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
+use tamarackdock_membership as membership;
 
 /// The reply to a message.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -8,6 +9,8 @@
     Ok,
     /// The holder's answer to a trainer.
     Step(StepAnswer),
+    /// Messages of the membership in return.
+    Membership(Vec<membership::Message>),
     /// The node does not know what to do with the message.
     Unsupported,
 }
--- a/crates/tamarackdock_node/src/running.rs
+++ b/crates/tamarackdock_node/src/running.rs
@@ -9,12 +9,13 @@
     time::Duration,
 };
 
+use futures_util::future::join;
 use serde::{Deserialize, Serialize};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{info, warn};
 use tamarackdock_wire::{flag::Flag, server::Listener};
 
-use crate::{context::Context, step::Service, telemetry::log};
+use crate::{context::Context, membership, step::Service, telemetry::log};
 
 const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -41,6 +42,7 @@
     listeners: Listeners,
     context: Context,
     steps: Rc<Service>,
+    members: Rc<membership::Service>,
     stop: Flag,
 }
 
@@ -49,9 +51,10 @@
         listeners: Listeners,
         context: Context,
         steps: Rc<Service>,
+        members: Rc<membership::Service>,
         stop: Flag,
     ) -> Self {
-        Self { listeners, context, steps, stop }
+        Self { listeners, context, steps, members, stop }
     }
 
     /// Returns the bound addresses.
@@ -87,7 +90,8 @@
         let settings = &self.context.settings;
         info!(log, "leaving"; "open_connections" => self.listeners.callers.open());
         self.context.leaving.raise();
-        monoio::time::sleep(settings.balancer_grace_ms).await;
+        let grace = monoio::time::sleep(settings.balancer_grace_ms);
+        join(self.members.announce_leave(), grace).await;
         self.steps.hand_over().await;
         self.stop.raise();
         let drained = self.listeners.callers.drained();
--- a/crates/tamarackdock_node/src/step/service.rs
+++ b/crates/tamarackdock_node/src/step/service.rs
@@ -112,7 +112,7 @@
         let message = Message::Step(call.clone());
         match self.context.peer_client.call(address, &message, deadlines).await {
             Ok(Reply::Step(answer)) => Some(answer),
-            Ok(Reply::Ok | Reply::Unsupported) | Err(_) => None,
+            Ok(_) | Err(_) => None,
         }
     }
 
