--- a/crates/tamarackdock_node/src/dispatch.rs
+++ b/crates/tamarackdock_node/src/dispatch.rs
@@ -5,6 +5,7 @@
 use futures_util::{FutureExt, future::LocalBoxFuture};
 
 use crate::{
+    membership,
     peer::{self, Message, Reply},
     router,
     step::Service,
@@ -16,11 +17,17 @@
     steps: Rc<Service>,
     router: router::Handle,
     usage: usage::Handle,
+    membership: Rc<membership::Service>,
 }
 
 impl Dispatch {
-    pub(crate) fn new(steps: Rc<Service>, router: router::Handle, usage: usage::Handle) -> Self {
-        Self { steps, router, usage }
+    pub(crate) fn new(
+        steps: Rc<Service>,
+        router: router::Handle,
+        usage: usage::Handle,
+        membership: Rc<membership::Service>,
+    ) -> Self {
+        Self { steps, router, usage, membership }
     }
 }
 
@@ -47,6 +54,7 @@
                     self.usage.keep(origin, batches);
                     Reply::Ok
                 }
+                Message::Membership(message) => Reply::Membership(self.membership.receive(message)),
             }
         }
         .boxed_local()
--- a/crates/tamarackdock_node/src/peer/message.rs
+++ b/crates/tamarackdock_node/src/peer/message.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
+use tamarackdock_membership as membership;
 use tamarackdock_route::{credit, quarantine};
 use tamarackdock_types::{HostName, TargetName};
 use tamarackdock_usage::{Batch, Keys};
@@ -17,6 +18,8 @@
     Step(StepCall),
     /// Unflushed counts of the sender, to be flushed if it dies.
     Usage { origin: Keys, batches: Vec<Batch> },
+    /// A probe, its answer, or a request to probe.
+    Membership(membership::Message),
 }
 
 /// A trainer's call, checked for its key by the node that received it.
--- a/crates/tamarackdock_node/src/peer/reply.rs
+++ b/crates/tamarackdock_node/src/peer/reply.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
+use tamarackdock_membership as membership;
 use tamarackdock_route::credit;
 
 /// The reply to a message.
@@ -11,6 +12,8 @@
     Credit(Option<credit::Grant>),
     /// The holder's answer to a trainer.
     Step(StepAnswer),
+    /// Messages of the membership in return.
+    Membership(Vec<membership::Message>),
     /// The node does not know what to do with the message.
     Unsupported,
 }
--- a/crates/tamarackdock_node/src/router/crash.rs
+++ b/crates/tamarackdock_node/src/router/crash.rs
@@ -126,11 +126,11 @@
 
     /// Tells all other nodes.
     fn notify(&self, message: &Message) {
-        for host in self.parts.peers.live() {
+        for entry in self.parts.peers.live() {
             let client: peer::Client = self.parts.peer_client.clone();
             let message = message.clone();
             monoio::spawn(async move {
-                let _ = client.call(host.address, &message, NOTIFY_DEADLINES).await;
+                let _ = client.call(entry.address, &message, NOTIFY_DEADLINES).await;
             });
         }
     }
--- a/crates/tamarackdock_node/src/router/credits.rs
+++ b/crates/tamarackdock_node/src/router/credits.rs
@@ -49,7 +49,7 @@
             return;
         }
         let mut live: Vec<HostName> =
-            self.parts.peers.live().into_iter().map(|host| host.name).collect();
+            self.parts.peers.live().into_iter().map(|entry| entry.status.host).collect();
         live.push(self.credits.host.clone());
         let keys: Vec<Key> = self.extra.keys().copied().collect();
         for key in keys {
--- a/crates/tamarackdock_node/src/router/state.rs
+++ b/crates/tamarackdock_node/src/router/state.rs
@@ -28,7 +28,7 @@
     Admitted, Handle, Message, admission::Pools, crash::Suspects, credits::Credits, parked::Parked,
     targets::Extra,
 };
-use crate::{active::Active, peer, peers::Peers, telemetry::log};
+use crate::{active::Active, membership::Peers, peer, telemetry::log};
 
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a request that crashed two targets is refused.
