Test node processes under kills, signals and broken connections

Cause: the promises were only tested on state machines and on nodes that run as threads, which can't be killed or paused.

Change: `standin::process` starts `tamarackdock` processes with a proxy before each caller port and sends them signals. Proxies can stand before all targets of a world and change their target, and the platform can lose the response of every n-th write.

--- a/crates/standin/src/platform/faults.rs
+++ b/crates/standin/src/platform/faults.rs
@@ -12,8 +12,11 @@
     pub lose_next: u32,
     /// Share of all writes that take effect and lose their response, from 0 to 1.
     pub lose_share: f64,
+    /// Every write with this number loses its response after it took effect; 0 for none.
+    pub lose_every: u64,
     /// Responses that were lost so far.
     pub lost: u64,
+    writes: u64,
     random: ChaCha8Rng,
 }
 
@@ -23,6 +26,8 @@
             delay: Duration::ZERO,
             lose_next: 0,
             lose_share: 0.0,
+            lose_every: 0,
+            writes: 0,
             lost: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -33,7 +38,9 @@
         let by_count = self.lose_next > 0;
         self.lose_next = self.lose_next.saturating_sub(1);
         let by_share = self.random.random::<f64>() < self.lose_share;
-        let is_lost = by_count || by_share;
+        self.writes += 1;
+        let by_turn = self.lose_every > 0 && self.writes.is_multiple_of(self.lose_every);
+        let is_lost = by_count || by_share || by_turn;
         self.lost += u64::from(is_lost);
         is_lost
     }
--- /dev/null
+++ b/crates/standin/src/process/cluster.rs
@@ -0,0 +1,138 @@
+use std::{
+    io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    thread,
+    time::{Duration, Instant},
+};
+
+use tamarackdock_config::settings::{Level, Log, Settings};
+use tamarackdock_platform::host::{Host, State};
+use tamarackdock_types::{DataCentreName, HostName};
+
+use super::Node;
+use crate::{
+    proxy::Proxy,
+    world::{self, World},
+};
+
+const POLL: Duration = Duration::from_millis(10);
+/// Longest time for a node to get its first configuration.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Node processes with the stand-ins of a world around them. A proxy before
+/// each node's caller port stands for the load balancer.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Stand-ins.
+    pub world: World,
+    /// Node processes, named `n0`, `n1` and so on.
+    pub nodes: Vec<Node>,
+    /// Proxies before the caller ports, in the order of the nodes.
+    pub fronts: Vec<Proxy>,
+    program: PathBuf,
+    data_centres: Vec<&'static str>,
+    balancer_grace: Duration,
+}
+
+impl Cluster {
+    /// Starts the stand-ins and one process for each of the options' nodes,
+    /// and waits until all have the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the first part that can't be started.
+    pub fn spawn(program: &Path, mut options: world::Options) -> io::Result<Self> {
+        let data_centres = std::mem::take(&mut options.nodes);
+        let balancer_grace = options.balancer_grace;
+        let mut cluster = Self {
+            world: World::spawn(options)?,
+            nodes: Vec::new(),
+            fronts: Vec::new(),
+            program: program.into(),
+            data_centres,
+            balancer_grace,
+        };
+        for index in 0..cluster.data_centres.len() {
+            let node = cluster.start(index)?;
+            cluster.fronts.push(Proxy::spawn(node.addresses().callers)?);
+            cluster.nodes.push(node);
+        }
+        cluster.list_hosts();
+        cluster.wait_until_healthy()?;
+        Ok(cluster)
+    }
+
+    /// Returns the addresses at which callers reach the nodes.
+    #[must_use]
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.fronts.iter().map(Proxy::address).collect()
+    }
+
+    /// Puts a new process in the place of a node, kills the former one if it
+    /// still runs, and sends callers to the new one once it is healthy.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the process that can't be started.
+    pub fn replace(&mut self, index: usize) -> io::Result<()> {
+        self.nodes[index] = self.start(index)?;
+        self.list_hosts();
+        self.wait_until_healthy()?;
+        self.fronts[index].set_target(self.nodes[index].addresses().callers);
+        Ok(())
+    }
+
+    /// Sends new callers of one node to another, as the load balancer does
+    /// with a node whose health check fails.
+    pub fn divert(&self, from: usize, to: usize) {
+        self.fronts[from].set_target(self.nodes[to].addresses().callers);
+    }
+
+    /// Returns whether a node's health check is good.
+    #[must_use]
+    pub fn is_healthy(&self, index: usize) -> bool {
+        world::is_healthy(self.nodes[index].addresses().callers)
+    }
+
+    fn start(&self, index: usize) -> io::Result<Node> {
+        let data_centre = self.data_centres[index];
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = self.world.platform.address(data_centre);
+        let settings = Settings {
+            host: HostName::new(&format!("n{index}")).map_err(io::Error::other)?,
+            data_centre: DataCentreName::new(data_centre).map_err(io::Error::other)?,
+            caller_address: any,
+            operator_address: any,
+            peer_address: any,
+            platform_address: platform.ok_or(io::ErrorKind::NotFound)?,
+            balancer_grace_ms: self.balancer_grace,
+            drain_timeout_ms: DRAIN_TIMEOUT,
+            log: Log { level: Level::Error, ..Log::default() },
+            policy: self.world.policy(),
+        };
+        Node::spawn(&self.program, &settings)
+    }
+
+    fn list_hosts(&self) {
+        let listed = self.nodes.iter().enumerate().map(|(index, node)| Host {
+            name: HostName::new(&format!("n{index}")).expect("a constant name"),
+            address: node.addresses().peers,
+            data_centre: DataCentreName::new(self.data_centres[index]).expect("a constant name"),
+            state: State::Live,
+        });
+        self.world.platform.state().hosts.set(listed.collect());
+    }
+
+    fn wait_until_healthy(&self) -> io::Result<()> {
+        let begin = Instant::now();
+        while !(0..self.nodes.len()).all(|index| self.is_healthy(index)) {
+            if begin.elapsed() > START_TIMEOUT {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            thread::sleep(POLL);
+        }
+        Ok(())
+    }
+}
--- a/crates/standin/src/proxy/link.rs
+++ b/crates/standin/src/proxy/link.rs
@@ -44,7 +44,8 @@
         if self.shared.faults().cut {
             return;
         }
-        let Ok(target) = TcpStream::connect(self.shared.target).await else {
+        let target = *self.shared.target();
+        let Ok(target) = TcpStream::connect(target).await else {
             return;
         };
         let _ = (caller.set_nodelay(true), target.set_nodelay(true));
--- a/crates/standin/src/proxy/mod.rs
+++ b/crates/standin/src/proxy/mod.rs
@@ -29,7 +29,7 @@
 
 #[derive(Debug)]
 pub(crate) struct Shared {
-    target: SocketAddr,
+    target: Mutex<SocketAddr>,
     faults: Mutex<Faults>,
     counts: Mutex<Counts>,
 }
@@ -39,6 +39,10 @@
         self.faults.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn target(&self) -> MutexGuard<'_, SocketAddr> {
+        self.target.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn counts(&self) -> MutexGuard<'_, Counts> {
         self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -53,6 +57,7 @@
     pub fn spawn(target: SocketAddr) -> io::Result<Self> {
         let faults = Mutex::new(Faults::default());
         let counts = Mutex::new(Counts::default());
+        let target = Mutex::new(target);
         let shared = Arc::new(Shared { target, faults, counts });
         let theirs = shared.clone();
         let (sender, receiver) = mpsc::channel();
@@ -67,6 +72,11 @@
         self.address
     }
 
+    /// Passes new connections to another target, as a load balancer does. Open ones stay.
+    pub fn set_target(&self, target: SocketAddr) {
+        *self.shared.target() = target;
+    }
+
     /// Returns the faults, which act on open connections too.
     pub fn faults(&self) -> MutexGuard<'_, Faults> {
         self.shared.faults()
--- a/crates/standin/src/world/deployment.rs
+++ b/crates/standin/src/world/deployment.rs
@@ -3,8 +3,7 @@
 use tamarackdock_config::{
     Deployment,
     deployment::{
-        Access, Account, Class, DataCentre, DataCentreState, Kind, Limits, Role, Service, Target,
-        Trainer,
+        Access, Account, Class, DataCentre, DataCentreState, Kind, Role, Service, Target, Trainer,
     },
 };
 use tamarackdock_types::{
@@ -65,7 +64,7 @@
             .map(data_centre)
             .collect::<Result<_, _>>()?,
         targets,
-        limits: Limits::default(),
+        limits: options.limits.clone(),
     })
 }
 
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -12,7 +12,7 @@
 use tamarackdock_config::{
     Deployment,
     deployment::DataCentreState,
-    settings::{Level, Log, Settings},
+    settings::{Level, Log, Policy, Settings},
 };
 use tamarackdock_platform::{
     host::{Host, State},
@@ -29,6 +29,7 @@
     node::Node,
     plain::Plain,
     platform::Platform,
+    proxy::Proxy,
     trainer::{Trainer, Watch},
 };
 
@@ -46,6 +47,10 @@
     pub engines: Vec<Engine>,
     /// Plain services.
     pub plain: Vec<Plain>,
+    /// Proxies before the engines, if the options ask for them.
+    pub engine_proxies: Vec<Proxy>,
+    /// Proxies before the plain services, if the options ask for them.
+    pub plain_proxies: Vec<Proxy>,
     /// Nodes.
     pub hosts: Vec<Node>,
     options: Options,
@@ -67,13 +72,17 @@
             &options.engine,
             options.plain.len(),
         )?;
-        let engines: Vec<_> = bench.engines.iter().map(Engine::address).collect();
-        let plain: Vec<_> = bench.plain.iter().map(Plain::address).collect();
+        let mut engines: Vec<_> = bench.engines.iter().map(Engine::address).collect();
+        let mut plain: Vec<_> = bench.plain.iter().map(Plain::address).collect();
+        let engine_proxies = stand_before(&mut engines, options.proxied)?;
+        let plain_proxies = stand_before(&mut plain, options.proxied)?;
         let deployment = deployment::build(&options, &engines, &plain).map_err(io::Error::other)?;
         let mut world = Self {
             platform: bench.platform,
             engines: bench.engines,
             plain: bench.plain,
+            engine_proxies,
+            plain_proxies,
             hosts: Vec::new(),
             options,
             deployment,
@@ -104,6 +113,12 @@
         self.hosts.iter().map(|node| node.addresses().callers).collect()
     }
 
+    /// Returns the policies of the nodes.
+    #[must_use]
+    pub fn policy(&self) -> Policy {
+        self.options.policy
+    }
+
     /// Publishes a version in the weight store, and lets trainers count staleness from it.
     pub fn publish_weights(&mut self, version: Version, watch: &Watch) {
         watch.publish(version);
@@ -154,7 +169,10 @@
     /// Returns the requests at targets that carried a key.
     #[must_use]
     pub fn keys_seen(&self) -> u64 {
-        self.engines.iter().map(|engine| engine.read(|records| records.authorized_requests)).sum()
+        let engines = self.engines.iter();
+        let engines = engines.map(|engine| engine.read(|records| records.authorized_requests));
+        let plain = self.plain.iter().map(|plain| plain.state().authorized_requests);
+        engines.chain(plain).sum()
     }
 
     /// Shuts all nodes down gracefully and waits for their end.
@@ -220,7 +238,21 @@
     }
 }
 
-fn is_healthy(address: SocketAddr) -> bool {
+/// Starts a proxy before each target and puts its address in the target's place.
+fn stand_before(targets: &mut [SocketAddr], proxied: bool) -> io::Result<Vec<Proxy>> {
+    let targets = targets.iter_mut().filter(|_| proxied);
+    targets
+        .map(|address| {
+            let proxy = Proxy::spawn(*address)?;
+            *address = proxy.address();
+            Ok(proxy)
+        })
+        .collect()
+}
+
+/// Returns whether a node's health check is good.
+#[must_use]
+pub fn is_healthy(address: SocketAddr) -> bool {
     let request = b"GET /healthz HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n";
     let mut answer = String::new();
     let asked = TcpStream::connect(address).and_then(|mut stream| {
--- a/crates/standin/src/world/options.rs
+++ b/crates/standin/src/world/options.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use tamarackdock_config::settings::Policy;
+use tamarackdock_config::{deployment::Limits, settings::Policy};
 
 use crate::engine;
 
@@ -27,6 +27,10 @@
     pub balancer_grace: Duration,
     /// Policies of the nodes.
     pub policy: Policy,
+    /// Bounds in the configuration.
+    pub limits: Limits,
+    /// Whether a proxy with switchable faults stands before each target.
+    pub proxied: bool,
     /// Whether nodes log.
     pub logs: bool,
 }
@@ -51,6 +55,8 @@
             staleness_bound: 1,
             balancer_grace: Duration::from_millis(200),
             policy: Policy::default(),
+            limits: Limits::default(),
+            proxied: false,
             logs: false,
         }
     }
--- /dev/null
+++ b/crates/tamarackdock_node/tests/processes/main.rs
@@ -0,0 +1,10 @@
+//! The promises of `docs/design.md`, section 1, under faults of real node processes.
+
+mod calls;
+mod killed;
+mod plain_calls;
+mod rolling;
+mod silence;
+mod store;
+mod support;
+mod table;
--- /dev/null
+++ b/crates/tamarackdock_node/tests/processes/plain_calls.rs
@@ -0,0 +1,129 @@
+use std::{collections::BTreeMap, net::SocketAddr, thread, time::Duration};
+
+use super::support::{cluster, options};
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::Request;
+use serde_json::Value;
+use standin::{process::Cluster, world};
+use tamarackdock_node::runtime;
+use tamarackdock_wire::{
+    client::{Deadlines, Error, Pool, Whole},
+    guard::Limits,
+};
+
+const CALLERS: usize = 8;
+const CALLS: usize = 60;
+const PHASE: Duration = Duration::from_millis(15);
+
+/// Guards against a call that must not be repeated and runs twice, a refusal
+/// that wrongly says `ran: no`, a crossed answer, and a key that is passed on,
+/// while connections to the targets are cut and lose their responses.
+#[test]
+fn broken_connections_repeat_no_call_and_refusals_are_true() {
+    let cluster = cluster(world::Options { plain: vec!["d1", "d2"], proxied: true, ..options() });
+    let nodes: Vec<_> = cluster.nodes.iter().map(|node| node.addresses().callers).collect();
+    let calls = thread::spawn(move || call_all(&nodes));
+    let mut round = 0;
+    while !calls.is_finished() {
+        disturb(&cluster, round);
+        round += 1;
+    }
+    let answers = calls.join().unwrap();
+    let runs = runs(&cluster);
+    println!("{round} rounds of faults, {:?}", tally(&answers));
+    for (id, answer) in &answers {
+        let runs = runs.get(id).copied().unwrap_or_default();
+        assert!(runs <= 1, "{id} ran {runs} times");
+        match answer {
+            Ok(whole) if whole.status.is_success() => {
+                assert_eq!((runs, text(&whole.body, "body").as_str()), (1, id.as_str()));
+            }
+            Ok(whole) if ran(&whole.body) == "no" => assert_eq!(runs, 0, "{id}: {whole:?}"),
+            Ok(_) | Err(_) => {}
+        }
+    }
+    let tally = tally(&answers);
+    assert!(tally.contains_key("ok"), "{tally:?}");
+    assert!(tally.contains_key("unknown"), "{tally:?}");
+    assert_eq!(cluster.world.keys_seen(), 0);
+}
+
+fn disturb(cluster: &Cluster, round: usize) {
+    let proxy = &cluster.world.plain_proxies[round % 2];
+    match (round / 2) % 3 {
+        0 => proxy.faults().cut = true,
+        1 => proxy.faults().lose_responses = true,
+        _ => cluster.world.plain[round % 2].set_down(true),
+    }
+    thread::sleep(PHASE);
+    *proxy.faults() = standin::proxy::Faults::default();
+    cluster.world.plain[round % 2].set_down(false);
+    thread::sleep(PHASE);
+}
+
+fn call_all(nodes: &[SocketAddr]) -> BTreeMap<String, Result<Whole, Error>> {
+    runtime::build().unwrap().block_on(async {
+        let pool = Pool::new(Limits::default());
+        let callers = (0..CALLERS).map(|caller| call_in_turn(&pool, nodes, caller));
+        join_all(callers).await.into_iter().flatten().collect()
+    })
+}
+
+async fn call_in_turn(
+    pool: &Pool,
+    nodes: &[SocketAddr],
+    caller: usize,
+) -> Vec<(String, Result<Whole, Error>)> {
+    let mut answers = Vec::new();
+    for call in 0..CALLS {
+        let id = format!("c{caller}-{call}");
+        let address = nodes[call % nodes.len()];
+        let request = Request::builder()
+            .method("POST")
+            .uri("/v1/services/parcels/send")
+            .header("host", address.to_string())
+            .header("authorization", "Bearer courier-key")
+            .header("x-call-id", &id)
+            .body(Bytes::from(id.clone()))
+            .unwrap();
+        let answer = pool.call(address, request, Deadlines::default()).await;
+        answers.push((id, answer));
+        monoio::time::sleep(Duration::from_millis(5)).await;
+    }
+    answers
+}
+
+/// Returns how often each call ran, over all targets.
+fn runs(cluster: &Cluster) -> BTreeMap<String, u64> {
+    let mut all = BTreeMap::new();
+    for plain in &cluster.world.plain {
+        for (id, runs) in &plain.state().runs {
+            *all.entry(id.clone()).or_default() += runs;
+        }
+    }
+    all
+}
+
+fn tally(answers: &BTreeMap<String, Result<Whole, Error>>) -> BTreeMap<String, u64> {
+    let mut tally = BTreeMap::new();
+    for answer in answers.values() {
+        let kind = match answer {
+            Ok(whole) if whole.status.is_success() => "ok".into(),
+            Ok(whole) => ran(&whole.body),
+            Err(_) => "broken".into(),
+        };
+        *tally.entry(kind).or_default() += 1;
+    }
+    tally
+}
+
+fn ran(body: &[u8]) -> String {
+    let value: Value = serde_json::from_slice(body).unwrap_or_default();
+    value["error"]["ran"].as_str().unwrap_or_default().into()
+}
+
+fn text(body: &[u8], field: &str) -> String {
+    let value: Value = serde_json::from_slice(body).unwrap_or_default();
+    value[field].as_str().unwrap_or_default().into()
+}
--- /dev/null
+++ b/crates/tamarackdock_node/tests/processes/support.rs
@@ -0,0 +1,123 @@
+use std::{
+    path::Path,
+    thread,
+    time::{Duration, Instant},
+};
+
+use standin::{
+    app::{self, App},
+    engine,
+    process::Cluster,
+    trainer::{self, Trainer, Watch},
+    world,
+};
+use tamarackdock_types::weight::Version;
+
+/// Seed of every test in this directory.
+pub(crate) const SEED: u64 = 0x5eed;
+/// Passing this time only fails a test.
+pub(crate) const DEADLINE: Duration = Duration::from_mins(1);
+/// Samples of a step.
+pub(crate) const SAMPLES: u64 = 64;
+
+const POLL: Duration = Duration::from_millis(1);
+const GROUP_SIZE: usize = 4;
+
+/// Describes a small deployment with slow engines, so that a step takes more than a second.
+pub(crate) fn options() -> world::Options {
+    let engine = engine::Options {
+        capacity: 4,
+        token_interval: Duration::from_millis(15),
+        ..engine::Options::default()
+    };
+    world::Options { seed: SEED, engine, ..world::Options::default() }
+}
+
+/// Starts processes and prints the seed for a failure's report.
+pub(crate) fn cluster(options: world::Options) -> Cluster {
+    println!("seed {SEED:#x}");
+    Cluster::spawn(Path::new(env!("CARGO_BIN_EXE_tamarackdock")), options).unwrap()
+}
+
+/// Starts the trainer `t1`.
+pub(crate) fn trainer(cluster: &Cluster, steps: u64) -> Trainer {
+    let options = trainer::Options {
+        name: "t1".into(),
+        key: "t1-key".into(),
+        nodes: cluster.callers(),
+        seed: SEED,
+        steps,
+        groups: usize::try_from(SAMPLES).unwrap() / GROUP_SIZE,
+        group_size: GROUP_SIZE,
+        reread_percent: 50,
+        ..trainer::Options::default()
+    };
+    Trainer::spawn(options, Watch::new(Version(1))).unwrap()
+}
+
+/// Describes an app that asks until it is stopped.
+pub(crate) fn app_options(cluster: &Cluster, stream: bool) -> app::Options {
+    app::Options {
+        name: if stream { "streaming" } else { "whole" }.into(),
+        key: "shop-key".into(),
+        nodes: cluster.callers(),
+        questions: u64::MAX,
+        callers: 2,
+        pause: Duration::from_millis(10),
+        stream,
+        ..app::Options::default()
+    }
+}
+
+/// Starts an app that asks until it is stopped.
+pub(crate) fn app(cluster: &Cluster, stream: bool) -> App {
+    App::spawn(app_options(cluster, stream)).unwrap()
+}
+
+/// Waits until a condition holds.
+pub(crate) fn until(what: &str, condition: impl Fn() -> bool) {
+    until_within(DEADLINE, what, condition);
+}
+
+/// Waits until a condition holds, at most for a bound that a promise sets.
+pub(crate) fn until_within(bound: Duration, what: &str, condition: impl Fn() -> bool) {
+    let begin = Instant::now();
+    while !condition() {
+        assert!(begin.elapsed() < bound, "still waiting until {what}");
+        thread::sleep(POLL);
+    }
+}
+
+/// Waits until a trainer has read so many samples in total.
+pub(crate) fn until_samples(trainer: &Trainer, samples: u64) {
+    until(&format!("{samples} samples are read"), || {
+        trainer.read(|records| records.samples >= samples)
+    });
+}
+
+/// Waits for a trainer's end, and checks that each slot of each step came exactly once.
+pub(crate) fn assert_exactly_once(trainer: &Trainer, steps: u64) {
+    until("the trainer has all steps", || trainer.is_finished());
+    trainer.read(|records| {
+        assert_eq!(records.violations, []);
+        assert_eq!((records.steps, records.samples), (steps, steps * SAMPLES));
+    });
+}
+
+/// Checks that the answers an app got were its own and whole.
+pub(crate) fn assert_own_answers(app: &App) {
+    app.read(|records| {
+        assert!(records.answered > 0, "the app got no answer at all");
+        assert_eq!(records.foreign, Vec::<String>::new());
+        assert_eq!(records.incomplete, Vec::<String>::new());
+    });
+}
+
+/// Checks that no call of an app failed in any way.
+pub(crate) fn assert_none_failed(app: &App) {
+    assert_own_answers(app);
+    app.read(|records| {
+        assert_eq!(records.refusals, std::collections::BTreeMap::new());
+        assert_eq!(records.broken, 0, "connections broke");
+    });
+}
