Bound the wait for a forwarded step call by the call itself

Cause: a node that forwards a trainer's call waited 35 s for the holder. A paused host accepts the connection and answers nothing, and the node becomes a candidate for the lease only after the forwarded call fails.

Change: a forwarded call may take as long as it asks the holder to wait, and 2 s more.

Conclusion: a paused holder's step is taken over while it is paused.

--- a/crates/tamarackdock_node/src/step/call.rs
+++ b/crates/tamarackdock_node/src/step/call.rs
@@ -64,6 +64,14 @@
         }
     }
 
+    /// Returns for how long the call asks its holder to wait.
+    pub(super) fn wait(&self) -> Duration {
+        match self.kind {
+            Kind::Read { wait, .. } => wait,
+            Kind::Open(_) | Kind::Acknowledge { .. } => Duration::ZERO,
+        }
+    }
+
     fn of_step(trainer: &str, step: &str, kind: Kind) -> Result<Self, Refusal> {
         let trainer = TrainerName::new(trainer).map_err(|_| unknown_route())?;
         let step = step.parse().map_err(|_| unknown_route())?;
--- a/crates/tamarackdock_node/src/step/service.rs
+++ b/crates/tamarackdock_node/src/step/service.rs
@@ -20,8 +20,10 @@
 
 const TAKEOVER_WAIT: Duration = Duration::from_secs(6);
 const TAKEOVER_POLL: Duration = Duration::from_millis(250);
-/// Longer than the longest wait of a read.
-const FORWARD_DEADLINE: Duration = Duration::from_secs(35);
+/// How long a holder may take to answer, besides the time for which the call
+/// itself asks it to wait. A paused host accepts connections and answers
+/// nothing, and its lease is not taken over before the forwarded call fails.
+const FORWARD_GRACE: Duration = Duration::from_secs(2);
 
 /// Answers trainers, here or through the node that holds the trainer's lease.
 pub(crate) struct Service {
@@ -85,7 +87,7 @@
             if holder.lease.permit().is_some() {
                 return holder.answer(parsed).await;
             }
-            if let Some(answer) = self.forward(&parsed.trainer, call).await {
+            if let Some(answer) = self.forward(&parsed, call).await {
                 return Ok(answer);
             }
             if self.context.leaving.is_raised() {
@@ -102,13 +104,14 @@
     /// Forwards a call to the holder that the lease row names. Reads and
     /// acknowledgements can be repeated, and opening a step is idempotent, so
     /// that a lost reply needs no care.
-    async fn forward(&self, trainer: &TrainerName, call: &StepCall) -> Option<StepAnswer> {
-        let holder = self.named_holder(trainer).await?;
+    async fn forward(&self, parsed: &Call, call: &StepCall) -> Option<StepAnswer> {
+        let holder = self.named_holder(&parsed.trainer).await?;
         if holder == self.context.settings.host {
             return None;
         }
         let address = self.context.peers.address(&holder)?;
-        let deadlines = Deadlines { first_byte: FORWARD_DEADLINE, ..Deadlines::default() };
+        let first_byte = parsed.wait() + FORWARD_GRACE;
+        let deadlines = Deadlines { first_byte, ..Deadlines::default() };
         let message = Message::Step(call.clone());
         match self.context.peer_client.call(address, &message, deadlines).await {
             Ok(Reply::Step(answer)) => Some(answer),
--- a/crates/tamarackdock_node/tests/processes/main.rs
+++ b/crates/tamarackdock_node/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod killed;
+mod paused;
 mod plain_calls;
 mod rolling;
 mod silence;
--- /dev/null
+++ b/crates/tamarackdock_node/tests/processes/paused.rs
@@ -0,0 +1,44 @@
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use super::{
+    support::{
+        SAMPLES, assert_exactly_once, cluster, options, trainer, until_samples, until_within,
+    },
+    table::{holder, lease, manifest_epochs},
+};
+use rustix::process::Signal;
+
+/// Three times the duration of a step's lease.
+const PAUSE: Duration = Duration::from_secs(9);
+
+/// Guards against a holder that goes on after a pause longer than its lease:
+/// samples lost or delivered twice, or a commit of its own after the takeover.
+#[test]
+fn paused_holder_commits_nothing_after_the_takeover() {
+    let cluster = cluster(options());
+    let trainer = trainer(&cluster, 3);
+    until_samples(&trainer, SAMPLES + SAMPLES / 4);
+    let former = lease(&cluster).unwrap();
+    let paused = holder(&cluster).unwrap();
+    cluster.nodes[paused].signal(Signal::STOP).unwrap();
+    let begin = Instant::now();
+    // The balancer breaks the connections to a host that does not respond.
+    cluster.fronts[paused].faults().cut = true;
+    until_within(PAUSE, "another node has the lease", || {
+        lease(&cluster).is_some_and(|row| row.epoch > former.epoch)
+    });
+    thread::sleep(PAUSE.saturating_sub(begin.elapsed()));
+    let taken = cluster.world.platform.state().table.commits().len();
+    cluster.nodes[paused].signal(Signal::CONT).unwrap();
+    cluster.fronts[paused].faults().cut = false;
+    assert_exactly_once(&trainer, 3);
+    until_within(PAUSE, "the store has further commits", || {
+        cluster.world.platform.state().table.commits().len() > taken
+    });
+    let epochs = manifest_epochs(&cluster);
+    assert!(epochs.is_sorted(), "an old epoch came back in {epochs:?}");
+    assert!(epochs.last() > Some(&former.epoch), "no commit of the next holder in {epochs:?}");
+}
