--- a/crates/standin/src/app/answer.rs
+++ b/crates/standin/src/app/answer.rs
@@ -1,16 +1,18 @@
 use serde::Deserialize;
 
-use crate::engine::expected_text;
+use crate::{caller::refusal, engine::expected_text};
 
 /// Bytes of one token's text.
 const TOKEN_BYTES: usize = 9;
 
 /// What an answer turned out to be.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Verdict {
     Own,
     Foreign,
     Incomplete,
+    /// The stream ended with an error: its code and `ran`.
+    Refused(String, String),
 }
 
 #[derive(Deserialize)]
@@ -36,8 +38,13 @@
 pub(super) fn streamed(prompt: &str, max_tokens: u64, body: &[u8]) -> Verdict {
     let text = String::from_utf8_lossy(body);
     let lines: Vec<_> = text.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
-    let Some((&"[DONE]", events)) = lines.split_last() else {
-        return Verdict::Incomplete;
+    let events = match lines.split_last() {
+        Some((&"[DONE]", events)) => events,
+        Some((last, _)) => match refusal(last.as_bytes()) {
+            (code, ran) if !code.is_empty() => return Verdict::Refused(code, ran),
+            _ => return Verdict::Incomplete,
+        },
+        None => return Verdict::Incomplete,
     };
     let mut all = Choice { text: String::new(), finish_reason: None };
     for event in events {
--- a/crates/standin/src/app/questions.rs
+++ b/crates/standin/src/app/questions.rs
@@ -83,6 +83,9 @@
             }
             Verdict::Foreign => records.foreign.push(prompt.into()),
             Verdict::Incomplete => records.incomplete.push(prompt.into()),
+            Verdict::Refused(code, ran) => {
+                *records.refusals.entry((code, ran)).or_default() += 1;
+            }
         }
     }
 }
--- a/crates/tamarackdock_node/src/caller/plain.rs
+++ b/crates/tamarackdock_node/src/caller/plain.rs
@@ -104,7 +104,8 @@
                 Error::Connect => Outcome::Unreachable,
                 Error::OutOfStep => Outcome::Cancelled,
                 Error::Broken => Outcome::Broken,
-                Error::Silent | Error::Invalid(_) => Outcome::Failed,
+                Error::Silent => Outcome::Silent,
+                Error::Invalid(_) => Outcome::Failed,
             });
             tried.push(target.name.clone());
             let safe = self.service.idempotent || error.ran() == Ran::No;
--- a/crates/tamarackdock_node/src/engine/attempt.rs
+++ b/crates/tamarackdock_node/src/engine/attempt.rs
@@ -54,6 +54,7 @@
             Self::Connection(client::Error::OutOfStep) | Self::Abandoned | Self::Withdrawn => {
                 Outcome::Cancelled
             }
+            Self::Connection(client::Error::Silent) => Outcome::Silent,
             Self::Rejected(_) => Outcome::Answered { first_byte: None },
             Self::Connection(_) | Self::Refused | Self::Invalid | Self::Crossed => Outcome::Failed,
         }
--- a/crates/tamarackdock_node/src/router/crash.rs
+++ b/crates/tamarackdock_node/src/router/crash.rs
@@ -115,6 +115,16 @@
         self.refresh_state(key);
     }
 
+    /// Takes a call without an answer in time. The target gets no new calls
+    /// until it answers a poll, since all of its connections may be silent.
+    pub(super) fn silent(&mut self, key: Key, now: Instant) {
+        if let Some(extra) = self.extra.get_mut(&key) {
+            extra.is_silent = true;
+        }
+        self.refresh_state(key);
+        self.poll(key, now);
+    }
+
     /// Takes a failure to connect.
     pub(super) fn unreachable(&mut self, key: Key, now: Instant) {
         if let Some(extra) = self.extra.get_mut(&key) {
--- a/crates/tamarackdock_node/src/router/permit.rs
+++ b/crates/tamarackdock_node/src/router/permit.rs
@@ -14,8 +14,10 @@
         /// Time to the first byte, if it was measured.
         first_byte: Option<Duration>,
     },
-    /// The target did not answer in time, or not as its interface says.
+    /// The target did not answer as its interface says.
     Failed,
+    /// The target did not answer in time.
+    Silent,
     /// No connection could be made.
     Unreachable,
     /// The connection broke, as in a crash.
--- a/crates/tamarackdock_node/src/router/placement.rs
+++ b/crates/tamarackdock_node/src/router/placement.rs
@@ -158,7 +158,7 @@
             match done.outcome {
                 Outcome::Answered { .. } => extra.health.succeed(),
                 Outcome::Cancelled => extra.health.abandon(),
-                Outcome::Failed | Outcome::Broken | Outcome::Unreachable => extra.failures += 1,
+                _ => extra.failures += 1,
             }
         }
         match done.outcome {
@@ -168,6 +168,10 @@
                 self.unreachable(done.key, now);
                 self.poll(done.key, now);
             }
+            Outcome::Silent => {
+                self.quarantine.finish(done.fingerprint, &name);
+                self.silent(done.key, now);
+            }
             Outcome::Answered { .. } | Outcome::Failed | Outcome::Cancelled => {
                 self.quarantine.finish(done.fingerprint, &name);
             }
--- a/crates/tamarackdock_node/src/router/targets.rs
+++ b/crates/tamarackdock_node/src/router/targets.rs
@@ -21,13 +21,13 @@
     /// Whether the target reports its load. Plain services do not.
     pub(super) reports: bool,
     pub(super) is_in: bool,
+    /// Whether it has not answered since a call ran out of time.
+    pub(super) is_silent: bool,
     pub(super) health: Health,
     pub(super) granter: Granter,
     pub(super) holder: Holder,
     /// Since when it reports itself warm without a break.
     pub(super) warm_since: Option<Instant>,
-    /// Whether a first report has come.
-    pub(super) is_known: bool,
     /// When it is polled next, `None` during a poll.
     pub(super) next_poll: Option<Instant>,
     pub(super) next_ask: Instant,
@@ -66,7 +66,7 @@
             return;
         };
         let state = match target.state {
-            _ if !extra.is_in || !extra.health.is_up() => State::Out,
+            _ if !extra.is_in || extra.is_silent || !extra.health.is_up() => State::Out,
             _ if self.suspects.covers(&extra.target.name) => State::Out,
             State::Crashed => State::Crashed,
             State::Warm => State::Warm,
@@ -89,7 +89,10 @@
     /// Takes the result of a connection to a target that was out.
     pub(super) fn probed(&mut self, key: Key, is_up: bool, now: Instant) {
         match self.extra.get_mut(&key) {
-            Some(extra) if is_up => extra.health.succeed(),
+            Some(extra) if is_up => {
+                extra.health.succeed();
+                extra.is_silent = false;
+            }
             _ => self.unreachable(key, now),
         }
         self.refresh_state(key);
@@ -106,7 +109,8 @@
             return self.confirm_crash(&name, None, now);
         };
         extra.health.succeed();
-        let is_first = !std::mem::replace(&mut extra.is_known, true);
+        extra.is_silent = false;
+        let is_first = self.table.get(key).is_none_or(|target| target.restart_id().is_none());
         extra.warm_since = report.warm.then(|| extra.warm_since.unwrap_or(now));
         let is_confirmed =
             extra.warm_since.is_some_and(|since| now.since(since) >= WARM_CONFIRMATION);
@@ -158,11 +162,11 @@
         target: target.clone(),
         reports: true,
         is_in: true,
+        is_silent: false,
         health: Health::default(),
         granter: Granter::new(target.cold_capacity, TERMS),
         holder: Holder::new(TERMS, incarnation),
         warm_since: None,
-        is_known: false,
         next_poll: Some(now),
         next_ask: now,
         failures: 0,
--- a/crates/tamarackdock_route/src/retry.rs
+++ b/crates/tamarackdock_route/src/retry.rs
@@ -4,8 +4,10 @@
 mod tests;
 
 const MILLI: u64 = 1000;
-/// Retries that can be saved up in calm times.
-const MAX_SAVED: u64 = 10;
+/// Retries that can be saved up in calm times, and those that a new budget
+/// has. All calls that a failing target had in flight fail at once, so that a
+/// budget without a reserve would refuse most of them.
+pub const RESERVE: u64 = 32;
 
 /// A token bucket to which each call adds a share of a retry.
 #[derive(Debug, Clone)]
@@ -15,16 +17,16 @@
 }
 
 impl Budget {
-    /// Makes an empty budget. `ratio` is the largest share of retries in calls, from 0 to 1.
+    /// Makes a budget with its reserve. `ratio` is the largest share of retries in calls, from 0 to 1.
     #[must_use]
     pub fn new(ratio: f64) -> Self {
         let milli = (0..=MILLI).rev().find(|milli| f64_of(*milli) <= ratio * f64_of(MILLI));
-        Self { deposit_milli: milli.unwrap_or_default(), saved_milli: 0 }
+        Self { deposit_milli: milli.unwrap_or_default(), saved_milli: RESERVE * MILLI }
     }
 
     /// Counts the first attempt of a call.
     pub fn call(&mut self) {
-        self.saved_milli = (self.saved_milli + self.deposit_milli).min(MAX_SAVED * MILLI);
+        self.saved_milli = (self.saved_milli + self.deposit_milli).min(RESERVE * MILLI);
     }
 
     /// Takes a retry and returns whether there was one. Something is always
--- a/crates/tamarackdock_route/src/retry/tests.rs
+++ b/crates/tamarackdock_route/src/retry/tests.rs
@@ -4,12 +4,13 @@
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
 };
 
-use super::Budget;
+use super::{Budget, RESERVE};
 
 const SEED: [u8; 32] = [43; 32];
 const SCHEDULES: u32 = 2_000;
 
-/// Guards against a retry storm: attempts per call stay under 1.1 whatever fails.
+/// Guards against a retry storm: but for the reserve of a new budget, attempts
+/// per call stay under 1.1 whatever fails.
 #[test]
 fn attempts_per_call_stay_under_the_bound() {
     println!("seed {SEED:?}, {SCHEDULES} schedules");
@@ -27,7 +28,10 @@
                 budget.call();
                 calls += 1;
                 attempts += 1 + (0..failures).take_while(|_| budget.try_retry()).count() as u64;
-                prop_assert!(attempts * 10 < calls * 11, "{attempts} attempts of {calls} calls");
+                prop_assert!(
+                    (attempts - RESERVE.min(attempts)) * 10 < calls * 11,
+                    "{attempts} attempts of {calls} calls"
+                );
             }
         }
         retries.set(retries.get() + attempts - calls);
