Keep an accepted change from being reported as failed

A change that was accepted ended with exit code 1 when its output could not be written, for example to a full disk. It now ends with the code of the change and says on standard error that only the output failed.

Tests for this and for a refusal by another node after a lost answer are new.

--- a/crates/tamarackdock_node/tests/ctl.rs
+++ b/crates/tamarackdock_node/tests/ctl.rs
@@ -9,7 +9,7 @@
 
 use fake::{Fake, Fault, Store};
 use serde_json::Value;
-use support::{FILE, HASH, ctl, ctl_with, file, repeat_options};
+use support::{CLOSED, FILE, HASH, ctl, ctl_with, ctl_without_output, file, repeat_options};
 
 /// Guards against a command that doesn't do what it says, in text or in JSON.
 #[test]
@@ -80,6 +80,27 @@
     assert_eq!((again.code, store.lock().unwrap().version), (0, 2), "{again:?}");
 }
 
+/// Guards against a refusal by another node being taken for the outcome of a lost submission.
+#[test]
+fn refusal_elsewhere_does_not_settle_a_lost_submission() {
+    let (first, other) = (Fake::spawn(&Store::shared()), Fake::spawn(&Store::shared()));
+    let path = file("settle", FILE);
+    assert_eq!(ctl(&format!("submit {path} -n {}", other.node())).code, 0);
+    first.set(Fault::Lose);
+    let nodes = format!("-n {} -n {}", first.node(), other.node());
+    let lost = ctl(&format!("submit {path} --base 0 {nodes}"));
+    assert!(lost.code == 4 && repeat_options(&lost.err).starts_with("--base 0 "), "{lost:?}");
+}
+
+/// Guards against an accepted change that is reported as failed.
+#[test]
+fn failing_output_does_not_hide_an_accepted_change() {
+    let fake = Fake::spawn(&Store::shared());
+    let line = format!("submit {} -n {}", file("full", FILE), fake.node());
+    let accepted = ctl_without_output(&line);
+    assert!(accepted.code == 0 && accepted.err.contains("version 1 accepted"), "{accepted:?}");
+}
+
 /// Guards against a lost key change, which nodes may not recognise as a
 /// repetition, being sent to another node.
 #[test]
@@ -101,13 +122,13 @@
     let store = Store::shared();
     let (first, second) = (Fake::spawn(&store), Fake::spawn(&store));
     first.set(Fault::Stopping);
-    for node in [first.node(), support::closed_port()] {
+    for node in [first.node(), CLOSED.into()] {
         let line = format!("data-centre out d1 -n {node} -n {}", second.node());
         let moved = ctl(&line);
         assert_eq!(moved.code, 0, "{moved:?}");
     }
     assert_eq!(store.lock().unwrap().version, 2);
-    let all = format!("dump --all -n {} -n {}", second.node(), support::closed_port());
+    let all = format!("dump --all -n {} -n {}", second.node(), CLOSED);
     let partial = ctl(&all);
     assert!(partial.code == 1 && partial.out.contains(&second.node()), "{partial:?}");
 }
--- a/crates/tamarackdock_node/tests/ctl/pages.rs
+++ b/crates/tamarackdock_node/tests/ctl/pages.rs
@@ -53,8 +53,8 @@
 
 /// Makes an empty directory that looks like the root of the repository to the commands.
 fn scratch() -> PathBuf {
-    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join("pages");
-    let _ = fs::remove_dir_all(&directory);
+    let name = format!("pages-{}", std::process::id());
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     fs::create_dir_all(&directory).unwrap();
     symlink(root().join("operators"), directory.join("operators")).unwrap();
     directory
@@ -81,6 +81,7 @@
             .unwrap();
         assert!(run.status.success(), "{name}: {}", String::from_utf8_lossy(&run.stderr));
     }
+    fs::remove_dir_all(&directory).unwrap();
     // First configuration, roll-forward, two key changes and two data centre changes.
     assert_eq!(store.lock().unwrap().version, 6);
 }
--- a/crates/tamarackdock_node/tests/ctl/support.rs
+++ b/crates/tamarackdock_node/tests/ctl/support.rs
@@ -1,10 +1,12 @@
 use std::{
+    fs::File,
     io::Write as _,
-    net::TcpListener,
     process::{Command, Stdio},
 };
 
 pub(crate) const HASH: &str = "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae";
+/// Nothing listens here, and the kernel gives this port to nobody.
+pub(crate) const CLOSED: &str = "127.0.0.1:1";
 pub(crate) const FILE: &str = r#"{
   // A deployment with one item of each list.
   "services": [{"name": "m", "kind": "model"}],
@@ -29,10 +31,19 @@
 }
 
 pub(crate) fn ctl_with(line: &str, input: &str) -> Answer {
+    run(line, input, Stdio::piped())
+}
+
+/// Runs a command line whose output can't be written.
+pub(crate) fn ctl_without_output(line: &str) -> Answer {
+    run(line, "", File::options().write(true).open("/dev/full").unwrap().into())
+}
+
+fn run(line: &str, input: &str, output: Stdio) -> Answer {
     let mut child = Command::new(env!("CARGO_BIN_EXE_tamarackctl"))
         .args(line.split_whitespace())
         .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
+        .stdout(output)
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
@@ -48,16 +59,13 @@
 
 /// Writes a file for one test and returns its path.
 pub(crate) fn file(name: &str, text: &str) -> String {
-    let path = format!("{}/ctl-{name}.jsonc", env!("CARGO_TARGET_TMPDIR"));
+    // Several runs of the suite may share the directory.
+    let run = std::process::id();
+    let path = format!("{}/{run}-{name}.jsonc", env!("CARGO_TARGET_TMPDIR"));
     std::fs::write(&path, text).unwrap();
     path
 }
 
-/// Returns an address on which nothing listens.
-pub(crate) fn closed_port() -> String {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
-}
-
 /// Returns the options that an error asks to repeat the command with.
 pub(crate) fn repeat_options(error: &str) -> String {
     let rest = error.split_once("repeat with `").expect(error).1;
--- a/crates/tamarackdock_node/tests/python.rs
+++ b/crates/tamarackdock_node/tests/python.rs
@@ -26,7 +26,8 @@
 fn example(name: &str) -> Deployment {
     let printed = python(&[&format!("examples/{name}.py")]);
     assert!(printed.status.success(), "{printed:?}");
-    let path = format!("{}/{name}.jsonc", env!("CARGO_TARGET_TMPDIR"));
+    let run = std::process::id();
+    let path = format!("{}/{run}-{name}.jsonc", env!("CARGO_TARGET_TMPDIR"));
     std::fs::write(&path, &printed.stdout).unwrap();
     let mut check = Command::new(env!("CARGO_BIN_EXE_tamarackctl"));
     let checked = check.args(["check", &path]).output().unwrap();
--- a/crates/tamarackdock_operate/src/accepted.rs
+++ b/crates/tamarackdock_operate/src/accepted.rs
@@ -1,6 +1,8 @@
+use std::io;
+
 use serde::{Deserialize, Serialize};
 
-use crate::{Console, Error, Exit};
+use crate::{Console, Exit};
 
 /// Answer to an accepted change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -13,21 +15,28 @@
 
 impl Accepted {
     /// Prints where the change is in force. Only a caller that waits is told by the exit code.
-    pub(crate) fn print(
-        &self,
-        console: &mut Console<'_>,
-        json: bool,
-        waits: bool,
-    ) -> Result<Exit, Error> {
+    /// A failure to print is no failure of the change, which is accepted already.
+    pub(crate) fn print(&self, console: &mut Console<'_>, json: bool, waits: bool) -> Exit {
+        if let Err(error) = self.write(console, json) {
+            let version = self.version;
+            let _ = writeln!(
+                console.errors,
+                "tamarackctl: version {version} accepted, but the \
+                output failed: {error}; see where it is active with `tamarackctl dump --all`"
+            );
+        }
+        let is_pending = waits && !self.missing.is_empty();
+        if is_pending { Exit::Pending } else { Exit::Done }
+    }
+
+    fn write(&self, console: &mut Console<'_>, json: bool) -> io::Result<()> {
         if json {
-            console.json(self)?;
+            console.json(self)
         } else {
             console.line(format_args!("version {} accepted", self.version))?;
             console.line(format_args!("in force on: {}", names(&self.active_on)))?;
-            console.line(format_args!("not yet on: {}", names(&self.missing)))?;
+            console.line(format_args!("not yet on: {}", names(&self.missing)))
         }
-        let is_pending = waits && !self.missing.is_empty();
-        Ok(if is_pending { Exit::Pending } else { Exit::Done })
     }
 }
 
--- a/crates/tamarackdock_operate/src/command/change.rs
+++ b/crates/tamarackdock_operate/src/command/change.rs
@@ -26,7 +26,7 @@
         repeat: format!("--operation {operation}"),
     };
     let accepted = client::change(&arguments.nodes, &ask)?;
-    accepted.print(console, arguments.json(), arguments.wait.is_some())
+    Ok(accepted.print(console, arguments.json(), arguments.wait.is_some()))
 }
 
 fn route(arguments: &Arguments) -> Result<(Method, String), Error> {
--- a/crates/tamarackdock_operate/src/command/submit.rs
+++ b/crates/tamarackdock_operate/src/command/submit.rs
@@ -27,5 +27,5 @@
         repeat: format!("--base {base} --operation {operation}"),
     };
     let accepted = client::change(&arguments.nodes, &ask)?;
-    accepted.print(console, arguments.json(), arguments.wait.is_some())
+    Ok(accepted.print(console, arguments.json(), arguments.wait.is_some()))
 }
