Accept and spread configurations between nodes

Cause: a node only polled the head row, in a form of its own, and operators had to write rows of the table.

Change: the `config` tasks run acceptance and propagation: head poll, push, deltas, full copies, catch-up from peers, and submissions with the store. The operators' port takes whole configurations, keys and data centres, with `wait_ms`, `active_on` and `missing`; faults come back as a list. Changes of keys and data centres are repeated on a conflict. Nodes also collect the proofs of the cut-off rule; calls do not depend on them yet. `World` submits through the operators' port. The stand-in platform can take the store alone down and lose the response of a commit.

Conclusion: accepted versions reach all nodes well within 3 s.

--- a/crates/standin/src/platform/faults.rs
+++ b/crates/standin/src/platform/faults.rs
@@ -6,10 +6,15 @@
 /// Faults of the platform that can be switched while it runs.
 #[derive(Debug)]
 pub struct Faults {
+    /// Whether the table service and the object store give no answer, while the
+    /// platform's other interfaces do.
+    pub store_down: bool,
     /// Time by which each response is delayed.
     pub delay: Duration,
     /// Number of following writes that take effect and lose their response.
     pub lose_next: u32,
+    /// Number of following table commits that take effect and lose their response.
+    pub lose_next_commits: u32,
     /// Share of all writes that take effect and lose their response, from 0 to 1.
     pub lose_share: f64,
     /// Responses that were lost so far.
@@ -20,8 +25,10 @@
 impl Faults {
     pub(super) fn new(seed: u64) -> Self {
         Self {
+            store_down: false,
             delay: Duration::ZERO,
             lose_next: 0,
+            lose_next_commits: 0,
             lose_share: 0.0,
             lost: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -29,11 +36,13 @@
     }
 
     /// Decides whether the response of a write is lost.
-    pub(super) fn is_lost(&mut self) -> bool {
+    pub(super) fn is_lost(&mut self, is_commit: bool) -> bool {
+        let by_kind = is_commit && self.lose_next_commits > 0;
+        self.lose_next_commits -= u32::from(by_kind);
         let by_count = self.lose_next > 0;
         self.lose_next = self.lose_next.saturating_sub(1);
         let by_share = self.random.random::<f64>() < self.lose_share;
-        let is_lost = by_count || by_share;
+        let is_lost = by_kind || by_count || by_share;
         self.lost += u64::from(is_lost);
         is_lost
     }
--- a/crates/standin/src/platform/handler.rs
+++ b/crates/standin/src/platform/handler.rs
@@ -44,11 +44,17 @@
 
     async fn answer(&self, request: Request) -> Response {
         let is_write = is_write(&request);
+        if self.state().faults.store_down && is_store(&request) {
+            return broken();
+        }
         let response = route(&mut self.state(), &request);
         let (delay, is_lost) = {
             let mut state = self.state();
             state.rates.count(is_write);
-            (state.faults.delay, is_write && state.faults.is_lost())
+            (
+                state.faults.delay,
+                is_write && state.faults.is_lost(request.path() == "/table/commit"),
+            )
         };
         if !delay.is_zero() {
             monoio::time::sleep(delay).await;
@@ -74,6 +80,10 @@
     request.method != Method::GET && !matches!(request.path(), "/table/read" | "/table/scan")
 }
 
+fn is_store(request: &Request) -> bool {
+    request.path().starts_with("/table/") || request.path().starts_with("/objects/")
+}
+
 fn route(state: &mut State, request: &Request) -> Response {
     let parts = request.path().trim_start_matches('/').split_once('/');
     let (area, rest) = parts.unwrap_or((request.path().trim_start_matches('/'), ""));
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -17,7 +17,6 @@
 };
 use tamarackdock_platform::{
     host::{Host, State},
-    table::{Commit, Write},
     weight::Latest,
 };
 use tamarackdock_types::{DataCentreName, HostName, ServiceName, key::Hash, weight::Version};
@@ -82,11 +81,11 @@
             version: 0,
         };
         world.set_weights(Version(1));
-        world.submit();
         for index in 0..world.options.nodes.len() {
             world.add_node(index)?;
         }
         world.list_hosts();
+        world.submit()?;
         world.wait_until_active();
         Ok(world)
     }
@@ -126,27 +125,20 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if there is no such data centre.
+    /// Returns an error if no node accepts the change.
     pub fn set_data_centre(&mut self, name: &str, state: DataCentreState) -> io::Result<()> {
-        let mut centres = self.deployment.data_centres.iter_mut();
-        let centre = centres.find(|centre| centre.name.as_str() == name);
-        centre.ok_or(io::ErrorKind::NotFound)?.state = state;
-        self.submit();
-        Ok(())
+        let action = if state == DataCentreState::In { "in" } else { "out" };
+        self.accept("POST", &format!("/data-centres/{name}/{action}"), "")
     }
 
     /// Withdraws a key.
     ///
     /// # Errors
     ///
-    /// Returns an error if there is no such account.
+    /// Returns an error if no node accepts the change.
     pub fn withdraw_key(&mut self, account: &str, key: &str) -> io::Result<()> {
         let hash = Hash::of(key.as_bytes());
-        let mut accounts = self.deployment.accounts.iter_mut();
-        let account = accounts.find(|known| known.name.as_str() == account);
-        account.ok_or(io::ErrorKind::NotFound)?.keys.retain(|known| *known != hash);
-        self.submit();
-        Ok(())
+        self.accept("DELETE", &format!("/accounts/{account}/keys/{hash}"), "")
     }
 
     /// Returns the number of calls that engines of a data centre have started.
@@ -169,6 +161,18 @@
         self.engines.iter().map(|engine| engine.read(|records| records.authorized_requests)).sum()
     }
 
+    /// Starts another node and lists it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the node that can't be started.
+    pub fn join(&mut self, data_centre: &'static str) -> io::Result<()> {
+        self.options.nodes.push(data_centre);
+        self.add_node(self.hosts.len())?;
+        self.list_hosts();
+        Ok(())
+    }
+
     /// Shuts all nodes down gracefully and waits for their end.
     pub fn shut_down(&self) {
         self.hosts.iter().for_each(Node::shut_down);
@@ -183,21 +187,30 @@
         self.platform.state().weights.insert(service, latest);
     }
 
-    fn submit(&mut self) {
-        self.version += 1;
-        let version = self.version;
-        let value =
-            serde_json::to_string(&self.deployment).expect("a configuration has a JSON form");
-        let head = serde_json::json!({ "version": version }).to_string();
-        let commit = Commit {
-            operation: format!("submit-{version}"),
-            conditions: Vec::new(),
-            writes: vec![
-                Write { key: "config/head".into(), value: Some(head) },
-                Write { key: format!("config/v/{version}"), value: Some(value) },
-            ],
-        };
-        self.platform.state().table.commit(commit).expect("a commit without conditions");
+    /// Submits the configuration through the first node that answers. A repetition
+    /// through another node has the same operation id and so the same result.
+    fn submit(&mut self) -> io::Result<()> {
+        let body = serde_json::to_string(&self.deployment).map_err(io::Error::other)?;
+        let base = self.version;
+        let path = format!("/config?base={base}&operation=world-{base}");
+        self.accept("POST", &path, &body)
+    }
+
+    /// Sends a change through the first node that accepts it.
+    fn accept(&mut self, method: &str, path: &str, body: &str) -> io::Result<()> {
+        let answers = (0..self.hosts.len()).map(|node| self.operate(node, method, path, body));
+        let mut last = None;
+        for answer in answers {
+            match answer {
+                Ok(Answer { status: 200, body }) => {
+                    self.version = body["version"].as_u64().unwrap_or(self.version);
+                    return Ok(());
+                }
+                Ok(answer) => last = Some(io::Error::other(answer.body.to_string())),
+                Err(error) => last = Some(error),
+            }
+        }
+        Err(last.unwrap_or_else(|| io::ErrorKind::NotConnected.into()))
     }
 
     fn add_node(&mut self, index: usize) -> io::Result<()> {
--- a/crates/standin/tests/agreement.rs
+++ b/crates/standin/tests/agreement.rs
@@ -1,6 +1,12 @@
 //! Membership, configuration and the cut-off rule on whole nodes and stand-ins.
 
+#[path = "agreement/caller.rs"]
+mod caller;
+#[path = "agreement/config.rs"]
+mod config;
 #[path = "agreement/membership.rs"]
 mod membership;
+#[path = "agreement/operator.rs"]
+mod operator;
 #[path = "agreement/support.rs"]
 mod support;
--- /dev/null
+++ b/crates/standin/tests/agreement/caller.rs
@@ -0,0 +1,43 @@
+use std::{
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpStream},
+};
+
+use serde_json::json;
+
+use crate::support::DEADLINE;
+
+/// Code and `ran` of an error, or `None` for an answer.
+pub(crate) type Refused = Option<(String, String)>;
+
+/// Sends a request to a caller port and reads the whole response.
+fn send(address: SocketAddr, path: &str, key: Option<&str>, body: &str) -> Refused {
+    let mut stream = open(address, path, key, body);
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap();
+    if head.starts_with("HTTP/1.1 200") {
+        return None;
+    }
+    let error = serde_json::from_str::<serde_json::Value>(body).unwrap()["error"].clone();
+    Some((error["code"].as_str()?.into(), error["ran"].as_str()?.into()))
+}
+
+fn open(address: SocketAddr, path: &str, key: Option<&str>, body: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(DEADLINE)).unwrap();
+    let key = key.map(|key| format!("authorization: Bearer {key}\r\n")).unwrap_or_default();
+    let length = body.len();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: node\r\ncontent-length: {length}\r\n{key}\
+         connection: close\r\n\r\n{body}"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    stream
+}
+
+/// Asks for one token.
+pub(crate) fn complete(address: SocketAddr, key: &str) -> Refused {
+    let body = json!({"model": "m", "prompt": "p", "max_tokens": 1}).to_string();
+    send(address, "/v1/completions", Some(key), &body)
+}
--- /dev/null
+++ b/crates/standin/tests/agreement/config.rs
@@ -0,0 +1,110 @@
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use standin::world::{Answer, World};
+
+use crate::{
+    caller::complete,
+    support::{BOUND, deployment, until, version, world},
+};
+
+const ROUNDS: u64 = 8;
+
+fn submit(world: &World, node: usize, base: u64, operation: &str, weight: u64) -> Answer {
+    let mut body = deployment(world, node);
+    body["accounts"][0]["weight"] = weight.into();
+    let path = format!("/config?base={base}&operation={operation}");
+    world.operate(node, "POST", &path, &body.to_string()).unwrap()
+}
+
+/// Guards against two operators who both believe that their change of one base was
+/// accepted, and against a loser who isn't told who won.
+#[test]
+fn one_of_two_racing_submissions_wins() {
+    let world = world(&["d1", "d2", "d3"]);
+    for round in 0..ROUNDS {
+        until("both nodes have one base", || version(&world, 0) == version(&world, 1));
+        let base = version(&world, 0);
+        let answers = thread::scope(|scope| {
+            let race = |node: usize| {
+                let (world, operation) = (&world, format!("op-{round}-{node}"));
+                let weight = 10 + 2 * round + node as u64;
+                scope.spawn(move || (submit(world, node, base, &operation, weight), operation))
+            };
+            [race(0), race(1)].map(|thread| thread.join().unwrap())
+        });
+        let winner = answers.iter().find(|(answer, _)| answer.status == 200).expect("a winner");
+        let loser = answers.iter().find(|(answer, _)| answer.status == 409).expect("a loser");
+        assert_eq!(winner.0.body["version"], base + 1);
+        assert_eq!(loser.0.body["error"]["code"], "conflict");
+        let message = loser.0.body["error"]["message"].as_str().unwrap();
+        assert!(message.contains(&winner.1), "{message}");
+        let state = world.platform.state();
+        let rows = state.table.commits().iter().filter(|commit| commit.operation == loser.1);
+        assert_eq!(rows.count(), 0);
+    }
+}
+
+/// Guards against a change that is applied twice or reported as failed, because the
+/// response of its commit was lost and it or the operator tried again.
+#[test]
+fn lost_commit_response_gives_one_result() {
+    let world = world(&["d1", "d2"]);
+    let base = version(&world, 0);
+    world.platform.state().faults.lose_next_commits = 1;
+    let first = submit(&world, 0, base, "once", 30);
+    assert_eq!(world.platform.state().faults.lost, 1, "the response was not lost");
+    assert_eq!((first.status, &first.body["version"]), (200, &(base + 1).into()));
+    until("the other node has it", || version(&world, 1) == base + 1);
+    for node in 0..2 {
+        let again = submit(&world, node, base, "once", 30);
+        assert_eq!((again.status, &again.body["version"]), (200, &(base + 1).into()));
+        let other = submit(&world, node, base, "once", 31);
+        assert_eq!(other.status, 409, "the operation id is used for another configuration");
+    }
+    let state = world.platform.state();
+    let commits = state.table.commits().iter().filter(|commit| commit.operation == "once");
+    assert_eq!(commits.count(), 1);
+}
+
+/// Guards against a node that can't start while the store is down.
+#[test]
+fn empty_node_catches_up_from_peers_without_store() {
+    let mut world = world(&["d1", "d2"]);
+    let wanted = version(&world, 0);
+    world.platform.state().faults.store_down = true;
+    world.join("d2").unwrap();
+    let joined = Instant::now();
+    until("the new node has the configuration", || version(&world, 2) == wanted);
+    println!("configuration after {} ms", joined.elapsed().as_millis());
+    let address = world.nodes()[2];
+    until("the new node serves", || complete(address, "shop-key").is_none());
+    println!("keyed calls after {} ms", joined.elapsed().as_millis());
+}
+
+/// Returns the time from the answer of an acceptance until all nodes have the version.
+fn activation(world: &World, round: u64) -> Duration {
+    let node = usize::try_from(round).unwrap() % world.hosts.len();
+    let base = version(world, node);
+    let answer = submit(world, node, base, &format!("time-{round}"), 50 + round);
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    until("the version is active on all nodes", || {
+        (0..world.hosts.len()).all(|node| version(world, node) > base)
+    })
+}
+
+/// Guards against a version that takes longer than the bound to reach all nodes.
+#[test]
+fn accepted_version_is_active_on_all_nodes_in_time() {
+    for nodes in [3, 9] {
+        let centres: Vec<_> = ["d1", "d2", "d3"].into_iter().cycle().take(nodes).collect();
+        let world = world(&centres);
+        let mut spans: Vec<_> = (0..2 * ROUNDS).map(|round| activation(&world, round)).collect();
+        spans.sort();
+        let (median, longest) = (spans[spans.len() / 2], spans[spans.len() - 1]);
+        println!("{nodes} nodes: median {median:?}, longest {longest:?} of {}", spans.len());
+        assert!(longest <= BOUND, "{longest:?}");
+    }
+}
--- a/crates/standin/tests/agreement/support.rs
+++ b/crates/standin/tests/agreement/support.rs
@@ -3,18 +3,32 @@
     time::{Duration, Instant},
 };
 
-use standin::world::{Options, World};
+use serde_json::Value;
+use standin::{
+    engine,
+    world::{Options, World},
+};
 
 /// Seed of every test in this directory.
 pub(crate) const SEED: u64 = 0xa9;
 /// Passing this time only fails a test.
 pub(crate) const DEADLINE: Duration = Duration::from_secs(20);
+/// Time within which a withdrawal, a data centre out and a new version must be in
+/// force on all nodes (`docs/design.md`, promises 6, 10 and 16).
+pub(crate) const BOUND: Duration = Duration::from_secs(3);
 
-/// Starts nodes in the given data centres with one engine in each of `d1` and `d2`.
+/// Starts nodes in the given data centres with one engine in each of `d1` and `d2`,
+/// whose answers are as long as the caller allows.
 pub(crate) fn world(nodes: &[&'static str]) -> World {
     println!("seed {SEED:#x}");
-    let engines = vec![("d1", false), ("d2", false)];
-    let options = Options { seed: SEED, nodes: nodes.to_vec(), engines, ..Options::default() };
+    let engine = engine::Options { min_tokens: 1_000_000, ..engine::Options::default() };
+    let options = Options {
+        seed: SEED,
+        nodes: nodes.to_vec(),
+        engines: vec![("d1", false), ("d2", false)],
+        engine,
+        ..Options::default()
+    };
     World::spawn(options).unwrap()
 }
 
@@ -23,7 +37,17 @@
     let begin = Instant::now();
     while !condition() {
         assert!(begin.elapsed() < DEADLINE, "still waiting until {what}");
-        thread::sleep(Duration::from_millis(5));
+        thread::sleep(Duration::from_millis(2));
     }
     begin.elapsed()
 }
+
+/// Returns a node's newest version.
+pub(crate) fn version(world: &World, node: usize) -> u64 {
+    world.operate(node, "GET", "/config", "").unwrap().body["version"].as_u64().unwrap()
+}
+
+/// Returns a node's configuration.
+pub(crate) fn deployment(world: &World, node: usize) -> Value {
+    world.operate(node, "GET", "/config", "").unwrap().body["deployment"].clone()
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/config/coverage.rs
@@ -0,0 +1,43 @@
+use std::time::Duration;
+
+use serde::Serialize;
+use tamarackdock_config::version::Number;
+use tamarackdock_types::HostName;
+
+use super::Service;
+
+const WAIT_POLL: Duration = Duration::from_millis(10);
+
+/// The nodes on which a version is active, and the live ones on which it is not
+/// known to be.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub(crate) struct Coverage {
+    pub(crate) active_on: Vec<HostName>,
+    pub(crate) missing: Vec<HostName>,
+}
+
+impl Service {
+    /// Tells where a version or a later one is active.
+    pub(crate) fn coverage(&self, version: Number) -> Coverage {
+        let mut active_on = self.propagation().active_on(version);
+        active_on.sort();
+        let own = self.context.settings.host.clone();
+        let live = self.context.peers.live().into_iter().map(|entry| entry.status.host);
+        let all = live.chain([own]);
+        let mut missing: Vec<_> = all.filter(|host| !active_on.contains(host)).collect();
+        missing.sort();
+        Coverage { active_on, missing }
+    }
+
+    /// Waits until a version is active on all live nodes, at most for `span`.
+    pub(crate) async fn await_coverage(&self, version: Number, span: Duration) -> Coverage {
+        let deadline = monoio::time::Instant::now() + span;
+        loop {
+            let coverage = self.coverage(version);
+            if coverage.missing.is_empty() || monoio::time::Instant::now() >= deadline {
+                return coverage;
+            }
+            monoio::time::sleep(WAIT_POLL).await;
+        }
+    }
+}
--- a/crates/tamarackdock_node/src/context.rs
+++ b/crates/tamarackdock_node/src/context.rs
@@ -5,7 +5,8 @@
 use tamarackdock_wire::{client::Pool, flag::Flag};
 
 use crate::{
-    active::Watch, membership::Peers, peer, platform::Platform, router, telemetry::Metrics, weights,
+    active::Watch, membership::Peers, peer, platform::Platform, reachability::Gate, router,
+    telemetry::Metrics, weights,
 };
 
 /// What the tasks of a node share.
@@ -17,6 +18,7 @@
     pub(crate) pool: Rc<Pool>,
     pub(crate) router: router::Handle,
     pub(crate) peers: Peers,
+    pub(crate) gate: Gate,
     pub(crate) peer_client: peer::Client,
     pub(crate) weights: weights::Watch,
     pub(crate) metrics: Rc<Metrics>,
--- a/crates/tamarackdock_node/src/dispatch.rs
+++ b/crates/tamarackdock_node/src/dispatch.rs
@@ -4,9 +4,12 @@
 
 use futures_util::{FutureExt, future::LocalBoxFuture};
 
+use tamarackdock_types::clock::{BootClock, Clock};
+
 use crate::{
-    membership,
+    config, membership,
     peer::{self, Message, Reply},
+    reachability::Gate,
     step::Service,
 };
 
@@ -14,11 +17,18 @@
 pub(crate) struct Dispatch {
     steps: Rc<Service>,
     membership: Rc<membership::Service>,
+    config: Rc<config::Service>,
+    gate: Gate,
 }
 
 impl Dispatch {
-    pub(crate) fn new(steps: Rc<Service>, membership: Rc<membership::Service>) -> Self {
-        Self { steps, membership }
+    pub(crate) fn new(
+        steps: Rc<Service>,
+        membership: Rc<membership::Service>,
+        config: Rc<config::Service>,
+        gate: Gate,
+    ) -> Self {
+        Self { steps, membership, config, gate }
     }
 }
 
@@ -30,6 +40,13 @@
                     let answer = self.steps.answer_as_holder(&call).await;
                     answer.map_or(Reply::Unsupported, Reply::Step)
                 }
+                Message::Config { from, message } => {
+                    Reply::Config(self.config.receive(&from, message))
+                }
+                Message::Reachability(sent) => {
+                    let now = BootClock.now();
+                    Reply::Reachability(self.gate.with(|state| state.asked(now, sent)))
+                }
                 Message::Membership(message) => Reply::Membership(self.membership.receive(message)),
             }
         }
--- a/crates/tamarackdock_node/src/lib.rs
+++ b/crates/tamarackdock_node/src/lib.rs
@@ -14,6 +14,7 @@
 mod operator;
 mod peer;
 mod platform;
+mod reachability;
 mod router;
 mod running;
 pub mod runtime;
--- a/crates/tamarackdock_node/src/node.rs
+++ b/crates/tamarackdock_node/src/node.rs
@@ -21,6 +21,7 @@
     membership::{self, Peers},
     operator, peer,
     platform::Platform,
+    reachability::{self, Gate},
     router,
     running::Listeners,
     step,
@@ -56,6 +57,7 @@
             pool,
             router: router::spawn(),
             peers: Peers::default(),
+            gate: Gate::new(settings.data_centre.clone()),
             peer_client: peer::Client::new(peer_pool),
             weights: weights::Watch::default(),
             metrics: Rc::new(Metrics::new().map_err(Error::Metrics)?),
@@ -69,9 +71,16 @@
         let ids = Rc::new(RequestIds::new(&settings.host, BootClock.now()));
         let steps = Rc::new(step::Service::new(context.clone()));
         let callers = Rc::new(caller::Handler::new(context.clone(), ids, steps.clone()));
-        let operators = Rc::new(operator::Handler::new(context.clone(), steps.clone()));
+        let config = Rc::new(config::Service::new(context.clone()));
+        let operators =
+            Rc::new(operator::Handler::new(context.clone(), steps.clone(), config.clone()));
         let members = Rc::new(membership::Service::new(context.clone()));
-        let dispatch = Rc::new(Dispatch::new(steps.clone(), members.clone()));
+        let dispatch = Rc::new(Dispatch::new(
+            steps.clone(),
+            members.clone(),
+            config.clone(),
+            context.gate.clone(),
+        ));
         let peers = Rc::new(peer::Handler::new(dispatch));
         let callers = server::listen(settings.caller_address, callers, options.clone())
             .map_err(|source| Error::Bind { port: "caller", source })?;
@@ -79,11 +88,12 @@
             .map_err(|source| Error::Bind { port: "peer", source })?;
         let operators = server::listen(settings.operator_address, operators, options)
             .map_err(|source| Error::Bind { port: "operator", source })?;
-        monoio::spawn(config::run(context.clone()));
         monoio::spawn(weights::run(context.clone()));
         let listeners = Listeners { callers, operators, peers };
         context.peers.start(own(&settings, listeners.peers.address()), BootClock.now());
         monoio::spawn(membership::run(context.clone(), members.clone()));
+        monoio::spawn(config::run(config));
+        monoio::spawn(reachability::run(context.clone()));
         info!(log::part(&context.log, "node"), "started";
             "callers" => %listeners.callers.address());
         Ok(Running::new(listeners, context, steps, members, stop))
--- /dev/null
+++ b/crates/tamarackdock_node/src/operator/parameters.rs
@@ -0,0 +1,45 @@
+use std::time::Duration;
+
+use tamarackdock_config::version::Number;
+use tamarackdock_types::refusal::{Code, Refusal};
+use tamarackdock_wire::server::Request;
+
+const MAX_WAIT: Duration = Duration::from_secs(30);
+/// An operation id is stored in several rows.
+const MAX_OPERATION_BYTES: usize = 128;
+
+/// Returns the version that a submission is based on.
+pub(super) fn base(request: &Request) -> Result<Number, Refusal> {
+    let base = number(request, "base")?;
+    base.map(Number).ok_or_else(|| bad("`base` is missing; give the version from `GET /config`"))
+}
+
+/// Returns the operation id of a submission.
+pub(super) fn operation(request: &Request) -> Result<Option<String>, Refusal> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
+    let valid =
+        |text: &&str| (1..=MAX_OPERATION_BYTES).contains(&text.len()) && text.chars().all(allowed);
+    match request.parameter("operation") {
+        Some(text) if !valid(&text) => {
+            Err(bad("`operation` must have 1 to 128 letters, digits, `-`, `_`, `.` or `:`"))
+        }
+        text => Ok(text.map(Into::into)),
+    }
+}
+
+/// Returns how long the answer may wait for all nodes.
+pub(super) fn wait(request: &Request) -> Result<Duration, Refusal> {
+    let millis = number(request, "wait_ms")?.unwrap_or(0);
+    Ok(Duration::from_millis(millis).min(MAX_WAIT))
+}
+
+fn number(request: &Request, name: &str) -> Result<Option<u64>, Refusal> {
+    let parse = |text: &str| {
+        text.parse().map_err(|_| bad(&format!("`{name}` must be a whole number, not `{text}`")))
+    };
+    request.parameter(name).map(parse).transpose()
+}
+
+pub(super) fn bad(message: &str) -> Refusal {
+    Refusal::not_run(Code::BadRequest, message)
+}
--- /dev/null
+++ b/crates/tamarackdock_node/src/operator/problems.rs
@@ -0,0 +1,36 @@
+use http::StatusCode;
+use serde::Serialize;
+use serde_json::json;
+use tamarackdock_config::reader::{Problem, Report};
+use tamarackdock_types::refusal::Code;
+use tamarackdock_wire::server::Response;
+
+/// One fault of a submitted configuration.
+#[derive(Serialize)]
+struct Entry<'a> {
+    line: usize,
+    column: usize,
+    path: &'a str,
+    problem: String,
+    remedy: String,
+}
+
+impl<'a> From<&'a Problem> for Entry<'a> {
+    fn from(problem: &'a Problem) -> Self {
+        Self {
+            line: problem.place.line,
+            column: problem.place.column,
+            path: &problem.path,
+            problem: problem.fault.to_string(),
+            remedy: problem.fault.remedy(),
+        }
+    }
+}
+
+/// Answers with all faults of a submitted configuration.
+pub(super) fn response(report: &Report) -> Response {
+    let problems: Vec<Entry<'_>> = report.problems().iter().map(Into::into).collect();
+    let message = "the configuration is not valid; correct the places in `problems`";
+    let error = json!({"code": Code::BadRequest, "message": message, "ran": "no"});
+    Response::json(StatusCode::BAD_REQUEST, &json!({"error": error, "problems": problems}))
+}
--- a/crates/tamarackdock_node/src/peer/message.rs
+++ b/crates/tamarackdock_node/src/peer/message.rs
@@ -1,6 +1,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
+use tamarackdock_config::propagate;
 use tamarackdock_membership as membership;
+use tamarackdock_types::{HostName, clock::Instant};
 
 /// A message to another node.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -9,6 +11,16 @@
     Step(StepCall),
     /// A probe, its answer, or a request to probe.
     Membership(membership::Message),
+    /// The configuration, or what the sender has of it.
+    Config {
+        /// Sender.
+        from: HostName,
+        /// Message.
+        message: propagate::Message,
+    },
+    /// Asks when the receiver last reached the store, with the time of sending on
+    /// the sender's clock.
+    Reachability(Instant),
 }
 
 /// A trainer's call, checked for its key by the node that received it.
--- a/crates/tamarackdock_node/src/peer/reply.rs
+++ b/crates/tamarackdock_node/src/peer/reply.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
+use tamarackdock_config::{propagate, reachability};
 use tamarackdock_membership as membership;
 
 /// The reply to a message.
@@ -11,6 +12,10 @@
     Step(StepAnswer),
     /// Messages of the membership in return.
     Membership(Vec<membership::Message>),
+    /// Messages about the configuration in return.
+    Config(Vec<propagate::Message>),
+    /// What the receiver knows of the store.
+    Reachability(reachability::Answer),
     /// The node does not know what to do with the message.
     Unsupported,
 }
--- /dev/null
+++ b/crates/tamarackdock_node/src/reachability/gate.rs
@@ -0,0 +1,54 @@
+use std::{cell::RefCell, rc::Rc};
+
+use serde_json::{Value, json};
+use tamarackdock_config::reachability::{Reachability, Verdict};
+use tamarackdock_types::{
+    DataCentreName,
+    clock::{BootClock, Clock},
+};
+use tamarackdock_wire::flag::Flag;
+
+/// Decides whether keyed calls are served, shared by the tasks of a thread.
+#[derive(Clone)]
+pub(crate) struct Gate(Rc<Inner>);
+
+struct Inner {
+    state: RefCell<Reachability>,
+    /// Raised while the node is cut off, and replaced when it no longer is.
+    cut_off: RefCell<Flag>,
+}
+
+impl Gate {
+    /// Makes the gate of a node that has no proof yet that its keys are valid.
+    pub(crate) fn new(data_centre: DataCentreName) -> Self {
+        let state = RefCell::new(Reachability::new(data_centre));
+        Self(Rc::new(Inner { state, cut_off: RefCell::default() }))
+    }
+
+    /// Returns the verdict of this moment, and ends the keyed calls in progress
+    /// if the node is cut off.
+    pub(crate) fn refresh(&self) -> Verdict {
+        let verdict = self.with(|state| state.verdict(BootClock.now()));
+        let mut cut_off = self.0.cut_off.borrow_mut();
+        match (verdict.serves_keys(), cut_off.is_raised()) {
+            (true, true) => *cut_off = Flag::new(),
+            (false, false) => cut_off.raise(),
+            _ => {}
+        }
+        verdict
+    }
+
+    /// Acts on the state.
+    pub(crate) fn with<T>(&self, act: impl FnOnce(&mut Reachability) -> T) -> T {
+        act(&mut self.0.state.borrow_mut())
+    }
+
+    /// Describes the state.
+    pub(crate) fn dump(&self) -> Value {
+        let now = BootClock.now();
+        let answer = self.with(|state| state.asked(now, now));
+        let verdict = format!("{:?}", self.refresh());
+        let age = answer.confirmed.map(|age| age.as_millis());
+        json!({ "verdict": verdict, "confirmed_ms": age, "unsettled": answer.unsettled })
+    }
+}
--- a/crates/tamarackdock_node/src/telemetry/metrics.rs
+++ b/crates/tamarackdock_node/src/telemetry/metrics.rs
@@ -11,6 +11,8 @@
     pub(crate) tokens: IntCounter,
     /// Version of the configuration in force.
     pub(crate) config_version: IntGauge,
+    /// 1 while keyed calls are refused.
+    pub(crate) cut_off: IntGauge,
 }
 
 impl Metrics {
@@ -31,12 +33,17 @@
                 "tamarackdock_config_version",
                 "Version of the configuration in force.",
             )?,
+            cut_off: IntGauge::new(
+                "tamarackdock_cut_off",
+                "1 while keyed calls are refused, since keys may have been withdrawn.",
+            )?,
             registry,
         };
         metrics.registry.register(Box::new(metrics.calls.clone()))?;
         metrics.registry.register(Box::new(metrics.attempts.clone()))?;
         metrics.registry.register(Box::new(metrics.tokens.clone()))?;
         metrics.registry.register(Box::new(metrics.config_version.clone()))?;
+        metrics.registry.register(Box::new(metrics.cut_off.clone()))?;
         Ok(metrics)
     }
 
