Refuse keyed calls on nodes that are cut off

Cause: a node that had lost the store and its peers went on with keys that may have been withdrawn.

Change: each keyed call asks the gate, which applies the cut-off rule at that moment. A node that is cut off refuses with `cut_off` and `ran: no`, also keys that it does not know, and breaks off the streams of keyed calls. Open services go on.

--- a/crates/standin/tests/agreement.rs
+++ b/crates/standin/tests/agreement.rs
@@ -4,6 +4,8 @@
 mod caller;
 #[path = "agreement/config.rs"]
 mod config;
+#[path = "agreement/cut_off.rs"]
+mod cut_off;
 #[path = "agreement/membership.rs"]
 mod membership;
 #[path = "agreement/operator.rs"]
--- a/crates/standin/tests/agreement/caller.rs
+++ b/crates/standin/tests/agreement/caller.rs
@@ -1,6 +1,8 @@
 use std::{
     io::{Read as _, Write as _},
     net::{SocketAddr, TcpStream},
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
 };
 
 use serde_json::json;
@@ -41,3 +43,47 @@
     let body = json!({"model": "m", "prompt": "p", "max_tokens": 1}).to_string();
     send(address, "/v1/completions", Some(key), &body)
 }
+
+/// Calls the plain service.
+pub(crate) fn plain(address: SocketAddr, key: Option<&str>) -> Refused {
+    send(address, "/v1/services/parcels/p", key, "{}")
+}
+
+/// Opens a step.
+pub(crate) fn step(address: SocketAddr, key: &str) -> Refused {
+    let body = json!({
+        "trainer": "t1", "step": 1, "prompts": ["p"], "group_size": 1, "max_tokens": 1,
+        "staleness_bound": 1,
+    });
+    send(address, "/v1/steps", Some(key), &body.to_string())
+}
+
+/// A stream that is read until it is broken off.
+pub(crate) struct Live(JoinHandle<Instant>);
+
+impl Live {
+    /// Opens the stream and waits for its first bytes.
+    pub(crate) fn open(address: SocketAddr, key: &str) -> Self {
+        let body = json!({"model": "m", "prompt": "p", "max_tokens": 1_000_000, "stream": true});
+        let mut stream = open(address, "/v1/completions", Some(key), &body.to_string());
+        let mut buffer = [0; 4096];
+        let first = stream.read(&mut buffer).unwrap();
+        assert!(buffer[..first].starts_with(b"HTTP/1.1 200"));
+        Self(thread::spawn(move || {
+            let mut last = Instant::now();
+            while let Ok(1..) = stream.read(&mut buffer) {
+                last = Instant::now();
+            }
+            last
+        }))
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        !self.0.is_finished()
+    }
+
+    /// Waits for the end and returns how long after `begin` the last byte came.
+    pub(crate) fn served_after(self, begin: Instant) -> Duration {
+        self.0.join().unwrap().saturating_duration_since(begin)
+    }
+}
--- a/crates/standin/tests/agreement/config.rs
+++ b/crates/standin/tests/agreement/config.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     caller::complete,
-    support::{BOUND, deployment, until, version, world},
+    support::{BOUND, deployment, until, verdict, version, world},
 };
 
 const ROUNDS: u64 = 8;
@@ -69,12 +69,16 @@
     assert_eq!(commits.count(), 1);
 }
 
-/// Guards against a node that can't start while the store is down.
+/// Guards against a node that can't start while the store is down, long enough for
+/// no peer to be able to say that its version was the newest one a moment ago.
 #[test]
 fn empty_node_catches_up_from_peers_without_store() {
     let mut world = world(&["d1", "d2"]);
     let wanted = version(&world, 0);
     world.platform.state().faults.store_down = true;
+    until("the peers go on by the cut-off rule", || {
+        (0..2).all(|node| verdict(&world, node) == "StoreDown")
+    });
     world.join("d2").unwrap();
     let joined = Instant::now();
     until("the new node has the configuration", || version(&world, 2) == wanted);
--- a/crates/standin/tests/agreement/support.rs
+++ b/crates/standin/tests/agreement/support.rs
@@ -51,3 +51,9 @@
 pub(crate) fn deployment(world: &World, node: usize) -> Value {
     world.operate(node, "GET", "/config", "").unwrap().body["deployment"].clone()
 }
+
+/// Returns what a node holds of its keys.
+pub(crate) fn verdict(world: &World, node: usize) -> String {
+    let state = world.operate(node, "GET", "/debug/state", "").unwrap().body;
+    state["reachability"]["verdict"].as_str().unwrap().into()
+}
--- a/crates/tamarackdock_node/src/caller/access.rs
+++ b/crates/tamarackdock_node/src/caller/access.rs
@@ -5,14 +5,29 @@
     key::Hash,
     refusal::{Code, Refusal},
 };
-use tamarackdock_wire::{flag::Flag, server::Request};
+use tamarackdock_wire::server::Request;
 
-use crate::active::{Active, Key};
+use super::ending::Ending;
+use crate::{
+    active::{Active, Key},
+    reachability::Gate,
+};
 
 const SCHEME: &str = "Bearer ";
 
-/// Returns the key that came with a request.
-pub(crate) fn key<'a>(active: &'a Active, request: &Request) -> Result<&'a Key, Refusal> {
+/// Returns the key that came with a request, and what ends the call. A node that
+/// is cut off refuses first, since a key that it does not know may be valid.
+pub(super) fn key<'a>(
+    active: &'a Active,
+    gate: &Gate,
+    request: &Request,
+) -> Result<(&'a Key, Ending), Refusal> {
+    let cut_off = gate.admit()?;
+    let key = known_key(active, request)?;
+    Ok((key, Ending::keyed(key.withdrawn.clone(), cut_off)))
+}
+
+fn known_key<'a>(active: &'a Active, request: &Request) -> Result<&'a Key, Refusal> {
     let shown = request.header("authorization").and_then(|value| value.strip_prefix(SCHEME));
     let shown = shown.ok_or_else(|| {
         let message = "no key came with the request; send `Authorization: Bearer KEY`";
@@ -21,21 +36,22 @@
     active.key(&Hash::of(shown.trim().as_bytes())).ok_or_else(unknown_key)
 }
 
-/// Returns the service that a request may use, and the flag that ends the call.
-pub(crate) fn service(
+/// Returns the service that a request may use, and what ends the call.
+pub(super) fn service(
     active: &Active,
+    gate: &Gate,
     request: &Request,
     name: &str,
-) -> Result<(Rc<Service>, Flag), Refusal> {
+) -> Result<(Rc<Service>, Ending), Refusal> {
     let found = active.service(name).cloned();
     match found {
-        Some(service) if service.access == Access::Open => Ok((service, Flag::new())),
+        Some(service) if service.access == Access::Open => Ok((service, Ending::never())),
         // Without a key, whether a service exists is not told.
         found => {
-            let key = key(active, request)?;
+            let (key, ending) = key(active, gate, request)?;
             match found {
                 Some(service) if key.account.services.contains(&service.name) => {
-                    Ok((service, key.withdrawn.clone()))
+                    Ok((service, ending))
                 }
                 Some(_) | None => {
                     let message = format!("the key's account has no service `{name}`");
@@ -49,8 +65,3 @@
 fn unknown_key() -> Refusal {
     Refusal::not_run(Code::Unauthorized, "the key is not valid; ask the operator for a new one")
 }
-
-/// The refusal of a call whose key was withdrawn while it ran.
-pub(crate) fn withdrawn() -> Refusal {
-    Refusal::unknown(Code::Unauthorized, "the key was withdrawn while the call ran")
-}
--- a/crates/tamarackdock_node/src/caller/completion.rs
+++ b/crates/tamarackdock_node/src/caller/completion.rs
@@ -11,12 +11,11 @@
     weight::Version,
 };
 use tamarackdock_wire::{
-    flag::Flag,
     server::{Request, Response},
     stream::{self, Piece},
 };
 
-use super::access;
+use super::{access, ending::Ending};
 use crate::{
     context::Context,
     engine::{Event, Generation, Priority, Sink},
@@ -53,7 +52,7 @@
         Refusal::not_run(Code::BadRequest, format!("the body is no completion request: {error}"))
     })?;
     let active = context.active.get();
-    let (service, withdrawn) = access::service(&active, request, &body.model)?;
+    let (service, ending) = access::service(&active, &context.gate, request, &body.model)?;
     let mut extra = body.extra;
     extra.retain(|name, _| !RESERVED.contains(&name.as_str()));
     let generation = Generation {
@@ -66,9 +65,9 @@
         extra,
     };
     if body.stream {
-        return Ok(streamed(context.clone(), generation, withdrawn));
+        return Ok(streamed(context.clone(), generation, ending));
     }
-    whole(context, &generation, &withdrawn).await
+    whole(context, &generation, &ending).await
 }
 
 #[derive(Default)]
@@ -90,16 +89,16 @@
 async fn whole(
     context: &Context,
     generation: &Generation,
-    withdrawn: &Flag,
+    ending: &Ending,
 ) -> Result<Response, Refusal> {
     let mut collected = Collected::default();
     let summary = {
         let work = generation.run(context, &mut collected);
-        let ended = withdrawn.wait();
+        let ended = ending.wait();
         pin_mut!(work, ended);
         match select(work, ended).await {
             Either::Left((result, _)) => result?,
-            Either::Right(_) => return Err(access::withdrawn()),
+            Either::Right((refusal, _)) => return Err(refusal),
         }
     };
     let body = json!({
@@ -132,7 +131,7 @@
     }
 }
 
-fn streamed(context: Context, generation: Generation, withdrawn: Flag) -> Response {
+fn streamed(context: Context, generation: Generation, ending: Ending) -> Response {
     let (mut pieces, receiver) = stream::channel();
     let producer = async move {
         let mut forwarder = Forwarder {
@@ -142,7 +141,7 @@
         };
         let result = {
             let work = generation.run(&context, &mut forwarder);
-            let ended = withdrawn.wait();
+            let ended = ending.wait();
             pin_mut!(work, ended);
             match select(work, ended).await {
                 Either::Left((result, _)) => result,
--- a/crates/tamarackdock_node/src/caller/mod.rs
+++ b/crates/tamarackdock_node/src/caller/mod.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod completion;
+mod ending;
 mod handler;
 mod plain;
 mod request_id;
--- a/crates/tamarackdock_node/src/caller/plain.rs
+++ b/crates/tamarackdock_node/src/caller/plain.rs
@@ -43,14 +43,14 @@
     id: String,
 ) -> Result<Response, Refusal> {
     let active = context.active.get();
-    let (service, withdrawn) = access::service(&active, request, service)?;
+    let (service, ending) = access::service(&active, &context.gate, request, service)?;
     let call = Call { context, request, service: &service, id };
     let work = call.run();
-    let ended = withdrawn.wait();
+    let ended = ending.wait();
     pin_mut!(work, ended);
     match select(work, ended).await {
         Either::Left((result, _)) => result,
-        Either::Right(_) => Err(access::withdrawn()),
+        Either::Right((refusal, _)) => Err(refusal),
     }
 }
 
--- a/crates/tamarackdock_node/src/caller/step.rs
+++ b/crates/tamarackdock_node/src/caller/step.rs
@@ -15,7 +15,7 @@
     request: &Request,
 ) -> Result<Response, Refusal> {
     let active = context.active.get();
-    let key = access::key(&active, request)?;
+    let (key, ending) = access::key(&active, &context.gate, request)?;
     let call = StepCall {
         method: request.method.as_str().into(),
         uri: request.uri.to_string(),
@@ -28,10 +28,10 @@
         return Err(Refusal::not_run(Code::NotFound, message));
     }
     let work = steps.answer(&call);
-    let ended = key.withdrawn.wait();
+    let ended = ending.wait();
     pin_mut!(work, ended);
     match select(work, ended).await {
         Either::Left((answer, _)) => Ok(answer.into()),
-        Either::Right(_) => Err(access::withdrawn()),
+        Either::Right((refusal, _)) => Err(refusal),
     }
 }
--- a/crates/tamarackdock_node/src/reachability/gate.rs
+++ b/crates/tamarackdock_node/src/reachability/gate.rs
@@ -1,13 +1,16 @@
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use serde_json::{Value, json};
 use tamarackdock_config::reachability::{Reachability, Verdict};
 use tamarackdock_types::{
     DataCentreName,
     clock::{BootClock, Clock},
+    refusal::{Code, Refusal},
 };
 use tamarackdock_wire::flag::Flag;
 
+const RETRY_HINT: Duration = Duration::from_secs(1);
+
 /// Decides whether keyed calls are served, shared by the tasks of a thread.
 #[derive(Clone)]
 pub(crate) struct Gate(Rc<Inner>);
@@ -25,6 +28,16 @@
         Self(Rc::new(Inner { state, cut_off: RefCell::default() }))
     }
 
+    /// Admits a keyed call and returns the flag that ends it. The clock is read
+    /// for each call, so that a node that was paused refuses before its first tick.
+    pub(crate) fn admit(&self) -> Result<Flag, Refusal> {
+        if self.refresh().serves_keys() {
+            return Ok(self.0.cut_off.borrow().clone());
+        }
+        let message = "the node can't tell whether keys are still valid; ask another node";
+        Err(Refusal::not_run(Code::CutOff, message).retry_after(RETRY_HINT))
+    }
+
     /// Returns the verdict of this moment, and ends the keyed calls in progress
     /// if the node is cut off.
     pub(crate) fn refresh(&self) -> Verdict {
