--- a/crates/tamarackdock_node/src/bin/tamarackdock.rs
+++ b/crates/tamarackdock_node/src/bin/tamarackdock.rs
@@ -3,7 +3,7 @@
 use std::{env, fs, process::ExitCode};
 
 use getopts::Options;
-use tamarackdock_config::Settings;
+use tamarackdock_config::{Settings, reader};
 use tamarackdock_node::{Node, log, runtime};
 
 const USAGE: &str = "Usage: tamarackdock --config FILE [--check]";
@@ -26,7 +26,7 @@
         Some(path) => match read(&path) {
             Ok(_) if matches.opt_present("check") => print(&format!("`{path}` is valid")),
             Ok(settings) => run(settings),
-            Err(error) => usage_error(&error),
+            Err(error) => invalid(&error),
         },
     }
 }
@@ -41,10 +41,14 @@
     ExitCode::from(EXIT_USAGE)
 }
 
+fn invalid(message: &str) -> ExitCode {
+    eprintln!("tamarackdock: {}", message.trim_end());
+    ExitCode::from(EXIT_USAGE)
+}
+
 fn read(path: &str) -> Result<Settings, String> {
-    let text = fs::read_to_string(path).map_err(|error| format!("can't read `{path}`: {error}"))?;
-    jsonc_parser::parse_to_serde_value(&text, &jsonc_parser::ParseOptions::default())
-        .map_err(|error| format!("`{path}`: {error}"))
+    let bytes = fs::read(path).map_err(|error| format!("can't read `{path}`: {error}"))?;
+    reader::settings(path, &bytes).map_err(|report| report.to_string())
 }
 
 fn run(settings: Settings) -> ExitCode {
