--- a/crates/tamarackdock_node/src/caller/completion.rs
+++ b/crates/tamarackdock_node/src/caller/completion.rs
@@ -12,12 +12,14 @@
     weight::Version,
 };
 use tamarackdock_wire::{
-    flag::Flag,
     server::{Request, Response},
     stream::{self, Piece},
 };
 
-use super::access::{self, Grant};
+use super::{
+    access::{self, Grant},
+    ending::Ending,
+};
 use crate::{
     context::Context,
     engine::{Event, Generation, Sink},
@@ -55,7 +57,8 @@
         Refusal::not_run(Code::BadRequest, format!("the body is no completion request: {error}"))
     })?;
     let active = context.active.get();
-    let Grant { service, account, withdrawn } = access::service(&active, request, &body.model)?;
+    let Grant { service, account, ending } =
+        access::service(&active, &context.gate, request, &body.model)?;
     let mut extra = body.extra;
     extra.retain(|name, _| !RESERVED.contains(&name.as_str()));
     let generation = Generation {
@@ -70,9 +73,9 @@
     };
     let admitted = context.router.admit(generation.admit()).await?;
     if body.stream {
-        return Ok(streamed(context.clone(), generation, withdrawn, admitted));
+        return Ok(streamed(context.clone(), generation, ending, admitted));
     }
-    whole(context, &generation, &withdrawn, admitted).await
+    whole(context, &generation, &ending, admitted).await
 }
 
 #[derive(Default)]
@@ -94,18 +97,18 @@
 async fn whole(
     context: &Context,
     generation: &Generation,
-    withdrawn: &Flag,
+    ending: &Ending,
     admitted: Admitted,
 ) -> Result<Response, Refusal> {
     let _admitted = admitted;
     let mut collected = Collected::default();
     let summary = {
         let work = generation.run(context, &mut collected);
-        let ended = withdrawn.wait();
+        let ended = ending.wait();
         pin_mut!(work, ended);
         match select(work, ended).await {
             Either::Left((result, _)) => result?,
-            Either::Right(_) => return Err(access::withdrawn()),
+            Either::Right((refusal, _)) => return Err(refusal),
         }
     };
     let body = json!({
@@ -141,7 +144,7 @@
 fn streamed(
     context: Context,
     generation: Generation,
-    withdrawn: Flag,
+    ending: Ending,
     admitted: Admitted,
 ) -> Response {
     let (mut pieces, receiver) = stream::channel();
@@ -154,7 +157,7 @@
         };
         let result = {
             let work = generation.run(&context, &mut forwarder);
-            let ended = withdrawn.wait();
+            let ended = ending.wait();
             pin_mut!(work, ended);
             match select(work, ended).await {
                 Either::Left((result, _)) => result,
--- a/crates/tamarackdock_node/src/caller/plain.rs
+++ b/crates/tamarackdock_node/src/caller/plain.rs
@@ -53,15 +53,16 @@
     id: String,
 ) -> Result<Response, Refusal> {
     let active = context.active.get();
-    let Grant { service, account, withdrawn } = access::service(&active, request, service)?;
+    let Grant { service, account, ending } =
+        access::service(&active, &context.gate, request, service)?;
     let meter = context.usage.meter(account.clone());
     let call = Call { context, request, service: &service, account, id, meter };
     let work = call.run();
-    let ended = withdrawn.wait();
+    let ended = ending.wait();
     pin_mut!(work, ended);
     match select(work, ended).await {
         Either::Left((result, _)) => result,
-        Either::Right(_) => Err(access::withdrawn()),
+        Either::Right((refusal, _)) => Err(refusal),
     }
 }
 
--- a/crates/tamarackdock_node/src/dispatch.rs
+++ b/crates/tamarackdock_node/src/dispatch.rs
@@ -4,9 +4,14 @@
 
 use futures_util::{FutureExt, future::LocalBoxFuture};
 
+use tamarackdock_types::clock::{BootClock, Clock};
+
 use crate::{
+    config,
+    context::Context,
     membership,
     peer::{self, Message, Reply},
+    reachability::Gate,
     router,
     step::Service,
     usage,
@@ -18,16 +23,19 @@
     router: router::Handle,
     usage: usage::Handle,
     membership: Rc<membership::Service>,
+    config: Rc<config::Service>,
+    gate: Gate,
 }
 
 impl Dispatch {
     pub(crate) fn new(
+        context: &Context,
         steps: Rc<Service>,
-        router: router::Handle,
-        usage: usage::Handle,
         membership: Rc<membership::Service>,
+        config: Rc<config::Service>,
     ) -> Self {
-        Self { steps, router, usage, membership }
+        let (router, usage) = (context.router.clone(), context.usage.clone());
+        Self { steps, router, usage, membership, config, gate: context.gate.clone() }
     }
 }
 
@@ -54,6 +62,13 @@
                     self.usage.keep(origin, batches);
                     Reply::Ok
                 }
+                Message::Config { from, message } => {
+                    Reply::Config(self.config.receive(&from, message))
+                }
+                Message::Reachability(sent) => {
+                    let now = BootClock.now();
+                    Reply::Reachability(self.gate.with(|state| state.asked(now, sent)))
+                }
                 Message::Membership(message) => Reply::Membership(self.membership.receive(message)),
             }
         }
--- a/crates/tamarackdock_node/src/peer/message.rs
+++ b/crates/tamarackdock_node/src/peer/message.rs
@@ -1,8 +1,9 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
+use tamarackdock_config::propagate;
 use tamarackdock_membership as membership;
 use tamarackdock_route::{credit, quarantine};
-use tamarackdock_types::{HostName, TargetName};
+use tamarackdock_types::{HostName, TargetName, clock::Instant};
 use tamarackdock_usage::{Batch, Keys};
 
 /// A message to another node.
@@ -20,6 +21,16 @@
     Usage { origin: Keys, batches: Vec<Batch> },
     /// A probe, its answer, or a request to probe.
     Membership(membership::Message),
+    /// The configuration, or what the sender has of it.
+    Config {
+        /// Sender.
+        from: HostName,
+        /// Message.
+        message: propagate::Message,
+    },
+    /// Asks when the receiver last reached the store, with the time of sending on
+    /// the sender's clock.
+    Reachability(Instant),
 }
 
 /// A trainer's call, checked for its key by the node that received it.
