Order engines to load new weights under each data centre's lease

Nothing told engines of new versions, so trainers got no samples once the staleness bound was passed.

Nodes of a data centre are candidates for its lease `orders/{data centre}`; other nodes become candidates after 10 s without a renewal. The holder polls the load reports of the data centre's engines every 500 ms and runs one loader for each model. Each data centre takes the part of the weight store's rate that its share of the engines makes. The lease is checked on the open connection, directly before the order is sent. Orders to engines that do not check epochs are recorded first, and their reports count only once no order of an earlier epoch can arrive. Versions, restart ids and warm flags are published in `targets::Watch` at the holder. `GET /load` gets the field `loading`.

Tests: failed loads are retried and not shown as loaded; an engine that was down loads later; the holder is killed during loads, with engines that check epochs and with engines that do not.

--- a/crates/standin/src/engine/handler.rs
+++ b/crates/standin/src/engine/handler.rs
@@ -96,9 +96,11 @@
             let mut state = lock(&self.state);
             (state.begin_load(order.epoch), state.options.load_time)
         };
-        if outcome.is_ok() {
+        let loading = outcome.is_ok().then(|| Loading(self.state.clone()));
+        if loading.is_some() {
             monoio::time::sleep(load_time).await;
         }
+        drop(loading);
         let mut state = lock(&self.state);
         let is_loaded = outcome == Ok(true);
         let record = (order.operation, order.epoch, order.version, is_loaded);
@@ -116,6 +118,15 @@
     }
 }
 
+/// A load in progress.
+struct Loading(Arc<Mutex<State>>);
+
+impl Drop for Loading {
+    fn drop(&mut self) {
+        lock(&self.0).end_load();
+    }
+}
+
 impl server::Handler for Handler {
     fn handle(&self, request: Request) -> LocalBoxFuture<'_, Response> {
         async move {
--- a/crates/standin/src/engine/load.rs
+++ b/crates/standin/src/engine/load.rs
@@ -17,6 +17,8 @@
     pub running: usize,
     /// Calls that wait.
     pub queued: usize,
+    /// Whether it loads weights.
+    pub loading: bool,
     /// Version of the weights.
     pub weight_version: Version,
     /// Calls that can run at the same time.
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -19,6 +19,8 @@
     pub(super) queue: Queue,
     pub(super) running: usize,
     pub(super) starts: u64,
+    /// Loads in progress.
+    pub(super) loads: usize,
     pub(super) version: Version,
     pub(super) silence: Silence,
     epoch: Epoch,
@@ -40,6 +42,7 @@
             queue: Queue::default(),
             running: 0,
             starts: 0,
+            loads: 0,
             version: Version(1),
             silence: Silence::default(),
             epoch: Epoch(0),
@@ -55,6 +58,7 @@
     pub(super) fn start(&mut self) {
         self.starts += 1;
         self.running = 0;
+        self.loads = 0;
         self.queue.clear();
         self.silence = Silence::default();
         self.history = History::default();
@@ -108,9 +112,17 @@
             return Err(self.epoch);
         }
         self.epoch = epoch.max(self.epoch);
+        self.loads += 1;
+        self.note_load();
         Ok(self.random.random::<f64>() >= self.options.load_failure_share)
     }
 
+    /// Ends a load, whether it succeeded, failed or was broken off.
+    pub(super) fn end_load(&mut self) {
+        self.loads = self.loads.saturating_sub(1);
+        self.note_load();
+    }
+
     pub(super) fn finish_load(&mut self, version: Version) {
         self.version = version;
         // Cached values of the old weights are of no use.
@@ -124,6 +136,7 @@
             warm: !self.is_cold(),
             running: self.running,
             queued: self.queue.len(),
+            loading: self.loads > 0,
             weight_version: self.version,
             capacity: self.options.capacity,
         }
--- a/crates/standin/tests/usage.rs
+++ b/crates/standin/tests/usage.rs
@@ -1,34 +1,19 @@
 //! Runs nodes on stand-ins and compares the usage reports with the engines' own counts.
 
-use std::time::{Duration, Instant};
+mod support;
 
 use serde_json::Value;
 use standin::{
     app::{self, App},
     world::{self, World},
 };
-
-const SEED: u64 = 0x5eed;
-/// Passing this time only fails a test.
-const DEADLINE: Duration = Duration::from_secs(40);
-const POLL: Duration = Duration::from_millis(10);
+use support::{SEED, until};
 
 fn world() -> World {
     println!("seed {SEED:#x}");
     World::spawn(world::Options { seed: SEED, ..world::Options::default() }).unwrap()
 }
 
-fn until<T>(what: &str, condition: impl Fn() -> Option<T>) -> T {
-    let begin = Instant::now();
-    loop {
-        if let Some(value) = condition() {
-            return value;
-        }
-        assert!(begin.elapsed() < DEADLINE, "still waiting until {what}");
-        std::thread::sleep(POLL);
-    }
-}
-
 /// Asks all questions through the first `nodes` nodes and waits for the answers.
 fn ask(world: &World, nodes: usize, questions: u64) {
     let nodes = world.nodes()[..nodes].to_vec();
--- /dev/null
+++ b/crates/tamarackdock_node/src/centre/mod.rs
@@ -0,0 +1,15 @@
+//! The role of the lease `orders/{data centre}`: loads of weights and orders of
+//! targets. See `docs/design.md`, sections 4, 6 and 7.
+
+mod candidacy;
+mod handle;
+mod loads;
+mod message;
+mod metrics;
+mod order;
+mod polls;
+mod run;
+mod task;
+
+pub(crate) use handle::Handle;
+pub(crate) use run::run;
--- a/crates/tamarackdock_node/src/context.rs
+++ b/crates/tamarackdock_node/src/context.rs
@@ -5,8 +5,8 @@
 use tamarackdock_wire::{client::Pool, flag::Flag};
 
 use crate::{
-    active::Watch, peer, peers::Peers, platform::Platform, router, telemetry::Metrics, usage,
-    weights,
+    active::Watch, centre, peer, peers::Peers, platform::Platform, router, targets,
+    telemetry::Metrics, usage, weights,
 };
 
 /// What the tasks of a node share.
@@ -21,6 +21,8 @@
     pub(crate) peer_client: peer::Client,
     pub(crate) weights: weights::Watch,
     pub(crate) usage: usage::Handle,
+    pub(crate) targets: targets::Watch,
+    pub(crate) centres: centre::Handle,
     pub(crate) metrics: Rc<Metrics>,
     pub(crate) log: Logger,
     /// Raised when the node begins to stop: the health check fails from then on.
--- a/crates/tamarackdock_node/src/engine/mod.rs
+++ b/crates/tamarackdock_node/src/engine/mod.rs
@@ -1,10 +1,12 @@
 //! Calls to model engines, see `docs/platform.md`.
 
 mod attempt;
+mod control;
 mod event;
 mod generation;
 mod sse;
 
 pub(crate) use attempt::{Attempt, Failure};
+pub(crate) use control::{Load, LoadOrder, Loaded, fetch_load, order_load};
 pub(crate) use event::Event;
 pub(crate) use generation::{Generation, Priority, Sink};
--- a/crates/tamarackdock_node/src/lease/handle.rs
+++ b/crates/tamarackdock_node/src/lease/handle.rs
@@ -1,7 +1,7 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use futures_channel::mpsc;
-use tamarackdock_lease::{Input, Lease, Operations, Terms};
+use tamarackdock_lease::{Deadline, Input, Lease, Operations, Terms};
 use tamarackdock_platform::table::Condition;
 use tamarackdock_types::{
     clock::{BootClock, Clock},
@@ -72,6 +72,23 @@
         Some(self.lease.borrow().held()?.fence())
     }
 
+    /// Returns the send deadline of an order whose record, under
+    /// [`Self::fence`], is about to be sent.
+    pub(crate) fn record(&self) -> Option<Deadline> {
+        self.lease.borrow_mut().held_mut()?.record(BootClock.now())
+    }
+
+    /// Returns the epoch if a recorded order may be sent at this moment to a
+    /// receiver that ignores epochs.
+    pub(crate) fn permit_recorded(&self, deadline: Deadline) -> Option<Epoch> {
+        self.lease.borrow().held()?.permit_recorded(BootClock.now(), deadline)
+    }
+
+    /// Whether no order of an earlier epoch can arrive any more.
+    pub(crate) fn is_quiet(&self) -> bool {
+        self.lease.borrow().held().is_some_and(|held| held.is_quiet(BootClock.now()))
+    }
+
     /// Whether a release has ended.
     pub(crate) fn is_idle(&self) -> bool {
         self.lease.borrow().is_idle()
--- a/crates/tamarackdock_node/src/lib.rs
+++ b/crates/tamarackdock_node/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod active;
 mod caller;
+mod centre;
 mod config;
 mod context;
 mod dispatch;
@@ -18,6 +19,7 @@
 mod running;
 pub mod runtime;
 mod step;
+mod targets;
 mod telemetry;
 mod usage;
 mod weights;
--- a/crates/tamarackdock_node/src/node.rs
+++ b/crates/tamarackdock_node/src/node.rs
@@ -14,7 +14,7 @@
     Error, Running,
     active::Watch,
     caller::{self, RequestIds},
-    config,
+    centre, config,
     context::Context,
     dispatch::Dispatch,
     operator, peer, peers,
@@ -22,7 +22,7 @@
     platform::Platform,
     router,
     running::Listeners,
-    step,
+    step, targets,
     telemetry::{Metrics, log},
     usage, weights,
 };
@@ -61,6 +61,8 @@
             peer_client: peer::Client::new(peer_pool),
             weights: weights::Watch::default(),
             usage,
+            targets: targets::Watch::default(),
+            centres: centre::Handle::new(&metrics).map_err(Error::Metrics)?,
             metrics,
             log: self.log,
             leaving: Flag::new(),
@@ -85,6 +87,7 @@
         monoio::spawn(weights::run(context.clone()));
         monoio::spawn(peers::run(context.clone()));
         usage::spawn(&context, usage_messages);
+        monoio::spawn(centre::run(context.clone()));
         let listeners = Listeners { callers, operators, peers };
         info!(log::part(&context.log, "node"), "started";
             "callers" => %listeners.callers.address());
--- a/crates/tamarackdock_node/src/operator/handler.rs
+++ b/crates/tamarackdock_node/src/operator/handler.rs
@@ -43,6 +43,8 @@
             "leaving": self.context.leaving.is_raised(),
             "steps": self.steps.dump(),
             "usage": self.context.usage.dump().await,
+            "data_centres": self.context.centres.dump(),
+            "targets": self.context.targets.dump(),
             "router": self.context.router.dump().await,
         });
         Response::json(StatusCode::OK, &body)
--- a/crates/tamarackdock_node/src/running.rs
+++ b/crates/tamarackdock_node/src/running.rs
@@ -88,11 +88,13 @@
         info!(log, "leaving"; "open_connections" => self.listeners.callers.open());
         self.context.leaving.raise();
         monoio::time::sleep(settings.balancer_grace_ms).await;
+        self.context.centres.release();
         self.steps.hand_over().await;
         self.stop.raise();
         let drained = self.listeners.callers.drained();
         let drained = monoio::time::timeout(settings.drain_timeout_ms, drained).await;
         usage::finish(&self.context).await;
+        self.context.centres.released().await;
         match drained {
             Ok(()) => info!(log, "stopped"),
             Err(_) => {
