Order targets by measured demand under each data centre's lease

No task ran the target plan, and no node knew which targets leave.

The holder of `orders/{data centre}` plans the targets of each model from the calls that its engines report or, where they are more, that the node itself has in flight. Every order is recorded and sent before its deadline, since the configuration does not tell whether the ordering interface checks epochs. The state machine gave new targets names of its own, which have no address in the configuration; `Orders::of_service` restricts it to the configured names. Every node polls the lists each second and publishes in `targets::Watch` which targets may get new work. A data centre whose list never had a target is not ordered.

Tests: no list causes no orders and refuses no target; a leaving target is published on all nodes; demand starts targets; the holder is killed between orders while 20 % of the responses are lost, and the receiver gets no order of an earlier epoch after one of a later epoch.

--- /dev/null
+++ b/crates/standin/tests/orders.rs
@@ -0,0 +1,141 @@
+//! Runs nodes on stand-ins and checks the orders that the platform records.
+
+mod support;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde_json::Value;
+use standin::{
+    app::{self, App},
+    engine,
+    world::{self, World},
+};
+use support::{SEED, until};
+use tamarackdock_config::settings::{Policy, Spending};
+use tamarackdock_platform::order::{Action, Class, Listed, State};
+use tamarackdock_types::{DataCentreName, TargetName};
+
+fn world(spending: Spending, engine: engine::Options) -> World {
+    println!("seed {SEED:#x}");
+    let policy = Policy { spending, ..Policy::default() };
+    let options = world::Options { seed: SEED, policy, engine, ..world::Options::default() };
+    World::spawn(options).unwrap()
+}
+
+fn d1() -> DataCentreName {
+    DataCentreName::new("d1").unwrap()
+}
+
+fn list(world: &World, target: &str, state: State) {
+    let name = TargetName::new(target).unwrap();
+    let listed = Listed { name, class: Class::Ordinary, state };
+    world.platform.state().orders.set(d1(), listed);
+}
+
+fn all_run(world: &World) -> Option<()> {
+    let listed = world.platform.state().orders.list(&d1());
+    let runs = |name: &str| {
+        listed.iter().any(|target| target.name.as_str() == name && target.state == State::Running)
+    };
+    ["e0", "e1", "e2"].into_iter().all(runs).then_some(())
+}
+
+/// Returns the targets that a node gives no new work.
+fn no_new_work(world: &World, node: usize) -> Option<Vec<String>> {
+    let state = world.debug_state(node)?;
+    state["targets"]["lists"].get("d1").filter(|_| state["targets"]["lists"]["d2"].is_object())?;
+    let names = state["targets"]["no_new_work"].as_array()?.iter();
+    names.map(|name| Some(name.as_str()?.to_owned())).collect()
+}
+
+/// Checks that no order of an earlier epoch follows one of a later epoch, that
+/// each epoch had one holder, and that only configured targets were ordered.
+fn check(world: &World) {
+    let state = world.platform.state();
+    let received = state.orders.received();
+    assert!(received.iter().all(|received| received.data_centre == d1()));
+    assert!(received.is_sorted_by_key(|received| received.order.epoch), "{received:?}");
+    let configured = ["e0", "e1", "e2"];
+    assert!(received.iter().all(|r| configured.contains(&r.order.target.as_str())));
+    let mut holders = BTreeMap::new();
+    let writes = state.table.commits().iter().flat_map(|commit| &commit.writes);
+    for write in writes.filter(|write| write.key == "lease/orders/d1") {
+        let row: Value = serde_json::from_str(write.value.as_ref().unwrap()).unwrap();
+        let holder = row["holder"].as_str().unwrap().to_owned();
+        assert_eq!(*holders.entry(row["epoch"].as_u64()).or_insert_with(|| holder.clone()), holder);
+    }
+}
+
+/// Guards against orders, and refused targets, where the platform lists none.
+#[test]
+fn without_a_list_all_targets_run() {
+    let world = world(Spending::Fixed, engine::Options::default());
+    for node in 0..3 {
+        assert_eq!(until("lists are read", || no_new_work(&world, node)), Vec::<String>::new());
+    }
+    until("d1 is held", || world.holder("orders/d1"));
+    world.shut_down();
+    assert!(world.platform.state().orders.received().is_empty());
+}
+
+/// Guards against work for targets that leave or do not run.
+#[test]
+fn leaving_target_is_published_on_all_nodes() {
+    let world = world(Spending::Fixed, engine::Options::default());
+    for target in ["e0", "e2", "s0"] {
+        list(&world, target, State::Running);
+    }
+    list(&world, "e1", State::Leaving);
+    for node in 0..3 {
+        until("e1 gets no new work", || no_new_work(&world, node).filter(|names| names == &["e1"]));
+    }
+}
+
+/// Guards against a plan that does not follow the demand.
+#[test]
+fn demand_starts_targets() {
+    let token_interval = Duration::from_millis(5);
+    let engine = engine::Options { capacity: 1, token_interval, ..engine::Options::default() };
+    let world = world(Spending::Elastic, engine);
+    for target in ["e2", "s0"] {
+        list(&world, target, State::Running);
+    }
+    let mut app = App::spawn(app::Options {
+        key: "shop-key".into(),
+        nodes: world.nodes(),
+        questions: u64::MAX,
+        callers: 8,
+        ..app::Options::default()
+    })
+    .unwrap();
+    until("all targets of d1 run", || all_run(&world));
+    app.stop();
+    check(&world);
+}
+
+/// Guards against orders of two holders: the first is killed while it waits for
+/// targets that can't be had, and responses are lost throughout.
+#[test]
+fn holder_killed_between_orders() {
+    let mut world = world(Spending::Fixed, engine::Options::default());
+    let unavailable = (d1(), Class::Ordinary);
+    world.platform.state().orders.unavailable.insert(unavailable.clone());
+    world.platform.state().faults.lose_share = 0.2;
+    for target in ["e0", "s0"] {
+        list(&world, target, State::Running);
+    }
+    let last = |world: &World| {
+        world.platform.state().orders.received().last().map(|received| received.order.epoch)
+    };
+    let first = until("an order arrived", || last(&world));
+    let (holder, _) = world.holder("orders/d1").unwrap();
+    world.hosts[holder].kill();
+    until("the next holder orders", || last(&world).filter(|epoch| *epoch > first));
+    world.platform.state().orders.unavailable.remove(&unavailable);
+    until("all targets of d1 run", || all_run(&world));
+    check(&world);
+    let state = world.platform.state();
+    assert!(state.faults.lost > 0);
+    let accepted = state.orders.received().iter().filter(|received| received.accepted);
+    assert!(accepted.clone().all(|received| received.order.action == Action::Start));
+}
--- a/crates/tamarackdock_node/src/centre/loads.rs
+++ b/crates/tamarackdock_node/src/centre/loads.rs
@@ -2,10 +2,7 @@
 
 use futures_channel::mpsc;
 use slog::{Logger, info};
-use tamarackdock_config::{
-    deployment::{Kind, Target},
-    settings::Loading,
-};
+use tamarackdock_config::{deployment::Target, settings::Loading};
 use tamarackdock_platform::weight::Latest;
 use tamarackdock_types::{
     DataCentreName, ServiceName, TargetName,
@@ -18,7 +15,7 @@
     policy::{AllAtOnce, Policy, Waves},
 };
 
-use super::{message::Message, order, polls::Polls};
+use super::{engines::engines, message::Message, order, polls::Polls};
 use crate::{
     context::Context,
     engine::{Load, fetch_load},
@@ -149,8 +146,13 @@
     /// Publishes a report. The loader gets it only if no order of an earlier
     /// epoch could arrive any more when the engine was asked.
     fn learn(&mut self, engine: &Target, load: Load, is_settled: bool) {
-        let report =
-            Report { version: load.weight_version, restart_id: load.restart_id, warm: load.warm };
+        let report = Report {
+            version: load.weight_version,
+            restart_id: load.restart_id,
+            warm: load.warm,
+            calls: load.running + load.queued,
+            capacity: load.capacity,
+        };
         self.context.targets.set(&engine.name, report);
         if !is_settled {
             return;
@@ -194,13 +196,7 @@
     }
 
     fn engines(&self) -> Vec<Rc<Target>> {
-        let active = self.context.active.get();
-        let is_model = |target: &Target| {
-            let service = active.service(target.service.as_str());
-            service.is_some_and(|service| service.kind == Kind::Model)
-        };
-        let here = active.targets().iter().filter(|target| target.data_centre == self.centre);
-        here.filter(|target| is_model(target)).cloned().collect()
+        engines(&self.context, &self.centre)
     }
 }
 
--- a/crates/tamarackdock_node/src/centre/message.rs
+++ b/crates/tamarackdock_node/src/centre/message.rs
@@ -16,6 +16,8 @@
     Reported { target: TargetName, load: Option<Load>, is_settled: bool },
     /// The weight store gave its newest version.
     Latest { service: ServiceName, latest: Latest },
+    /// The ordering interface or the table answered.
+    Ordered { service: ServiceName, input: tamarackdock_spend::Input },
     /// An ordered load ended.
     Settled { service: ServiceName, input: Input },
 }
--- a/crates/tamarackdock_node/src/centre/mod.rs
+++ b/crates/tamarackdock_node/src/centre/mod.rs
@@ -2,6 +2,8 @@
 //! targets. See `docs/design.md`, sections 4, 6 and 7.
 
 mod candidacy;
+mod demand;
+mod engines;
 mod handle;
 mod loads;
 mod message;
@@ -9,6 +11,7 @@
 mod order;
 mod polls;
 mod run;
+mod spend;
 mod task;
 
 pub(crate) use handle::Handle;
--- /dev/null
+++ b/crates/tamarackdock_node/src/centre/spend.rs
@@ -0,0 +1,188 @@
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use futures_channel::mpsc;
+use serde_json::json;
+use slog::{Logger, info, warn};
+use tamarackdock_config::{deployment::Target, settings::Spending};
+use tamarackdock_lease::Deadline;
+use tamarackdock_platform::{
+    Error,
+    order::{Listed, Order},
+};
+use tamarackdock_spend::{
+    Action, Elastic, Fixed, Input, Orders, Policy, Receiver, Settings, Wanted,
+};
+use tamarackdock_types::{
+    DataCentreName, ServiceName,
+    clock::{BootClock, Clock, Instant},
+};
+
+use super::{demand::Demand, engines::engines, message::Message};
+use crate::{context::Context, lease};
+
+const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+const REFRESH: Duration = Duration::from_secs(1);
+const ELASTIC: Settings = Settings {
+    buffer_percent: 30,
+    bearable_percent: 90,
+    hold: Duration::from_mins(1),
+    unavailable: Duration::from_secs(40),
+};
+
+struct Plan {
+    orders: Orders,
+    policy: Elastic,
+    wanted: Wanted,
+}
+
+/// The targets of a data centre under one epoch, planned for each model.
+pub(super) struct Spend {
+    context: Context,
+    centre: DataCentreName,
+    lease: lease::Handle,
+    plans: BTreeMap<ServiceName, Plan>,
+    next_plan: Instant,
+    messages: mpsc::UnboundedSender<Message>,
+    log: Logger,
+}
+
+impl Spend {
+    pub(super) fn new(
+        context: &Context,
+        centre: &DataCentreName,
+        lease: lease::Handle,
+        messages: mpsc::UnboundedSender<Message>,
+        log: Logger,
+    ) -> Self {
+        Self {
+            context: context.clone(),
+            centre: centre.clone(),
+            lease,
+            plans: BTreeMap::new(),
+            next_plan: Instant::default(),
+            messages,
+            log,
+        }
+    }
+
+    /// Plans where it is due. Where the platform lists no targets, none are ordered.
+    pub(super) fn tick(&mut self) {
+        let now = BootClock.now();
+        if self.context.targets.is_ordered(&self.centre) && now >= self.next_plan {
+            self.next_plan = now + PLAN_INTERVAL;
+            let mut services: BTreeMap<ServiceName, Vec<Rc<Target>>> = BTreeMap::new();
+            for engine in engines(&self.context, &self.centre) {
+                services.entry(engine.service.clone()).or_default().push(engine);
+            }
+            for (service, engines) in services {
+                self.plan(now, &service, &engines);
+            }
+        }
+        let services: Vec<_> = self.plans.keys().cloned().collect();
+        for service in &services {
+            self.step(service, Input::Tick);
+        }
+    }
+
+    /// Passes an input to the orders of a service and acts as they say.
+    pub(super) fn step(&mut self, service: &ServiceName, input: Input) {
+        let Some(plan) = self.plans.get_mut(service) else { return };
+        let now = BootClock.now();
+        let actions = self.lease.with_held(|held| plan.orders.step(now, held, input));
+        for action in actions {
+            self.act(service, action);
+        }
+    }
+
+    /// Describes the state.
+    pub(super) fn dump(&self) -> serde_json::Value {
+        let plan = |(service, plan): (&ServiceName, &Plan)| {
+            let wanted = plan.wanted;
+            let value = json!({"ordinary": wanted.ordinary, "cheap": wanted.cheap});
+            (service.to_string(), value)
+        };
+        self.plans.iter().map(plan).collect()
+    }
+
+    fn plan(&mut self, now: Instant, service: &ServiceName, engines: &[Rc<Target>]) {
+        let demand = Demand::measure(&self.context, &self.centre, engines);
+        // The interface does not tell whether it checks epochs, so that each
+        // order is recorded and sent before its deadline.
+        let new = || Plan {
+            orders: Orders::new(self.centre.clone(), Receiver::IgnoresEpoch, REFRESH)
+                .of_service(service),
+            policy: Elastic::new(ELASTIC),
+            wanted: Wanted::default(),
+        };
+        let plan = self.plans.entry(service.clone()).or_insert_with(new);
+        let centres = BTreeMap::from([(self.centre.clone(), demand.centre)]);
+        let wanted = match self.context.settings.policy.spending {
+            Spending::Elastic => plan.policy.plan(now, &centres),
+            Spending::Fixed => Fixed(demand.all()).plan(now, &centres),
+        };
+        let wanted = wanted.get(&self.centre).copied().unwrap_or_default();
+        plan.wanted = demand.fit(wanted);
+        let wanted = plan.wanted;
+        self.step(service, Input::Pool(demand.pool));
+        self.step(service, Input::Plan(wanted));
+    }
+
+    fn act(&mut self, service: &ServiceName, action: Action) {
+        let table = self.context.platform.table.clone();
+        match action {
+            Action::List { request } => self.list(service, request),
+            Action::Record { request, commit } => self.answer(service, async move {
+                Input::Recorded { request, result: table.commit(commit).await }
+            }),
+            Action::Send { request, order, deadline } => {
+                info!(self.log, "orders"; "target" => %order.target, "action" => ?order.action);
+                self.send(service, request, (order, deadline));
+            }
+            Action::Unavailable(class) => {
+                if let Some(plan) = self.plans.get_mut(service) {
+                    plan.policy.on_unavailable(BootClock.now(), &self.centre, class);
+                }
+            }
+            Action::Stale(epoch) => warn!(self.log, "another holder orders"; "epoch" => %epoch),
+            Action::Wake(_) => {}
+        }
+    }
+
+    fn answer(&self, service: &ServiceName, work: impl Future<Output = Input> + 'static) {
+        let (messages, service) = (self.messages.clone(), service.clone());
+        monoio::spawn(async move {
+            let input = work.await;
+            let _ = messages.unbounded_send(Message::Ordered { service, input });
+        });
+    }
+
+    /// Lists the configured targets of the service; others are never stopped.
+    fn list(&self, service: &ServiceName, request: u64) {
+        let (orders, centre) = (self.context.platform.orders.clone(), self.centre.clone());
+        let mut engines = engines(&self.context, &self.centre);
+        engines.retain(|engine| engine.service == *service);
+        let is_ours =
+            move |target: &Listed| engines.iter().any(|engine| engine.name == target.name);
+        self.answer(service, async move {
+            let result = orders.list(centre).await;
+            let result = result.map(|listed| listed.into_iter().filter(is_ours).collect());
+            Input::Listed { request, result }
+        });
+    }
+
+    /// Sends an order, with the lease and the deadline checked directly before.
+    fn send(&self, service: &ServiceName, request: u64, (order, deadline): (Order, Deadline)) {
+        let (orders, centre) = (self.context.platform.orders.clone(), self.centre.clone());
+        let lease = self.lease.clone();
+        let outcomes = self.context.centres.metrics.orders.clone();
+        self.answer(service, async move {
+            let result = match lease.permit_recorded(deadline) {
+                Some(_) => orders.send(centre, order).await,
+                None => Err(Error::Unreachable),
+            };
+            let outcome = if result.is_ok() { "accepted" } else { "failed" };
+            outcomes.with_label_values(&[outcome]).inc();
+            Input::Sent { request, result }
+        });
+    }
+}
--- a/crates/tamarackdock_node/src/centre/task.rs
+++ b/crates/tamarackdock_node/src/centre/task.rs
@@ -19,6 +19,7 @@
     handle::Entry,
     loads::Loads,
     message::Message,
+    spend::Spend,
 };
 use crate::{
     context::Context,
@@ -36,6 +37,7 @@
     lease: lease::Handle,
     candidacy: Candidacy,
     loads: Option<Loads>,
+    spend: Option<Spend>,
     next_tick: Instant,
     next_row: Instant,
     messages: mpsc::UnboundedSender<Message>,
@@ -63,6 +65,7 @@
             lease,
             candidacy: Candidacy::new(*centre == context.settings.data_centre, now),
             loads: None,
+            spend: None,
             next_tick: now,
             next_row: now,
             messages,
@@ -93,6 +96,11 @@
 
     fn handle(&mut self, message: Message) {
         match (message, &mut self.loads) {
+            (Message::Ordered { service, input }, _) => {
+                if let Some(spend) = &mut self.spend {
+                    spend.step(&service, input);
+                }
+            }
             (Message::Lease(event), _) => self.on_lease(event),
             (Message::Row(seen), _) => self.on_row(seen),
             (Message::Reported { target, load, is_settled }, Some(loads)) => {
@@ -106,6 +114,7 @@
 
     fn on_lease(&mut self, event: Event) {
         self.loads = None;
+        self.spend = None;
         let held = &self.context.centres.metrics.held;
         match event {
             Event::Acquired(_) => held.inc(),
@@ -113,8 +122,11 @@
         }
         if let Event::Acquired(epoch) = event {
             info!(self.log, "holds the lease"; "epoch" => %epoch);
-            let lease = (self.lease.clone(), epoch);
             let (messages, log) = (self.messages.clone(), self.log.clone());
+            let (lease, sender) = (self.lease.clone(), messages.clone());
+            let spend = Spend::new(&self.context, &self.centre, lease, sender, log.clone());
+            self.spend = Some(spend);
+            let lease = (self.lease.clone(), epoch);
             self.loads = Some(Loads::new(&self.context, &self.centre, lease, messages, log));
         }
     }
@@ -131,13 +143,19 @@
         if let Some(loads) = &mut self.loads {
             loads.tick();
         }
+        if let Some(spend) = &mut self.spend {
+            spend.tick();
+        }
         let now = BootClock.now();
         if now >= self.next_row && !self.candidacy.is_home() {
             self.next_row = now + ROW_INTERVAL;
             self.read_row();
         }
         if let Some(entry) = self.context.centres.entries.borrow_mut().get_mut(&self.centre) {
-            entry.state = json!({"epoch": self.lease.permit()});
+            entry.state = json!({
+                "epoch": self.lease.permit(),
+                "plan": self.spend.as_ref().map(Spend::dump),
+            });
         }
     }
 
--- a/crates/tamarackdock_node/src/engine/generation.rs
+++ b/crates/tamarackdock_node/src/engine/generation.rs
@@ -83,6 +83,7 @@
             let permit = context.router.choose(query).await?;
             let target = permit.target().clone();
             context.metrics.attempts.inc();
+            let _in_flight = context.targets.begin(&target.name);
             let resume = recorder.tokens.clone();
             let id = format!("{}-{}", self.id, tried.len());
             let meter = context.usage.meter(self.account.clone());
--- a/crates/tamarackdock_node/src/lease/handle.rs
+++ b/crates/tamarackdock_node/src/lease/handle.rs
@@ -1,7 +1,7 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use futures_channel::mpsc;
-use tamarackdock_lease::{Deadline, Input, Lease, Operations, Terms};
+use tamarackdock_lease::{Deadline, Held, Input, Lease, Operations, Terms};
 use tamarackdock_platform::table::Condition;
 use tamarackdock_types::{
     clock::{BootClock, Clock},
@@ -84,6 +84,11 @@
         self.lease.borrow().held()?.permit_recorded(BootClock.now(), deadline)
     }
 
+    /// Runs a state machine that records orders, with the lease if it is held.
+    pub(crate) fn with_held<T>(&self, act: impl FnOnce(Option<&mut Held>) -> T) -> T {
+        act(self.lease.borrow_mut().held_mut())
+    }
+
     /// Whether no order of an earlier epoch can arrive any more.
     pub(crate) fn is_quiet(&self) -> bool {
         self.lease.borrow().held().is_some_and(|held| held.is_quiet(BootClock.now()))
--- a/crates/tamarackdock_node/src/node.rs
+++ b/crates/tamarackdock_node/src/node.rs
@@ -88,6 +88,7 @@
         monoio::spawn(peers::run(context.clone()));
         usage::spawn(&context, usage_messages);
         monoio::spawn(centre::run(context.clone()));
+        monoio::spawn(targets::run(context.clone()));
         let listeners = Listeners { callers, operators, peers };
         info!(log::part(&context.log, "node"), "started";
             "callers" => %listeners.callers.address());
--- a/crates/tamarackdock_node/src/operator/handler.rs
+++ b/crates/tamarackdock_node/src/operator/handler.rs
@@ -44,7 +44,7 @@
             "steps": self.steps.dump(),
             "usage": self.context.usage.dump().await,
             "data_centres": self.context.centres.dump(),
-            "targets": self.context.targets.dump(),
+            "targets": self.context.targets.dump(self.context.active.get().targets()),
             "router": self.context.router.dump().await,
         });
         Response::json(StatusCode::OK, &body)
--- a/crates/tamarackdock_node/src/platform.rs
+++ b/crates/tamarackdock_node/src/platform.rs
@@ -1,6 +1,6 @@
 use std::{net::SocketAddr, rc::Rc};
 
-use tamarackdock_platform::{Client, host, object, report, table, weight};
+use tamarackdock_platform::{Client, host, object, order, report, table, weight};
 use tamarackdock_wire::client::Pool;
 
 /// The platform's services as the tasks use them.
@@ -8,6 +8,7 @@
 pub(crate) struct Platform {
     pub(crate) table: Rc<dyn table::Table>,
     pub(crate) objects: Rc<dyn object::Store>,
+    pub(crate) orders: Rc<dyn order::Orders>,
     pub(crate) reports: Rc<dyn report::Reports>,
     pub(crate) hosts: Rc<dyn host::Hosts>,
     pub(crate) weights: Rc<dyn weight::Store>,
@@ -19,6 +20,7 @@
         Self {
             table: client.clone(),
             objects: client.clone(),
+            orders: client.clone(),
             reports: client.clone(),
             hosts: client.clone(),
             weights: client,
--- a/crates/tamarackdock_node/src/step/attempt.rs
+++ b/crates/tamarackdock_node/src/step/attempt.rs
@@ -73,6 +73,7 @@
         let started = Input::Started { attempt: self.attempt, target: target.name.clone() };
         let _ = self.inputs.unbounded_send(started);
         self.context.metrics.attempts.inc();
+        let _in_flight = self.context.targets.begin(&target.name);
         let position = u32::try_from(self.resume.len()).unwrap_or(u32::MAX);
         let mut pieces = Pieces { attempt: self.attempt, position, inputs: self.inputs.clone() };
         let attempt = engine::Attempt {
--- a/crates/tamarackdock_node/src/targets/report.rs
+++ b/crates/tamarackdock_node/src/targets/report.rs
@@ -10,4 +10,8 @@
     pub(crate) restart_id: String,
     /// Whether the engine is warm.
     pub(crate) warm: bool,
+    /// Calls that run or wait, of all nodes. Lags behind.
+    pub(crate) calls: u64,
+    /// Calls that it runs at once.
+    pub(crate) capacity: u32,
 }
--- a/crates/tamarackdock_node/src/targets/watch.rs
+++ b/crates/tamarackdock_node/src/targets/watch.rs
@@ -1,28 +1,71 @@
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
 
 use serde_json::json;
-use tamarackdock_types::TargetName;
+use tamarackdock_config::deployment::Target;
+use tamarackdock_platform::order::Listed;
+use tamarackdock_types::{DataCentreName, TargetName};
 
-use super::Report;
+use super::{
+    Report,
+    in_flight::{Counts, InFlight},
+    list::List,
+};
 
 /// State of the targets, shared by the tasks of a thread. The node knows the
-/// reports of the data centres whose lease it holds.
+/// reports of the data centres whose lease it holds, and all lists.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Watch(Rc<RefCell<BTreeMap<TargetName, Report>>>);
+pub(crate) struct Watch {
+    reports: Rc<RefCell<BTreeMap<TargetName, Report>>>,
+    lists: Rc<RefCell<BTreeMap<DataCentreName, List>>>,
+    in_flight: Counts,
+}
 
 impl Watch {
     /// Takes an engine's newest report.
     pub(crate) fn set(&self, target: &TargetName, report: Report) {
-        self.0.borrow_mut().insert(target.clone(), report);
+        self.reports.borrow_mut().insert(target.clone(), report);
     }
 
     /// Forgets an engine that gives no reports.
     pub(crate) fn remove(&self, target: &TargetName) {
-        self.0.borrow_mut().remove(target);
+        self.reports.borrow_mut().remove(target);
+    }
+
+    /// Takes the platform's list of a data centre.
+    pub(crate) fn set_list(&self, centre: &DataCentreName, listed: Vec<Listed>) {
+        self.lists.borrow_mut().entry(centre.clone()).or_default().update(listed);
+    }
+
+    /// Returns whether the platform orders the targets of a data centre.
+    pub(crate) fn is_ordered(&self, centre: &DataCentreName) -> bool {
+        self.lists.borrow().get(centre).is_some_and(List::is_ordered)
+    }
+
+    /// Returns whether a target may get new work: the platform's list shows it
+    /// as running, or shows no targets in its data centre.
+    pub(crate) fn accepts_work(&self, target: &Target) -> bool {
+        let lists = self.lists.borrow();
+        lists.get(&target.data_centre).is_none_or(|list| list.is_running(&target.name))
+    }
+
+    /// Counts a call of this node until the result is dropped.
+    pub(crate) fn begin(&self, target: &TargetName) -> InFlight {
+        InFlight::new(self.in_flight.clone(), target)
+    }
+
+    /// Returns the calls that a target has, as far as the node knows.
+    pub(crate) fn calls(&self, target: &TargetName) -> u64 {
+        let own = self.in_flight.borrow().get(target).copied().unwrap_or_default();
+        self.reports.borrow().get(target).map_or(0, |report| report.calls).max(own)
     }
 
-    /// Describes the state.
-    pub(crate) fn dump(&self) -> serde_json::Value {
-        json!({ "reports": *self.0.borrow() })
+    /// Describes the state of the configured targets.
+    pub(crate) fn dump(&self, targets: &[Rc<Target>]) -> serde_json::Value {
+        let refused = targets.iter().filter(|target| !self.accepts_work(target));
+        json!({
+            "reports": *self.reports.borrow(),
+            "lists": *self.lists.borrow(),
+            "no_new_work": refused.map(|target| &target.name).collect::<Vec<_>>(),
+        })
     }
 }
--- a/crates/tamarackdock_spend/src/input.rs
+++ b/crates/tamarackdock_spend/src/input.rs
@@ -1,4 +1,8 @@
-use tamarackdock_platform::{Error, order::Listed};
+use tamarackdock_platform::{
+    Error,
+    order::{Class, Listed},
+};
+use tamarackdock_types::TargetName;
 
 use crate::Wanted;
 
@@ -9,6 +13,8 @@
     Tick,
     /// The plan has changed.
     Plan(Wanted),
+    /// The targets that can be started, with the classes in which they run.
+    Pool(Vec<(TargetName, Class)>),
     /// The result of a list request.
     Listed {
         /// Number of the request.
--- a/crates/tamarackdock_spend/src/orders/choose.rs
+++ b/crates/tamarackdock_spend/src/orders/choose.rs
@@ -17,6 +17,14 @@
     }
 }
 
+/// Returns a target of the class that does not run. Starting one twice has no
+/// effect, so a fixed name needs no epoch.
+fn free(pool: &[(TargetName, Class)], class: Class, listed: &[Listed]) -> Option<TargetName> {
+    let is_listed = |name: &TargetName| listed.iter().any(|target| target.name == *name);
+    let mut free = pool.iter().filter(|(name, of)| *of == class && !is_listed(name));
+    free.next().map(|(name, _)| name.clone())
+}
+
 impl Orders {
     /// Starts come first, and nothing is stopped while a target is starting, so
     /// that a replacement runs before its predecessor stops.
@@ -30,7 +38,9 @@
         };
         let short = |(class, count): &(Class, u32)| of_class(*class).count() < *count as usize;
         if let Some((class, _)) = classes.into_iter().find(short) {
-            return self.repeated(Action::Start, class).or_else(|| self.new_start(epoch, class));
+            return self
+                .repeated(Action::Start, class)
+                .or_else(|| self.new_start(epoch, class, listed));
         }
         if listed.iter().any(|target| target.state == State::Starting) {
             return None;
@@ -47,14 +57,17 @@
         self.doubtful.iter().find(same_kind).cloned()
     }
 
-    fn new_start(&mut self, epoch: Epoch, class: Class) -> Option<Order> {
-        let target = self.new_name(epoch)?;
+    fn new_start(&mut self, epoch: Epoch, class: Class, listed: &[Listed]) -> Option<Order> {
+        let target = match &self.pool {
+            Some(pool) => free(pool, class, listed)?,
+            None => self.new_name(epoch)?,
+        };
         Some(self.order(epoch, target, Action::Start, class))
     }
 
     fn order(&mut self, epoch: Epoch, target: TargetName, action: Action, class: Class) -> Order {
         self.number += 1;
-        let operation = format!("order-{}-{epoch}-{}", self.data_centre, self.number);
+        let operation = format!("order-{}-{epoch}-{}", self.label, self.number);
         Order { operation, epoch, target, action, class }
     }
 
--- a/crates/tamarackdock_spend/src/orders/mod.rs
+++ b/crates/tamarackdock_spend/src/orders/mod.rs
@@ -6,9 +6,9 @@
 use tamarackdock_lease::{Deadline, Held};
 use tamarackdock_platform::{
     Error,
-    order::{Listed, Order},
+    order::{Class, Listed, Order},
 };
-use tamarackdock_types::{DataCentreName, clock::Instant, fence::Epoch};
+use tamarackdock_types::{DataCentreName, ServiceName, TargetName, clock::Instant, fence::Epoch};
 
 use crate::{Action, Input, Receiver, Wanted};
 
@@ -28,6 +28,10 @@
 #[derive(Debug)]
 pub struct Orders {
     data_centre: DataCentreName,
+    /// Start of row keys and operation ids.
+    label: String,
+    /// Targets that can be started, or `None` if the holder gives new targets names.
+    pool: Option<Vec<(TargetName, Class)>>,
     receiver: Receiver,
     /// Time between looks at the receiver's state, and between tries after a failure.
     refresh: Duration,
@@ -52,6 +56,8 @@
     #[must_use]
     pub fn new(data_centre: DataCentreName, receiver: Receiver, refresh: Duration) -> Self {
         Self {
+            label: data_centre.to_string(),
+            pool: None,
             data_centre,
             receiver,
             refresh,
@@ -66,6 +72,15 @@
         }
     }
 
+    /// Restricts the state machine to the targets of one service, which have
+    /// fixed names. Only targets of [`Input::Pool`] are started then.
+    #[must_use]
+    pub fn of_service(mut self, service: &ServiceName) -> Self {
+        self.label = format!("{}/{service}", self.data_centre);
+        self.pool = Some(Vec::new());
+        self
+    }
+
     /// Takes an input at the time `now`, with the lease if this process holds it.
     pub fn step(&mut self, now: Instant, held: Option<&mut Held>, input: Input) -> Vec<Action> {
         let epoch = held.as_ref().map(|held| held.epoch());
@@ -102,9 +117,13 @@
     }
 
     fn note(&mut self, input: &Input) -> Vec<Action> {
-        if let Input::Plan(wanted) = input {
-            self.wanted = Some(*wanted);
-            self.next = Instant::default();
+        match input {
+            Input::Plan(wanted) if self.wanted != Some(*wanted) => {
+                self.wanted = Some(*wanted);
+                self.next = Instant::default();
+            }
+            Input::Pool(pool) => self.pool = Some(pool.clone()),
+            _ => {}
         }
         Vec::new()
     }
--- a/crates/tamarackdock_spend/src/orders/record.rs
+++ b/crates/tamarackdock_spend/src/orders/record.rs
@@ -21,7 +21,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(deadline) = held.record(now) else { return };
-        let key = format!("order/{}/{}-{}", self.data_centre, order.epoch, self.number);
+        let key = format!("order/{}/{}-{}", self.label, order.epoch, self.number);
         let record = Record { order: order.clone(), deadline_ms: deadline.until.as_millis() };
         let value = serde_json::to_string(&record).expect("an order has a JSON form");
         let mut writes = vec![Write { key: key.clone(), value: Some(value) }];
