--- a/crates/tamarackdock_node/src/engine/generation.rs
+++ b/crates/tamarackdock_node/src/engine/generation.rs
@@ -116,6 +116,7 @@
             };
             let target = permit.target().clone();
             context.metrics.attempts.inc();
+            let _in_flight = context.targets.begin(&target.name);
             let resume = recorder.tokens.clone();
             let id = format!("{}-{}", self.id, tried.len());
             let withdrawn = permit.withdrawn();
@@ -155,7 +156,7 @@
             service: self.service.clone(),
             account: account_or_open(self.account.as_ref()),
             level: self.level,
-            tokens: self.max_tokens.into(),
+            tokens: self.max_tokens,
             deadline: BootClock.now() + self.wait(),
         }
     }
--- a/crates/tamarackdock_node/src/engine/mod.rs
+++ b/crates/tamarackdock_node/src/engine/mod.rs
@@ -1,11 +1,13 @@
 //! Calls to model engines, see `docs/platform.md`.
 
 mod attempt;
+mod control;
 mod event;
 mod generation;
 mod sse;
 
 pub(crate) use attempt::Attempt;
 use attempt::Failure;
+pub(crate) use control::{Load, LoadOrder, Loaded, fetch_load, order_load};
 pub(crate) use event::Event;
 pub(crate) use generation::{Generation, Sink, account_or_open};
--- a/crates/tamarackdock_node/src/lib.rs
+++ b/crates/tamarackdock_node/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod active;
 mod caller;
+mod centre;
 mod config;
 mod context;
 mod dispatch;
@@ -19,6 +20,7 @@
 mod running;
 pub mod runtime;
 mod step;
+mod targets;
 mod telemetry;
 mod usage;
 mod weights;
--- a/crates/tamarackdock_node/src/node.rs
+++ b/crates/tamarackdock_node/src/node.rs
@@ -15,7 +15,7 @@
     Error, Running,
     active::Watch,
     caller::{self, RequestIds},
-    config,
+    centre, config,
     context::Context,
     dispatch::Dispatch,
     membership::{self, Peers},
@@ -24,7 +24,7 @@
     reachability::{self, Gate},
     router,
     running::Listeners,
-    step,
+    step, targets,
     telemetry::{Metrics, log},
     usage, weights,
 };
@@ -73,6 +73,8 @@
             peer_client,
             weights: weights::Watch::default(),
             usage,
+            targets: targets::Watch::default(),
+            centres: centre::Handle::new(&metrics).map_err(Error::Metrics)?,
             metrics,
             log: self.log,
             leaving: Flag::new(),
@@ -99,6 +101,8 @@
             .map_err(|source| Error::Bind { port: "operator", source })?;
         monoio::spawn(weights::run(context.clone()));
         usage::spawn(&context, usage_messages);
+        monoio::spawn(centre::run(context.clone()));
+        monoio::spawn(targets::run(context.clone()));
         let listeners = Listeners { callers, operators, peers };
         context.peers.start(own(&settings, listeners.peers.address()), BootClock.now());
         monoio::spawn(membership::run(context.clone(), members.clone()));
--- a/crates/tamarackdock_node/src/router/admission.rs
+++ b/crates/tamarackdock_node/src/router/admission.rs
@@ -18,6 +18,8 @@
 /// Weight of a new call in the moving average of call sizes.
 const SIZE_WEIGHT: f64 = 0.05;
 const FIRST_SIZE: f64 = 64.0;
+/// Largest size of a call in averages.
+const MAX_SIZES: f64 = 4.0;
 /// Calls at once of the baseline, for each service.
 const FIXED_LIMIT: usize = 256;
 
@@ -34,6 +36,31 @@
     size: f64,
 }
 
+impl Pool {
+    /// Returns the tokens that a call counts for. Few calls use all tokens that
+    /// they may, so that a call counts for a few average ones at the most; it
+    /// still takes only one place.
+    fn count(&mut self, tokens: u32) -> u64 {
+        let size = f64::from(tokens).min(MAX_SIZES * self.size);
+        self.size += SIZE_WEIGHT * (size - self.size);
+        whole(size).max(1)
+    }
+
+    fn capacity(&self, places: u32) -> u64 {
+        whole(f64::from(places) * self.size)
+    }
+}
+
+/// Rounds a number of tokens down.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "sizes are positive and far below the bounds"
+)]
+fn whole(tokens: f64) -> u64 {
+    tokens as u64
+}
+
 impl Pools {
     pub(super) fn new(policy: settings::Admission) -> Self {
         Self { policy, active: Rc::default(), by_service: BTreeMap::new() }
@@ -93,14 +120,12 @@
         let id = self.next_id();
         let service = admit.service.clone();
         let pool = self.pools.pool(&service);
-        #[expect(clippy::cast_precision_loss, reason = "an average needs no exact count")]
-        let tokens = admit.tokens as f64;
-        pool.size += SIZE_WEIGHT * (tokens - pool.size);
+        let tokens = pool.count(admit.tokens);
         let call = Call {
             id,
             account: admit.account,
             level: admit.level,
-            tokens: admit.tokens,
+            tokens,
             deadline: admit.deadline,
         };
         let waiting = Waiting { service: service.clone(), call: call.clone(), reply: Some(reply) };
@@ -142,12 +167,7 @@
         for service in services {
             let places = self.places(&service);
             let pool = self.pools.pool(&service);
-            #[expect(
-                clippy::cast_possible_truncation,
-                clippy::cast_sign_loss,
-                reason = "sizes are positive and far below the bounds"
-            )]
-            let capacity = (f64::from(places) * pool.size) as u64;
+            let capacity = pool.capacity(places);
             let mut actions = pool.admission.set_capacity(capacity, now);
             actions.extend(pool.admission.tick(now));
             self.carry_out(actions);
--- a/crates/tamarackdock_node/src/router/message.rs
+++ b/crates/tamarackdock_node/src/router/message.rs
@@ -17,7 +17,7 @@
     pub(crate) account: AccountName,
     pub(crate) level: Level,
     /// Most tokens that the call can generate.
-    pub(crate) tokens: u64,
+    pub(crate) tokens: u32,
     /// When it must have started.
     pub(crate) deadline: Instant,
 }
