Cost calls relative to the average in admission

Cause: capacity was counted in places times the average call size, and a running stream kept the size of its admission; when the average fell, three streams of 256 used up a capacity of 64 and all other calls were refused. Change: a call costs its ratio to the average, from a quarter to four. Measured: the test with open streams during a store outage passes (before: refused after 2.5 s).

--- a/crates/tamarackdock_node/src/router/admission.rs
+++ b/crates/tamarackdock_node/src/router/admission.rs
@@ -20,6 +20,10 @@
 const FIRST_SIZE: f64 = 64.0;
 /// Largest size of a call in averages.
 const MAX_SIZES: f64 = 4.0;
+/// Largest and inverse of the smallest cost of a call in averages.
+const MAX_COST_RATIO: u64 = 4;
+/// Cost of an average call, for which one place is counted.
+const AVERAGE_COST: u64 = 100;
 /// Calls at once of the baseline, for each service.
 const FIXED_LIMIT: usize = 256;
 
@@ -32,33 +36,30 @@
 
 struct Pool {
     admission: Box<dyn Admission>,
-    /// Average tokens of a call, by which places are counted as tokens.
+    /// Moving average of a call's tokens.
     size: f64,
 }
 
 impl Pool {
-    /// Returns the tokens that a call counts for. Few calls use all tokens that
-    /// they may, so that a call counts for a few average ones at the most; it
-    /// still takes only one place.
-    fn count(&mut self, tokens: u32) -> u64 {
-        let size = f64::from(tokens).min(MAX_SIZES * self.size);
-        self.size += SIZE_WEIGHT * (size - self.size);
-        whole(size).max(1)
-    }
-
-    fn capacity(&self, places: u32) -> u64 {
-        whole(f64::from(places) * self.size)
+    /// Returns what a call costs, in parts of an average call. The cost is
+    /// relative, so that calls that run on don't exceed the capacity when the
+    /// average falls, and bounded, since few calls use all tokens that they may.
+    fn cost(&mut self, tokens: u32) -> u64 {
+        let tokens = f64::from(tokens).min(MAX_SIZES * self.size);
+        self.size = (self.size + SIZE_WEIGHT * (tokens - self.size)).max(1.0);
+        scaled(tokens / self.size).max(AVERAGE_COST / MAX_COST_RATIO)
     }
 }
 
-/// Rounds a number of tokens down.
+/// Returns a multiple of the average cost.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
-    reason = "sizes are positive and far below the bounds"
+    clippy::cast_precision_loss,
+    reason = "ratios are positive and small"
 )]
-fn whole(tokens: f64) -> u64 {
-    tokens as u64
+fn scaled(ratio: f64) -> u64 {
+    (ratio * AVERAGE_COST as f64) as u64
 }
 
 impl Pools {
@@ -120,7 +121,7 @@
         let id = self.next_id();
         let service = admit.service.clone();
         let pool = self.pools.pool(&service);
-        let tokens = pool.count(admit.tokens);
+        let tokens = pool.cost(admit.tokens);
         let call = Call {
             id,
             account: admit.account,
@@ -167,7 +168,7 @@
         for service in services {
             let places = self.places(&service);
             let pool = self.pools.pool(&service);
-            let capacity = pool.capacity(places);
+            let capacity = u64::from(places) * AVERAGE_COST;
             let mut actions = pool.admission.set_capacity(capacity, now);
             actions.extend(pool.admission.tick(now));
             self.carry_out(actions);
