Read the host list before answers and leaves

Cause: a node that had just started knew no other nodes yet. It answered a change with an empty `missing` before other nodes had the version, and announced its leave to nobody.

Change: the node reads the platform's host list, for at most 500 ms, before it answers a change and before it announces its leave.

Conclusion: `missing` names the nodes that the platform lists at that moment.

--- a/crates/tamarackdock_node/src/membership/service.rs
+++ b/crates/tamarackdock_node/src/membership/service.rs
@@ -21,6 +21,8 @@
 };
 /// Members that are told directly of a planned leave; digests reach the others.
 const LEAVE_FANOUT: usize = 32;
+/// How long a caller waits for the newest host list.
+const REFRESH: Duration = Duration::from_millis(500);
 /// Number of the probes that announce a leave. Numbers of other probes begin with 1.
 const LEAVE_PROBE: u64 = 0;
 
@@ -74,9 +76,16 @@
         self.context.peers.changed();
     }
 
+    /// Reads the platform's host list, but waits only a short time for it.
+    pub(crate) async fn refresh_hosts(&self) {
+        let _ = monoio::time::timeout(REFRESH, self.poll_hosts()).await;
+    }
+
     /// Announces that this node leaves, and waits until the members that are
     /// told directly have answered or failed to.
     pub(crate) async fn announce_leave(self: &Rc<Self>) {
+        // The last poll may be older than the start of some nodes, or of this one.
+        self.refresh_hosts().await;
         let own = self.context.peers.with(|members| {
             members.leave();
             members.own().clone()
--- a/crates/tamarackdock_node/src/node.rs
+++ b/crates/tamarackdock_node/src/node.rs
@@ -71,10 +71,14 @@
         let ids = Rc::new(RequestIds::new(&settings.host, BootClock.now()));
         let steps = Rc::new(step::Service::new(context.clone()));
         let callers = Rc::new(caller::Handler::new(context.clone(), ids, steps.clone()));
-        let config = Rc::new(config::Service::new(context.clone()));
-        let operators =
-            Rc::new(operator::Handler::new(context.clone(), steps.clone(), config.clone()));
         let members = Rc::new(membership::Service::new(context.clone()));
+        let config = Rc::new(config::Service::new(context.clone()));
+        let operators = Rc::new(operator::Handler::new(
+            context.clone(),
+            steps.clone(),
+            config.clone(),
+            members.clone(),
+        ));
         let dispatch = Rc::new(Dispatch::new(
             steps.clone(),
             members.clone(),
--- a/crates/tamarackdock_node/src/operator/handler.rs
+++ b/crates/tamarackdock_node/src/operator/handler.rs
@@ -8,7 +8,7 @@
 use tamarackdock_wire::server::{self, Request, Response};
 
 use super::{change::Change, parameters, problems};
-use crate::{config, context::Context, step::Service};
+use crate::{config, context::Context, membership, step::Service};
 
 /// Name of a submitted configuration in the reader's reports.
 const BODY: &str = "body";
@@ -18,11 +18,17 @@
     context: Context,
     steps: Rc<Service>,
     config: Rc<config::Service>,
+    members: Rc<membership::Service>,
 }
 
 impl Handler {
-    pub(crate) fn new(context: Context, steps: Rc<Service>, config: Rc<config::Service>) -> Self {
-        Self { context, steps, config }
+    pub(crate) fn new(
+        context: Context,
+        steps: Rc<Service>,
+        config: Rc<config::Service>,
+        members: Rc<membership::Service>,
+    ) -> Self {
+        Self { context, steps, config, members }
     }
 
     async fn route(&self, request: Request) -> Result<Response, Refusal> {
@@ -91,6 +97,9 @@
 
     async fn accepted(&self, request: &Request, accepted: Accepted) -> Result<Response, Refusal> {
         let wait = parameters::wait(request)?;
+        // Without the newest host list, nodes that have just started would be left
+        // out of `missing`.
+        self.members.refresh_hosts().await;
         let coverage = self.config.await_coverage(accepted.number, wait).await;
         let body = json!({
             "version": accepted.number,
