--- /dev/null
+++ b/crates/scenario/scenarios/data_centre_out_and_in.rhai
@@ -0,0 +1,21 @@
+// A data centre is taken out under load and brought back.
+world(#{ app: ["d1", "d2"], training: ["d1", "d1", "d2", "d2"], capacity: 4, token_ms: 5 });
+trainer("t1", 10);
+trainer("t2", 10);
+app("shop", 4);
+wait_samples("t1", 32);
+take_out("d2");
+print("d2 is taken out");
+wait(3000);
+let before = started("d2");
+wait(1500);
+let late = started("d2") - before;
+figure("late starts", late);
+check(late == 0, "d2 gets no new work after 3 s");
+check(apps_go_on(3000), "apps get answers meanwhile");
+take_in("d2");
+print("d2 comes back");
+check(starts_again("d2", 15000), "d2 gets work again");
+check(finish(10), "each sample came exactly once and fresh");
+check(stop_apps(), "no app call failed");
+check(keys_seen() == 0, "no target saw a key");
--- /dev/null
+++ b/crates/scenario/scenarios/engine_crash_in_a_store_outage.rhai
@@ -0,0 +1,21 @@
+// Two faults at once: an engine crashes while the store is down.
+world(#{ app: ["d1", "d2"], training: ["d1", "d1", "d2", "d2"], capacity: 4 });
+trainer("t1", 4);
+app("shop", 2);
+wait_samples("t1", 32);
+store_down();
+print("the store goes down in a step");
+wait(500);
+crash(2);
+crash(0);
+print("a training engine and an app engine crash");
+wait(4000);
+check(apps_go_on(3000), "apps get answers");
+restart_all();
+print("the engines are back");
+wait(1000);
+store_up();
+print("the store is back");
+check(finish(4), "each sample came exactly once and fresh");
+check(stop_apps(), "no app call failed");
+check(keys_seen() == 0, "no target saw a key");
--- /dev/null
+++ b/crates/scenario/tests/scenarios.rs
@@ -0,0 +1,39 @@
+//! Scenario files, whose output is compared with snapshots. Each file begins
+//! with the fault that it guards against.
+
+/// Seed of every scenario.
+const SEED: u64 = 0x5eed;
+
+fn check(name: &str, script: &str) {
+    println!("seed {SEED:#x}");
+    let output = scenario::run(script, SEED).unwrap();
+    insta::assert_snapshot!(name, output);
+}
+
+#[test]
+fn data_centre_out_and_in() {
+    check("data_centre_out_and_in", include_str!("../scenarios/data_centre_out_and_in.rhai"));
+}
+
+#[test]
+fn cheap_targets_reclaimed() {
+    check("cheap_targets_reclaimed", include_str!("../scenarios/cheap_targets_reclaimed.rhai"));
+}
+
+#[test]
+fn key_withdrawn() {
+    check("key_withdrawn", include_str!("../scenarios/key_withdrawn.rhai"));
+}
+
+#[test]
+fn rolling_replacement() {
+    check("rolling_replacement", include_str!("../scenarios/rolling_replacement.rhai"));
+}
+
+#[test]
+fn engine_crash_in_a_store_outage() {
+    check(
+        "engine_crash_in_a_store_outage",
+        include_str!("../scenarios/engine_crash_in_a_store_outage.rhai"),
+    );
+}
--- a/crates/standin/src/world/deployment.rs
+++ b/crates/standin/src/world/deployment.rs
@@ -49,7 +49,11 @@
     let mut targets = Vec::new();
     for (index, (address, (centre, training))) in engines.iter().zip(&options.engines).enumerate() {
         let role = if *training { Role::Training } else { Role::App };
-        targets.push(target(&format!("e{index}"), MODEL, centre, *address, role, options)?);
+        let mut engine = target(&format!("e{index}"), MODEL, centre, *address, role, options)?;
+        if options.cheap.contains(&index) {
+            engine.class = Class::Cheap;
+        }
+        targets.push(engine);
     }
     for (index, (address, centre)) in plain.iter().zip(&options.plain).enumerate() {
         targets.push(target(&format!("s{index}"), PLAIN, centre, *address, Role::App, options)?);
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -100,7 +100,8 @@
 
     /// Waits until every node reports by its health check that it has a configuration.
     fn wait_until_active(&self) {
-        for address in self.nodes() {
+        let running = self.hosts.iter().filter(|node| !node.is_finished());
+        for address in running.map(|node| node.addresses().callers) {
             while !is_healthy(address) {
                 std::thread::sleep(POLL);
             }
@@ -113,6 +114,19 @@
         self.hosts.iter().map(|node| node.addresses().callers).collect()
     }
 
+    /// Adds a node and waits until it has the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the node can't be started.
+    pub fn start_node(&mut self, data_centre: &'static str) -> io::Result<()> {
+        self.options.nodes.push(data_centre);
+        self.add_node(self.options.nodes.len() - 1)?;
+        self.list_hosts();
+        self.wait_until_active();
+        Ok(())
+    }
+
     /// Returns the policies of the nodes.
     #[must_use]
     pub fn policy(&self) -> Policy {
@@ -228,7 +242,8 @@
     }
 
     fn list_hosts(&self) {
-        let listed = self.hosts.iter().enumerate().map(|(index, node)| Host {
+        let running = self.hosts.iter().enumerate().filter(|(_, node)| !node.is_finished());
+        let listed = running.map(|(index, node)| Host {
             name: HostName::new(&format!("n{index}")).expect("a constant name"),
             address: node.addresses().peers,
             data_centre: DataCentreName::new(self.options.nodes[index]).expect("a constant name"),
