Share engine reports with all nodes

Only the holder of a data centre's lease reads its engines' load reports, so the routers of other nodes had none.

Updates carry the epoch and a number, so that a late one, or one of an earlier holder, is dropped.

The test of failed loads now checks on every node that a failed load is not shown as the new version, and that the later success is.

--- a/crates/standin/tests/weights.rs
+++ b/crates/standin/tests/weights.rs
@@ -28,11 +28,9 @@
     world.engines.iter().all(serves).then_some(())
 }
 
-/// Returns the version that the holder of a data centre shows for an engine.
-fn shown(world: &World, centre: &str, target: &str) -> Option<u64> {
-    let (holder, _) = world.holder(&format!("orders/{centre}"))?;
-    let state = world.debug_state(holder)?;
-    state["targets"]["reports"][target]["version"].as_u64()
+/// Returns the version that a node shows for an engine.
+fn shown(world: &World, node: usize, target: &str) -> Option<u64> {
+    world.debug_state(node)?["targets"]["reports"][target]["version"].as_u64()
 }
 
 /// Checks that no order of an earlier epoch follows one of a later epoch, and
@@ -50,7 +48,7 @@
 }
 
 /// Guards against an engine that stays behind after a failed load, and against
-/// a failed load that is shown as the new version.
+/// a failed load that any node shows as the new version.
 #[test]
 fn failed_load_is_retried() {
     let mut world = world(true);
@@ -61,10 +59,14 @@
     until("e1 serves version 2", || {
         (world.engines[1].load().weight_version == Version(2)).then_some(())
     });
-    assert_eq!(shown(&world, "d1", "e0"), Some(1));
+    for node in 0..3 {
+        assert_eq!(until("e0 is shown", || shown(&world, node, "e0")), 1);
+    }
     world.engines[0].configure(|options| options.load_failure_share = 0.0);
     until("all serve version 2", || all_serve(&world, 2));
-    until("e0 is shown with version 2", || shown(&world, "d1", "e0").filter(|v| *v == 2));
+    for node in 0..3 {
+        until("e0 is shown with version 2", || shown(&world, node, "e0").filter(|v| *v == 2));
+    }
     check_epochs(&world);
 }
 
--- a/crates/tamarackdock_node/src/centre/loads.rs
+++ b/crates/tamarackdock_node/src/centre/loads.rs
@@ -15,7 +15,7 @@
     policy::{AllAtOnce, Policy, Waves},
 };
 
-use super::{engines::engines, message::Message, order, polls::Polls};
+use super::{engines::engines, message::Message, order, polls::Polls, share::Share};
 use crate::{
     context::Context,
     engine::{Load, fetch_load},
@@ -35,6 +35,7 @@
     epoch: Epoch,
     loaders: BTreeMap<ServiceName, Loader>,
     polls: Polls,
+    share: Share,
     next_latest: Instant,
     messages: mpsc::UnboundedSender<Message>,
     log: Logger,
@@ -55,6 +56,7 @@
             epoch,
             loaders: BTreeMap::new(),
             polls: Polls::default(),
+            share: Share::new(context, centre, epoch),
             next_latest: Instant::default(),
             messages,
             log,
@@ -77,6 +79,7 @@
             self.next_latest = now + LATEST_INTERVAL;
             self.poll_latest(&engines);
         }
+        self.share.tick();
         let services: Vec<_> = self.loaders.keys().cloned().collect();
         for service in &services {
             self.handle(service, Input::Tick);
@@ -147,6 +150,7 @@
     /// epoch could arrive any more when the engine was asked.
     fn learn(&mut self, engine: &Target, load: Load, is_settled: bool) {
         let report = Report {
+            data_centre: self.centre.clone(),
             version: load.weight_version,
             restart_id: load.restart_id,
             warm: load.warm,
--- a/crates/tamarackdock_node/src/centre/mod.rs
+++ b/crates/tamarackdock_node/src/centre/mod.rs
@@ -11,6 +11,7 @@
 mod order;
 mod polls;
 mod run;
+mod share;
 mod spend;
 mod task;
 
--- a/crates/tamarackdock_node/src/dispatch.rs
+++ b/crates/tamarackdock_node/src/dispatch.rs
@@ -7,18 +7,19 @@
 use crate::{
     peer::{self, Message, Reply},
     step::Service,
-    usage,
+    targets, usage,
 };
 
 /// The parts of a node that other nodes talk to.
 pub(crate) struct Dispatch {
     steps: Rc<Service>,
     usage: usage::Handle,
+    targets: targets::Watch,
 }
 
 impl Dispatch {
-    pub(crate) fn new(steps: Rc<Service>, usage: usage::Handle) -> Self {
-        Self { steps, usage }
+    pub(crate) fn new(steps: Rc<Service>, usage: usage::Handle, targets: targets::Watch) -> Self {
+        Self { steps, usage, targets }
     }
 }
 
@@ -30,6 +31,10 @@
                     let answer = self.steps.answer_as_holder(&call).await;
                     answer.map_or(Reply::Unsupported, Reply::Step)
                 }
+                Message::Targets(update) => {
+                    self.targets.apply(update);
+                    Reply::Ok
+                }
                 Message::Usage { origin, batches } => {
                     self.usage.keep(origin, batches);
                     Reply::Ok
--- a/crates/tamarackdock_node/src/node.rs
+++ b/crates/tamarackdock_node/src/node.rs
@@ -75,7 +75,8 @@
         let steps = Rc::new(step::Service::new(context.clone()));
         let callers = Rc::new(caller::Handler::new(context.clone(), ids, steps.clone()));
         let operators = Rc::new(operator::Handler::new(context.clone(), steps.clone()));
-        let dispatch = Rc::new(Dispatch::new(steps.clone(), context.usage.clone()));
+        let dispatch =
+            Rc::new(Dispatch::new(steps.clone(), context.usage.clone(), context.targets.clone()));
         let peers = Rc::new(peer::Handler::new(dispatch));
         let callers = server::listen(settings.caller_address, callers, options.clone())
             .map_err(|source| Error::Bind { port: "caller", source })?;
--- a/crates/tamarackdock_node/src/peer/message.rs
+++ b/crates/tamarackdock_node/src/peer/message.rs
@@ -2,6 +2,8 @@
 use serde_with::serde_as;
 use tamarackdock_usage::{Batch, Keys};
 
+use crate::targets::Update;
+
 /// A message to another node.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum Message {
@@ -9,6 +11,8 @@
     Step(StepCall),
     /// Unflushed counts of the sender, to be flushed if it dies.
     Usage { origin: Keys, batches: Vec<Batch> },
+    /// Reports of engines from the holder of their data centre.
+    Targets(Update),
 }
 
 /// A trainer's call, checked for its key by the node that received it.
--- a/crates/tamarackdock_node/src/peers.rs
+++ b/crates/tamarackdock_node/src/peers.rs
@@ -30,6 +30,12 @@
         (name != host).then_some(next.address)
     }
 
+    /// Returns the peer ports of all nodes but `host`.
+    pub(crate) fn others(&self, host: &HostName) -> Vec<SocketAddr> {
+        let peers = self.0.borrow();
+        peers.values().filter(|peer| peer.name != *host).map(|peer| peer.address).collect()
+    }
+
     fn replace(&self, hosts: Vec<Host>) {
         let hosts = hosts.into_iter().map(|host| (host.name.clone(), host));
         *self.0.borrow_mut() = hosts.collect();
--- a/crates/tamarackdock_node/src/targets/mod.rs
+++ b/crates/tamarackdock_node/src/targets/mod.rs
@@ -4,8 +4,10 @@
 mod list;
 mod report;
 mod task;
+mod update;
 mod watch;
 
 pub(crate) use report::Report;
 pub(crate) use task::run;
+pub(crate) use update::Update;
 pub(crate) use watch::Watch;
--- a/crates/tamarackdock_node/src/targets/report.rs
+++ b/crates/tamarackdock_node/src/targets/report.rs
@@ -1,9 +1,11 @@
-use serde::Serialize;
-use tamarackdock_types::weight::Version;
+use serde::{Deserialize, Serialize};
+use tamarackdock_types::{DataCentreName, weight::Version};
 
 /// What an engine last reported of itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Report {
+    /// Data centre of the engine.
+    pub(crate) data_centre: DataCentreName,
     /// Version of the weights that it serves.
     pub(crate) version: Version,
     /// Changes when the engine restarts.
@@ -15,3 +17,11 @@
     /// Calls that it runs at once.
     pub(crate) capacity: u32,
 }
+
+impl Report {
+    /// Whether only the load differs, which changes all the time.
+    pub(crate) fn is_same_state(&self, other: &Self) -> bool {
+        let state = |report: &Self| (report.version, report.warm);
+        state(self) == state(other) && self.restart_id == other.restart_id
+    }
+}
--- a/crates/tamarackdock_node/src/targets/watch.rs
+++ b/crates/tamarackdock_node/src/targets/watch.rs
@@ -3,19 +3,21 @@
 use serde_json::json;
 use tamarackdock_config::deployment::Target;
 use tamarackdock_platform::order::Listed;
-use tamarackdock_types::{DataCentreName, TargetName};
+use tamarackdock_types::{DataCentreName, TargetName, fence::Epoch};
 
 use super::{
-    Report,
+    Report, Update,
     in_flight::{Counts, InFlight},
     list::List,
 };
 
 /// State of the targets, shared by the tasks of a thread. The node knows the
-/// reports of the data centres whose lease it holds, and all lists.
+/// reports that it gets as a holder or from other holders, and all lists.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Watch {
     reports: Rc<RefCell<BTreeMap<TargetName, Report>>>,
+    /// Number of the last update of each data centre.
+    updates: Rc<RefCell<BTreeMap<DataCentreName, (Epoch, u64)>>>,
     lists: Rc<RefCell<BTreeMap<DataCentreName, List>>>,
     in_flight: Counts,
 }
@@ -31,6 +33,35 @@
         self.reports.borrow_mut().remove(target);
     }
 
+    /// Returns the reports of a data centre.
+    pub(crate) fn reports(&self, centre: &DataCentreName) -> BTreeMap<TargetName, Report> {
+        let reports = self.reports.borrow();
+        let here = reports.iter().filter(|(_, report)| report.data_centre == *centre);
+        here.map(|(target, report)| (target.clone(), report.clone())).collect()
+    }
+
+    /// Notes an update that this node sends, so that those of earlier holders
+    /// are dropped, and returns whether it is newer than the last.
+    pub(crate) fn note(&self, centre: &DataCentreName, number: (Epoch, u64)) -> bool {
+        let mut updates = self.updates.borrow_mut();
+        let last = updates.entry(centre.clone()).or_default();
+        let is_newer = number > *last;
+        *last = number.max(*last);
+        is_newer
+    }
+
+    /// Takes the update of another node.
+    pub(crate) fn apply(&self, update: Update) {
+        if !self.note(&update.data_centre, update.number) {
+            return;
+        }
+        let mut reports = self.reports.borrow_mut();
+        if update.is_whole {
+            reports.retain(|_, report| report.data_centre != update.data_centre);
+        }
+        reports.extend(update.reports);
+    }
+
     /// Takes the platform's list of a data centre.
     pub(crate) fn set_list(&self, centre: &DataCentreName, listed: Vec<Listed>) {
         self.lists.borrow_mut().entry(centre.clone()).or_default().update(listed);
