--- a/crates/tamarackdock_node/src/dispatch.rs
+++ b/crates/tamarackdock_node/src/dispatch.rs
@@ -14,7 +14,7 @@
     reachability::Gate,
     router,
     step::Service,
-    usage,
+    targets, usage,
 };
 
 /// The parts of a node that other nodes talk to.
@@ -22,6 +22,7 @@
     steps: Rc<Service>,
     router: router::Handle,
     usage: usage::Handle,
+    targets: targets::Watch,
     membership: Rc<membership::Service>,
     config: Rc<config::Service>,
     gate: Gate,
@@ -34,8 +35,15 @@
         membership: Rc<membership::Service>,
         config: Rc<config::Service>,
     ) -> Self {
-        let (router, usage) = (context.router.clone(), context.usage.clone());
-        Self { steps, router, usage, membership, config, gate: context.gate.clone() }
+        Self {
+            steps,
+            router: context.router.clone(),
+            usage: context.usage.clone(),
+            targets: context.targets.clone(),
+            membership,
+            config,
+            gate: context.gate.clone(),
+        }
     }
 }
 
@@ -58,6 +66,10 @@
                     let answer = self.steps.answer_as_holder(&call).await;
                     answer.map_or(Reply::Unsupported, Reply::Step)
                 }
+                Message::Targets(update) => {
+                    self.targets.apply(update);
+                    Reply::Ok
+                }
                 Message::Usage { origin, batches } => {
                     self.usage.keep(origin, batches);
                     Reply::Ok
--- a/crates/tamarackdock_node/src/membership/peers.rs
+++ b/crates/tamarackdock_node/src/membership/peers.rs
@@ -40,6 +40,11 @@
         self.with(|members| members.live().cloned().collect()).unwrap_or_default()
     }
 
+    /// Returns the peer ports of all live nodes.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        self.live().into_iter().map(|entry| entry.address).collect()
+    }
+
     /// Returns the peer port of the live node after `host` in the ring of names.
     pub(crate) fn next_after(&self, host: &HostName) -> Option<SocketAddr> {
         let mut live = self.live();
--- a/crates/tamarackdock_node/src/peer/message.rs
+++ b/crates/tamarackdock_node/src/peer/message.rs
@@ -6,6 +6,8 @@
 use tamarackdock_types::{HostName, TargetName, clock::Instant};
 use tamarackdock_usage::{Batch, Keys};
 
+use crate::targets::Update;
+
 /// A message to another node.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum Message {
@@ -31,6 +33,8 @@
     /// Asks when the receiver last reached the store, with the time of sending on
     /// the sender's clock.
     Reachability(Instant),
+    /// Reports of engines from the holder of their data centre.
+    Targets(Update),
 }
 
 /// A trainer's call, checked for its key by the node that received it.
