Measure what a node adds to calls

Nothing showed the node's own latency, its CPU time per call or its memory.

The example `bench` starts the node program as a process of its own and makes the same calls with and without it, in rounds that take turns. It reports latency at a fixed rate and under full load, calls per CPU second, and resident memory per idle connection and per open stream. `standin::process` reads CPU time and memory from `/proc`.

--- /dev/null
+++ b/crates/standin/examples/bench/memory.rs
@@ -0,0 +1,72 @@
+use std::{
+    io::{self, Write as _},
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+use standin::process::resident_bytes;
+
+use crate::setup::{KEY, Setup};
+
+const CONNECTIONS: u32 = 1000;
+const STREAMS: u32 = 256;
+const TOKENS: u64 = 10_000;
+const INTERVAL: Duration = Duration::from_secs(1);
+const POLL: Duration = Duration::from_millis(20);
+const DEADLINE: Duration = Duration::from_secs(20);
+
+/// Measures resident memory with idle connections and with open streams.
+pub(crate) fn measure(seed: u64) -> io::Result<Value> {
+    let setup = Setup::spawn(seed, TOKENS, INTERVAL)?;
+    let address = setup.node.addresses().callers;
+    let resident = || resident_bytes(setup.node.id()).unwrap_or_default();
+    let empty = resident();
+    let idle = open(address, CONNECTIONS, b"GET /healthz HTTP/1.1\r\nhost: node\r\n\r\n")?;
+    settle();
+    let with_idle = resident();
+    let streams = open(address, STREAMS, &stream_request())?;
+    let started = || setup.world.started_in("d1");
+    let begin = Instant::now();
+    while started() < u64::from(STREAMS) && begin.elapsed() < DEADLINE {
+        thread::sleep(POLL);
+    }
+    settle();
+    let with_streams = resident();
+    drop((idle, streams));
+    Ok(json!({
+        "measure": "memory",
+        "node_bytes": empty,
+        "idle_connections": CONNECTIONS,
+        "node_bytes_with_idle_connections": with_idle,
+        "bytes_per_idle_connection": with_idle.saturating_sub(empty) / u64::from(CONNECTIONS),
+        "streams": started(),
+        "node_bytes_with_streams": with_streams,
+        "bytes_per_stream": with_streams.saturating_sub(with_idle) / u64::from(STREAMS),
+    }))
+}
+
+/// Opens connections and sends one request on each; answers stay unread.
+fn open(address: SocketAddr, count: u32, request: &[u8]) -> io::Result<Vec<TcpStream>> {
+    let connect = |_| {
+        let mut stream = TcpStream::connect(address)?;
+        stream.write_all(request)?;
+        Ok(stream)
+    };
+    (0..count).map(connect).collect()
+}
+
+fn stream_request() -> Vec<u8> {
+    let body = json!({"model": "m", "prompt": "a", "max_tokens": TOKENS, "stream": true});
+    let body = body.to_string();
+    let length = body.len();
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: node\r\ncontent-type: application/json";
+    format!("{head}\r\nauthorization: Bearer {KEY}\r\ncontent-length: {length}\r\n\r\n{body}")
+        .into()
+}
+
+/// Waits for the node to handle what was sent; memory has no event to wait for.
+fn settle() {
+    thread::sleep(Duration::from_secs(1));
+}
--- /dev/null
+++ b/crates/standin/examples/bench/setup.rs
@@ -0,0 +1,58 @@
+use std::{io, net::SocketAddr, time::Duration};
+
+use standin::{
+    engine::{self, Engine},
+    process::Node,
+    world::{self, World, wait_until_healthy},
+};
+
+/// Several engines, so that the node is the bottleneck.
+const ENGINES: usize = 4;
+const ENGINE_CAPACITY: usize = 4096;
+/// Without a heavy tail, every answer has the smallest length.
+const NO_TAIL: f64 = 1e9;
+
+/// Key of the account that makes the calls.
+pub(crate) const KEY: &str = "shop-key";
+
+/// One node process with engines that have a fixed service time.
+pub(crate) struct Setup {
+    pub(crate) node: Node,
+    pub(crate) world: World,
+}
+
+impl Setup {
+    /// Starts a node whose engines answer with `tokens` tokens at `interval`.
+    pub(crate) fn spawn(seed: u64, tokens: u64, interval: Duration) -> io::Result<Self> {
+        let engine = engine::Options {
+            capacity: ENGINE_CAPACITY,
+            queue: 0,
+            token_interval: interval,
+            full_load_factor: 1.0,
+            prefill_per_block: Duration::ZERO,
+            min_tokens: tokens,
+            tail_exponent: NO_TAIL,
+            ..engine::Options::default()
+        };
+        let world = World::spawn(world::Options {
+            seed,
+            nodes: Vec::new(),
+            engines: vec![("d1", false); ENGINES],
+            engine,
+            ..world::Options::default()
+        })?;
+        let node = Node::spawn(&world.settings("bench", "d1")?)?;
+        wait_until_healthy(node.addresses().callers);
+        Ok(Self { node, world })
+    }
+
+    /// Returns the addresses for calls without the node.
+    pub(crate) fn direct(&self) -> Vec<SocketAddr> {
+        self.world.engines.iter().map(Engine::address).collect()
+    }
+
+    /// Returns the address for calls through the node.
+    pub(crate) fn through(&self) -> Vec<SocketAddr> {
+        vec![self.node.addresses().callers]
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod node;
 pub mod plain;
 pub mod platform;
+pub mod process;
 pub mod proxy;
 mod reply;
 pub mod thread;
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -91,11 +91,7 @@
 
     /// Waits until every node reports by its health check that it has a configuration.
     fn wait_until_active(&self) {
-        for address in self.nodes() {
-            while !is_healthy(address) {
-                std::thread::sleep(POLL);
-            }
-        }
+        self.nodes().into_iter().for_each(wait_until_healthy);
     }
 
     /// Returns the caller ports.
@@ -189,12 +185,22 @@
     }
 
     fn add_node(&mut self, index: usize) -> io::Result<()> {
-        let data_centre = self.options.nodes[index];
+        let settings = self.settings(&format!("n{index}"), self.options.nodes[index])?;
+        self.hosts.push(Node::spawn(settings)?);
+        Ok(())
+    }
+
+    /// Returns the settings of a node of this world.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host's name is not valid or the data centre is unknown.
+    pub fn settings(&self, host: &str, data_centre: &str) -> io::Result<Settings> {
         let level = if self.options.logs { Level::Debug } else { Level::Error };
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let platform = self.platform.address(data_centre).ok_or(io::ErrorKind::NotFound)?;
-        let settings = Settings {
-            host: HostName::new(&format!("n{index}")).map_err(io::Error::other)?,
+        Ok(Settings {
+            host: HostName::new(host).map_err(io::Error::other)?,
             data_centre: DataCentreName::new(data_centre).map_err(io::Error::other)?,
             caller_address: any,
             operator_address: any,
@@ -204,9 +210,7 @@
             drain_timeout_ms: Duration::from_secs(10),
             log: Log { level, ..Log::default() },
             policy: self.options.policy,
-        };
-        self.hosts.push(Node::spawn(settings)?);
-        Ok(())
+        })
     }
 
     fn list_hosts(&self) {
@@ -220,6 +224,13 @@
     }
 }
 
+/// Waits until a node reports on its caller port that it takes work.
+pub fn wait_until_healthy(address: SocketAddr) {
+    while !is_healthy(address) {
+        std::thread::sleep(POLL);
+    }
+}
+
 fn is_healthy(address: SocketAddr) -> bool {
     let request = b"GET /healthz HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n";
     let mut answer = String::new();
--- a/crates/standin/tests/standins.rs
+++ b/crates/standin/tests/standins.rs
@@ -16,6 +16,8 @@
 mod plain;
 #[path = "standins/platform.rs"]
 mod platform;
+#[path = "standins/process.rs"]
+mod process;
 #[path = "standins/proxy.rs"]
 mod proxy;
 #[path = "standins/support.rs"]
