Compare policies on the same seeded work

Nothing compared the policies of nodes with the plain baseline.

The example `measure` runs the work of one of two users through real nodes, once for each policy, with weight changes, an engine crash, a flood and a data centre that leaves and returns, and prints one line per policy. Apps and trainers of the stand-ins get longer prompts with shared prefixes, and record tokens and the age of samples.

--- /dev/null
+++ b/crates/standin/examples/measure/run.rs
@@ -0,0 +1,46 @@
+use std::{
+    io, thread,
+    time::{Duration, Instant},
+};
+
+use standin::{engine::Engine, trainer::Watch, world::World};
+use tamarackdock_config::settings::Policy;
+use tamarackdock_types::weight::Version;
+
+use crate::{
+    events::{Event, Events, SCHEDULE},
+    figures::Figures,
+    gather::{Calls, Gathered},
+    profile::Profile,
+    work::Work,
+};
+
+const POLL: Duration = Duration::from_millis(50);
+
+/// Runs the schedule once with a policy.
+pub(crate) fn run(profile: &Profile, name: &str, policy: Policy, seed: u64) -> io::Result<Figures> {
+    let mut world = World::spawn(profile.world(policy, seed))?;
+    world.engines.iter().for_each(Engine::warm);
+    let watch = Watch::new(Version(1));
+    let mut work = Work::spawn(&world, profile, seed, &watch)?;
+    let begin = Instant::now();
+    let mut marks = [Calls::default(); 2];
+    let mut events = Events::new(&mut world, &watch);
+    for (at, event) in SCHEDULE {
+        while begin.elapsed() < Duration::from_millis(at) {
+            events.restart_crashed();
+            thread::sleep(POLL);
+        }
+        events.apply(event)?;
+        match event {
+            Event::Out => marks[0] = Calls::count(&work),
+            Event::Returned => marks[1] = Calls::count(&work),
+            _ => {}
+        }
+    }
+    drop(events);
+    let gathered = Gathered { world: &world, work: &work, profile, policy, marks, begin };
+    let figures = gathered.figures(name, seed);
+    work.stop();
+    Ok(figures)
+}
--- a/crates/standin/src/app/answer.rs
+++ b/crates/standin/src/app/answer.rs
@@ -8,7 +8,8 @@
 /// What an answer turned out to be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Verdict {
-    Own,
+    /// The whole answer, with its number of tokens.
+    Own(u64),
     Foreign,
     Incomplete,
 }
@@ -63,7 +64,7 @@
     };
     match choice.text == expected_text(prompt, tokens) {
         false => Verdict::Foreign,
-        true if is_complete => Verdict::Own,
+        true if is_complete => Verdict::Own(tokens),
         true => Verdict::Incomplete,
     }
 }
--- a/crates/standin/src/app/options.rs
+++ b/crates/standin/src/app/options.rs
@@ -11,6 +11,8 @@
     pub nodes: Vec<SocketAddr>,
     /// Model service.
     pub model: String,
+    /// Text before every question, which engines can cache.
+    pub prefix: String,
     /// Number of questions of each caller.
     pub questions: u64,
     /// Callers that ask at the same time, each one question after the other.
@@ -30,6 +32,7 @@
             key: String::new(),
             nodes: Vec::new(),
             model: "m".into(),
+            prefix: String::new(),
             questions: 1,
             callers: 1,
             max_tokens: 16,
--- a/crates/standin/src/app/questions.rs
+++ b/crates/standin/src/app/questions.rs
@@ -41,7 +41,8 @@
 
     async fn ask_all(&self, caller: u64) {
         for question in 0..self.options.questions {
-            let prompt = format!("{} {caller} {question}", self.options.name);
+            let Options { prefix, name, .. } = &self.options;
+            let prompt = format!("{prefix}{name} {caller} {question}");
             self.ask(&prompt).await;
             monoio::time::sleep(self.options.pause).await;
         }
@@ -77,8 +78,9 @@
     fn count(&self, prompt: &str, verdict: Verdict, begin: Instant) {
         let mut records = self.records();
         match verdict {
-            Verdict::Own => {
+            Verdict::Own(tokens) => {
                 records.answered += 1;
+                records.tokens += tokens;
                 records.latencies.push(begin.elapsed());
             }
             Verdict::Foreign => records.foreign.push(prompt.into()),
--- a/crates/standin/src/app/records.rs
+++ b/crates/standin/src/app/records.rs
@@ -15,6 +15,8 @@
     pub refusals: BTreeMap<(String, String), u64>,
     /// Connections that broke before the answer was whole.
     pub broken: u64,
+    /// Tokens in these answers.
+    pub tokens: u64,
     /// Time from question to whole answer.
     pub latencies: Vec<Duration>,
 }
--- a/crates/standin/src/trainer/options.rs
+++ b/crates/standin/src/trainer/options.rs
@@ -19,6 +19,8 @@
     pub steps: u64,
     /// Groups in a step, each with a prompt of its own.
     pub groups: usize,
+    /// Smallest length of a prompt in bytes; shorter ones are padded.
+    pub prompt_bytes: usize,
     /// Samples of a group.
     pub group_size: usize,
     /// Longest sample in tokens.
@@ -45,6 +47,7 @@
             first_step: 1,
             steps: 1,
             groups: 4,
+            prompt_bytes: 0,
             group_size: 4,
             max_tokens: 64,
             staleness_bound: 1,
@@ -60,8 +63,10 @@
     /// Returns the prompts of a step, one for each group.
     #[must_use]
     pub fn prompts(&self, step: u64) -> Vec<String> {
-        let prompt =
-            |group| format!("{} {step} {group} {:016x}", self.name, self.mixed(step, group));
+        let prompt = |group| {
+            let text = format!("{} {step} {group} {:016x}", self.name, self.mixed(step, group));
+            format!("{text:.<width$}", width = self.prompt_bytes)
+        };
         (0..self.groups).map(prompt).collect()
     }
 
--- a/crates/standin/src/trainer/records.rs
+++ b/crates/standin/src/trainer/records.rs
@@ -25,6 +25,8 @@
     pub refusals: Vec<String>,
     /// Largest number of versions by which a sample was older than the watch.
     pub max_lag: u64,
+    /// Versions by which each sample was older than the newest weights when it was read.
+    pub ages: Vec<u64>,
     /// Broken promises.
     pub violations: Vec<Violation>,
 }
--- a/crates/standin/src/trainer/step.rs
+++ b/crates/standin/src/trainer/step.rs
@@ -93,6 +93,9 @@
         for sample in &page.samples {
             let finding = check.sample(sample, known, self.watch.published());
             records.samples += 1;
+            let oldest = sample.spans.iter().map(|span| span.weight_version).min();
+            let published = self.watch.published();
+            records.ages.extend(oldest.map(|oldest| oldest.lag_behind(published)));
             records.tokens += u64::try_from(sample.token_ids.len()).unwrap_or(u64::MAX);
             records.max_lag = records.max_lag.max(finding.lag);
             records.violations.extend(finding.violations);
--- a/crates/standin/src/world/deployment.rs
+++ b/crates/standin/src/world/deployment.rs
@@ -50,7 +50,10 @@
     let mut targets = Vec::new();
     for (index, (address, (centre, training))) in engines.iter().zip(&options.engines).enumerate() {
         let role = if *training { Role::Training } else { Role::App };
-        targets.push(target(&format!("e{index}"), MODEL, centre, *address, role, options)?);
+        let target = target(&format!("e{index}"), MODEL, centre, *address, role, options)?;
+        let is_cheap = options.cheap.contains(&index);
+        let class = if is_cheap { Class::Cheap } else { Class::Ordinary };
+        targets.push(Target { class, ..target });
     }
     for (index, (address, centre)) in plain.iter().zip(&options.plain).enumerate() {
         targets.push(target(&format!("s{index}"), PLAIN, centre, *address, Role::App, options)?);
--- a/crates/standin/src/world/options.rs
+++ b/crates/standin/src/world/options.rs
@@ -13,6 +13,8 @@
     pub nodes: Vec<&'static str>,
     /// Data centre and role of each engine, with `true` for training.
     pub engines: Vec<(&'static str, bool)>,
+    /// Positions of the engines that are of the cheap class.
+    pub cheap: Vec<usize>,
     /// Data centre of each plain service.
     pub plain: Vec<&'static str>,
     /// Behaviour of the engines.
@@ -44,6 +46,7 @@
                 ("d2", true),
                 ("d2", false),
             ],
+            cheap: Vec::new(),
             plain: vec!["d1"],
             engine: engine::Options::default(),
             accounts: vec![("t1", 1), ("t2", 1), ("shop", 2), ("courier", 1)],
