--- a/crates/standin/src/world/deployment.rs
+++ b/crates/standin/src/world/deployment.rs
@@ -53,7 +53,12 @@
         let target = target(&format!("e{index}"), MODEL, centre, *address, role, options)?;
         let is_cheap = options.cheap.contains(&index);
         let class = if is_cheap { Class::Cheap } else { Class::Ordinary };
-        targets.push(Target { class, ..target });
+        let target = Target { class, ..target };
+        for copy in 1..options.targets_per_engine {
+            let name = TargetName::new(&format!("e{index}-{copy}"))?;
+            targets.push(Target { name, ..target.clone() });
+        }
+        targets.push(target);
     }
     for (index, (address, centre)) in plain.iter().zip(&options.plain).enumerate() {
         targets.push(target(&format!("s{index}"), PLAIN, centre, *address, Role::App, options)?);
--- a/crates/standin/src/world/options.rs
+++ b/crates/standin/src/world/options.rs
@@ -13,6 +13,9 @@
     pub nodes: Vec<&'static str>,
     /// Data centre and role of each engine, with `true` for training.
     pub engines: Vec<(&'static str, bool)>,
+    /// Targets that are configured for each engine. More than one show the cost
+    /// of many targets without a thread for each.
+    pub targets_per_engine: usize,
     /// Positions of the engines that are of the cheap class.
     pub cheap: Vec<usize>,
     /// Data centre of each plain service.
@@ -46,6 +49,7 @@
                 ("d2", true),
                 ("d2", false),
             ],
+            targets_per_engine: 1,
             cheap: Vec::new(),
             plain: vec!["d1"],
             engine: engine::Options::default(),
