--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod process;
 pub mod proxy;
 mod reply;
+pub mod resource;
 pub mod thread;
 pub mod trainer;
 pub mod world;
--- a/crates/standin/src/world/deployment.rs
+++ b/crates/standin/src/world/deployment.rs
@@ -49,11 +49,15 @@
     let mut targets = Vec::new();
     for (index, (address, (centre, training))) in engines.iter().zip(&options.engines).enumerate() {
         let role = if *training { Role::Training } else { Role::App };
-        let mut engine = target(&format!("e{index}"), MODEL, centre, *address, role, options)?;
-        if options.cheap.contains(&index) {
-            engine.class = Class::Cheap;
+        let target = target(&format!("e{index}"), MODEL, centre, *address, role, options)?;
+        let is_cheap = options.cheap.contains(&index);
+        let class = if is_cheap { Class::Cheap } else { Class::Ordinary };
+        let target = Target { class, ..target };
+        for copy in 1..options.targets_per_engine {
+            let name = TargetName::new(&format!("e{index}-{copy}"))?;
+            targets.push(Target { name, ..target.clone() });
         }
-        targets.push(engine);
+        targets.push(target);
     }
     for (index, (address, centre)) in plain.iter().zip(&options.plain).enumerate() {
         targets.push(target(&format!("s{index}"), PLAIN, centre, *address, Role::App, options)?);
--- a/crates/standin/tests/standins.rs
+++ b/crates/standin/tests/standins.rs
@@ -18,6 +18,8 @@
 mod platform;
 #[path = "standins/proxy.rs"]
 mod proxy;
+#[path = "standins/resource.rs"]
+mod resource;
 #[path = "standins/support.rs"]
 mod support;
 #[path = "standins/trainer.rs"]
