Count a crash against a request only if it was sent after its last crash

Cause: samples of one group share a prompt, and the engines that ran them vanished together when a data centre's cheap targets were reclaimed. Change: a crash counts only if the request was sent after the former crash, and nodes tell each other the age of the requests.

--- a/crates/standin/src/world/deployment.rs
+++ b/crates/standin/src/world/deployment.rs
@@ -97,6 +97,7 @@
         role,
         checks_epoch: options.engine.checks_epoch,
         capacity: u32::try_from(options.engine.capacity).unwrap_or(u32::MAX),
-        cold_capacity: u32::try_from(options.engine.cold_capacity).unwrap_or(u32::MAX),
+        cold_capacity: u32::try_from(options.engine.cold_capacity.min(options.engine.capacity))
+            .unwrap_or(u32::MAX),
     })
 }
--- a/crates/tamarackdock_node/src/dispatch.rs
+++ b/crates/tamarackdock_node/src/dispatch.rs
@@ -54,8 +54,8 @@
                 Message::Credit { target, holder, request } => {
                     Reply::Credit(self.router.grant(target, holder, request).await)
                 }
-                Message::Crashed { target, fingerprints } => {
-                    self.router.crashed(target, fingerprints);
+                Message::Crashed { target, requests } => {
+                    self.router.crashed(target, requests);
                     Reply::Ok
                 }
                 Message::Quarantine(entries) => {
--- a/crates/tamarackdock_node/src/peer/message.rs
+++ b/crates/tamarackdock_node/src/peer/message.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 use tamarackdock_config::propagate;
@@ -13,8 +15,8 @@
 pub(crate) enum Message {
     /// A node asks for credits of a cold target.
     Credit { target: TargetName, holder: HostName, request: credit::Request },
-    /// A target crashed while it ran requests with these fingerprints.
-    Crashed { target: TargetName, fingerprints: Vec<u64> },
+    /// A target crashed while it ran requests.
+    Crashed { target: TargetName, requests: Vec<Crashed> },
     /// Requests are held back.
     Quarantine(Vec<quarantine::Entry>),
     /// A trainer's call that the holder of its step must answer.
@@ -37,6 +39,15 @@
     Targets(Update),
 }
 
+/// A request that was in flight on a target that crashed.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct Crashed {
+    /// Fingerprint of the request.
+    pub(crate) fingerprint: u64,
+    /// Time since it was sent to the target. Clocks of nodes can't be compared.
+    pub(crate) age: Duration,
+}
+
 /// A trainer's call, checked for its key by the node that received it.
 #[serde_as]
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/crates/tamarackdock_node/src/peer/mod.rs
+++ b/crates/tamarackdock_node/src/peer/mod.rs
@@ -9,5 +9,5 @@
 pub(crate) use client::Client;
 pub(crate) use failure::Failure;
 pub(crate) use handler::{Dispatch, Handler};
-pub(crate) use message::{Message, StepCall};
+pub(crate) use message::{Crashed, Message, StepCall};
 pub(crate) use reply::{Reply, StepAnswer};
--- a/crates/tamarackdock_node/src/router/crash.rs
+++ b/crates/tamarackdock_node/src/router/crash.rs
@@ -6,7 +6,7 @@
 use tamarackdock_wire::client::Deadlines;
 
 use super::{message::Done, state::Router};
-use crate::peer::{self, Message};
+use crate::peer::{self, Crashed, Message};
 
 const NOTIFY_DEADLINES: Deadlines = Deadlines {
     connect: Duration::from_millis(300),
@@ -20,7 +20,7 @@
 
 #[derive(Debug)]
 struct Suspect {
-    fingerprints: Vec<u64>,
+    requests: Vec<(u64, Instant)>,
     restart_id: Option<String>,
 }
 
@@ -32,20 +32,23 @@
 
     /// Whether a request broke on such a target.
     pub(super) fn names(&self, fingerprint: u64) -> bool {
-        self.0.values().any(|suspect| suspect.fingerprints.contains(&fingerprint))
+        self.0
+            .values()
+            .any(|suspect| suspect.requests.iter().any(|(known, _)| *known == fingerprint))
     }
 }
 
 impl Router {
     /// Takes a broken connection. The target gets no new calls until a load
     /// poll has told whether it crashed or only the connection was lost.
-    pub(super) fn suspect(&mut self, done: Done, now: Instant) {
+    pub(super) fn suspect(&mut self, done: Done, started: Instant, now: Instant) {
         let Some(extra) = self.extra.get(&done.key) else { return };
         let restart_id = self.table.get(done.key).and_then(|t| t.restart_id().map(str::to_owned));
         let name = extra.target.name.clone();
         let reports = extra.reports;
-        let new = || Suspect { fingerprints: Vec::new(), restart_id };
-        self.suspects.0.entry(name.clone()).or_insert_with(new).fingerprints.push(done.fingerprint);
+        let new = || Suspect { requests: Vec::new(), restart_id };
+        let suspect = self.suspects.0.entry(name.clone()).or_insert_with(new);
+        suspect.requests.push((done.fingerprint, started));
         if reports {
             self.refresh_state(done.key);
             self.poll(done.key, now);
@@ -71,11 +74,14 @@
                 warn!(self.log, "requests held back"; "count" => entries.len());
                 self.notify(&Message::Quarantine(entries));
             }
-            let fingerprints = suspect.fingerprints;
-            self.notify(&Message::Crashed { target: target.clone(), fingerprints });
+            let requests = suspect.requests.into_iter();
+            let requests = requests
+                .map(|(fingerprint, started)| Crashed { fingerprint, age: now.since(started) })
+                .collect();
+            self.notify(&Message::Crashed { target: target.clone(), requests });
             self.set_crashed(target);
         } else {
-            for fingerprint in suspect.fingerprints {
+            for (fingerprint, _) in suspect.requests {
                 self.quarantine.finish(fingerprint, target);
             }
             if let Some(key) = self.table.key(target) {
@@ -89,11 +95,13 @@
     pub(super) fn crash_elsewhere(
         &mut self,
         target: &TargetName,
-        fingerprints: &[u64],
+        requests: &[Crashed],
         now: Instant,
     ) {
-        for fingerprint in fingerprints {
-            self.quarantine.start(*fingerprint, target);
+        for request in requests {
+            let age = u64::try_from(request.age.as_millis()).unwrap_or(u64::MAX);
+            let started = Instant::from_millis(now.as_millis().saturating_sub(age));
+            self.quarantine.start(request.fingerprint, target, started);
         }
         let _ = self.quarantine.crash(target, now);
         if let Some(key) = self.table.key(target) {
--- a/crates/tamarackdock_node/src/router/handle.rs
+++ b/crates/tamarackdock_node/src/router/handle.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{Admit, Admitted, Capacity, Message, Permit, Query};
-use crate::active::Active;
+use crate::{active::Active, peer};
 
 /// Sends messages to the router task.
 #[derive(Clone)]
@@ -51,8 +51,8 @@
     }
 
     /// Takes a crash that another node saw.
-    pub(crate) fn crashed(&self, target: TargetName, fingerprints: Vec<u64>) {
-        self.send(Message::Crashed { target, fingerprints });
+    pub(crate) fn crashed(&self, target: TargetName, requests: Vec<peer::Crashed>) {
+        self.send(Message::Crashed { target, requests });
     }
 
     /// Takes requests that another node holds back.
--- a/crates/tamarackdock_node/src/router/message.rs
+++ b/crates/tamarackdock_node/src/router/message.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{Admitted, Outcome, Permit, report::Report};
-use crate::active::Active;
+use crate::{active::Active, peer};
 
 /// A call that asks to be admitted.
 #[derive(Debug, Clone)]
@@ -83,7 +83,7 @@
     /// The granting node answered.
     CreditGrant { key: Key, grant: credit::Grant },
     /// Another node saw a target crash under requests.
-    Crashed { target: TargetName, fingerprints: Vec<u64> },
+    Crashed { target: TargetName, requests: Vec<peer::Crashed> },
     /// Another node holds requests back.
     Quarantine(Vec<quarantine::Entry>),
     /// Count the places for a service's samples.
--- a/crates/tamarackdock_node/src/router/placement.rs
+++ b/crates/tamarackdock_node/src/router/placement.rs
@@ -87,10 +87,13 @@
         }
         let target = extra.target.clone();
         self.table.start(key);
-        self.quarantine.start(query.fingerprint, &target.name);
+        self.quarantine.start(query.fingerprint, &target.name, now);
         let withdrawn = Flag::new();
         let attempt = self.next_id();
-        self.attempts.insert(attempt, Running { key, withdrawn: withdrawn.clone(), has_credit });
+        self.attempts.insert(
+            attempt,
+            Running { key, withdrawn: withdrawn.clone(), started: now, has_credit },
+        );
         let done =
             Done { attempt, key, fingerprint: query.fingerprint, outcome: Outcome::Cancelled };
         Some(Permit::new(target, done, self.sender.clone(), withdrawn))
@@ -162,7 +165,7 @@
             }
         }
         match done.outcome {
-            Outcome::Broken => self.suspect(done, now),
+            Outcome::Broken => self.suspect(done, attempt.started, now),
             Outcome::Unreachable => {
                 self.quarantine.finish(done.fingerprint, &name);
                 self.unreachable(done.key, now);
--- a/crates/tamarackdock_node/src/router/state.rs
+++ b/crates/tamarackdock_node/src/router/state.rs
@@ -77,6 +77,7 @@
 pub(super) struct Running {
     pub(super) key: Key,
     pub(super) withdrawn: Flag,
+    pub(super) started: Instant,
     /// Whether it runs under a credit.
     pub(super) has_credit: bool,
 }
@@ -152,8 +153,8 @@
                 let _ = reply.send(self.grant(&target, &holder, request, now));
             }
             Message::CreditGrant { key, grant } => self.granted(key, grant, now),
-            Message::Crashed { target, fingerprints } => {
-                self.crash_elsewhere(&target, &fingerprints, now);
+            Message::Crashed { target, requests } => {
+                self.crash_elsewhere(&target, &requests, now);
             }
             Message::Quarantine(entries) => {
                 for entry in entries {
--- a/crates/tamarackdock_route/src/quarantine.rs
+++ b/crates/tamarackdock_route/src/quarantine.rs
@@ -25,14 +25,22 @@
 #[derive(Debug, Clone)]
 pub struct Quarantine {
     span: Duration,
-    in_flight: HashMap<TargetName, HashMap<u64, u32>>,
+    in_flight: HashMap<TargetName, HashMap<u64, InFlight>>,
     suspects: HashMap<u64, Suspect>,
     held: HashMap<u64, Instant>,
 }
 
+/// Equal requests in flight on one target.
+#[derive(Debug, Clone, Copy)]
+struct InFlight {
+    count: u32,
+    last_start: Instant,
+}
+
 #[derive(Debug, Clone)]
 struct Suspect {
     targets: HashSet<TargetName>,
+    last_crash: Instant,
     until: Instant,
 }
 
@@ -50,17 +58,19 @@
     }
 
     /// Counts a request that is sent to a target.
-    pub fn start(&mut self, fingerprint: u64, target: &TargetName) {
+    pub fn start(&mut self, fingerprint: u64, target: &TargetName, now: Instant) {
         let requests = self.in_flight.entry(target.clone()).or_default();
-        *requests.entry(fingerprint).or_default() += 1;
+        let request = requests.entry(fingerprint).or_insert(InFlight { count: 0, last_start: now });
+        request.count += 1;
+        request.last_start = now;
     }
 
     /// Counts the end of a request on a target that has not crashed.
     pub fn finish(&mut self, fingerprint: u64, target: &TargetName) {
         let Some(requests) = self.in_flight.get_mut(target) else { return };
-        if let Some(count) = requests.get_mut(&fingerprint) {
-            *count -= 1;
-            if *count == 0 {
+        if let Some(request) = requests.get_mut(&fingerprint) {
+            request.count -= 1;
+            if request.count == 0 {
                 requests.remove(&fingerprint);
             }
         }
@@ -70,16 +80,22 @@
     }
 
     /// Takes a crash and returns the requests that are quarantined by it.
+    ///
+    /// A crash counts against a request only if the request was sent after its
+    /// former crash. Otherwise targets that vanish together would quarantine
+    /// the equal requests that they ran at the same time.
     pub fn crash(&mut self, target: &TargetName, now: Instant) -> Vec<Entry> {
         self.expire(now);
         let mut entries = Vec::new();
-        for fingerprint in self.in_flight.remove(target).unwrap_or_default().into_keys() {
+        for (fingerprint, request) in self.in_flight.remove(target).unwrap_or_default() {
             let until = now + self.span;
-            let suspect = self
-                .suspects
-                .entry(fingerprint)
-                .or_insert_with(|| Suspect { targets: HashSet::new(), until });
+            let new = || Suspect { targets: HashSet::new(), last_crash: request.last_start, until };
+            let suspect = self.suspects.entry(fingerprint).or_insert_with(new);
+            if request.last_start < suspect.last_crash {
+                continue;
+            }
             suspect.until = until;
+            suspect.last_crash = now;
             suspect.targets.insert(target.clone());
             if suspect.targets.len() >= CRASHES {
                 self.suspects.remove(&fingerprint);
