Add a scenario of killed nodes on a slow and lossy store

Cause: a kill was not yet combined with a slow store that loses responses.

A killed node's thread leaves its sockets open, so the runner breaks the connections of every proxy that led to it and sends its callers on.

--- a/crates/scenario/src/stage/nodes.rs
+++ b/crates/scenario/src/stage/nodes.rs
@@ -10,6 +10,14 @@
     pub(crate) fn kill_node(&mut self, index: i64) -> Result<(), Error> {
         let index = self.node(index)?;
         self.world.hosts[index].kill();
+        // Unlike the end of a process, the end of a node's thread leaves its
+        // sockets open.
+        let address = self.world.hosts[index].addresses().callers;
+        for front in self.fronts.iter().filter(|front| front.target() == address) {
+            front.faults().cut = true;
+            until(TIMEOUT, || front.counts().open == 0);
+            front.faults().cut = false;
+        }
         self.divert(index)
     }
 
@@ -43,7 +51,9 @@
         let mut others = self.world.hosts.iter().enumerate();
         let other = others.find(|(other, node)| *other != index && !node.is_finished());
         let (_, other) = other.ok_or_else(|| Error::unknown("other node than", &index))?;
-        self.fronts[index].set_target(other.addresses().callers);
+        let former = self.world.hosts[index].addresses().callers;
+        let fronts = self.fronts.iter().filter(|front| front.target() == former);
+        fronts.for_each(|front| front.set_target(other.addresses().callers));
         Ok(())
     }
 
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -37,3 +37,11 @@
         include_str!("../scenarios/engine_crash_in_a_store_outage.rhai"),
     );
 }
+
+#[test]
+fn node_killed_on_a_slow_and_lossy_store() {
+    check(
+        "node_killed_on_a_slow_and_lossy_store",
+        include_str!("../scenarios/node_killed_on_a_slow_and_lossy_store.rhai"),
+    );
+}
--- a/crates/standin/src/proxy/mod.rs
+++ b/crates/standin/src/proxy/mod.rs
@@ -72,6 +72,12 @@
         self.address
     }
 
+    /// Returns the target of new connections.
+    #[must_use]
+    pub fn target(&self) -> SocketAddr {
+        *self.shared.target()
+    }
+
     /// Passes new connections to another target, as a load balancer does. Open ones stay.
     pub fn set_target(&self, target: SocketAddr) {
         *self.shared.target() = target;
