Test that an isolated holder stops ordering loads

The tests killed holders but never let one live on past its lease.

The nodes of a data centre now lose the platform while a load fails and is retried, the node of another data centre takes the lease over, and the first ones come back. The engine, which carries out every order, gets no order of an earlier epoch after one of a later epoch.

--- a/crates/standin/tests/weights.rs
+++ b/crates/standin/tests/weights.rs
@@ -111,3 +111,28 @@
 fn holder_killed_with_engines_that_ignore_epochs() {
     kill_holder(false);
 }
+
+/// Guards against a holder that goes on ordering after its lease has ended:
+/// the nodes of d1 lose the platform while loads fail and are retried, and the
+/// node of d2 takes over.
+#[test]
+fn isolated_holder_stops() {
+    let mut world = world(false);
+    world.engines[0].configure(|options| options.load_failure_share = 1.0);
+    publish(&mut world, 2);
+    let orders = || world.engines[0].read(|records| records.loads.len());
+    until("a failed load was retried", || (orders() >= 2).then_some(()));
+    let (_, epoch) = world.holder("orders/d1").unwrap();
+    world.platform.cut("d1", true);
+    until("the node of d2 orders", || {
+        let last = world.engines[0].read(|records| records.loads.last().map(|load| load.1.0));
+        last.filter(|last| *last > epoch)
+    });
+    assert_eq!(world.holder("orders/d1").map(|(holder, _)| holder), Some(1));
+    world.engines[0].configure(|options| options.load_failure_share = 0.0);
+    until("all serve version 2", || all_serve(&world, 2));
+    world.platform.cut("d1", false);
+    publish(&mut world, 3);
+    until("all serve version 3", || all_serve(&world, 3));
+    check_epochs(&world);
+}
