Start reports before the windows of the first counts

The first reporter of a shard began with the lowest window found in the table. A node's flush that was still on its way to an earlier window then stayed unreported for ever. It now begins at least 10 s back.

--- a/crates/tamarackdock_node/src/usage/elect.rs
+++ b/crates/tamarackdock_node/src/usage/elect.rs
@@ -6,10 +6,12 @@
 use super::{
     Handle,
     message::Message,
-    schedule::{SHARD, window},
+    schedule::{SHARD, window_before},
 };
 use crate::platform::Platform;
 
+/// Span before the first election in which nodes may still be writing counts.
+const FIRST_SPAN: Duration = Duration::from_secs(10);
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Finds the window with which a new reporter starts, and tells the task.
@@ -33,5 +35,6 @@
     }
     let rows = platform.table.scan("usage/".into()).await?;
     let windows = rows.iter().filter_map(|row| row.key.split('/').nth(1)?.parse::<u64>().ok());
-    Ok(windows.min().unwrap_or_else(window))
+    let earliest = window_before(FIRST_SPAN);
+    Ok(windows.min().map_or(earliest, |window| window.min(earliest)))
 }
