--- a/crates/tamarackdock_node/src/node.rs
+++ b/crates/tamarackdock_node/src/node.rs
@@ -53,7 +53,9 @@
         let settings = Rc::new(self.settings);
         let peers = Peers::default();
         let peer_client = peer::Client::new(peer_pool);
+        let targets = targets::Watch::default();
         let router = router::spawn(router::Parts {
+            targets: targets.clone(),
             settings: settings.clone(),
             peers: peers.clone(),
             peer_client: peer_client.clone(),
@@ -73,7 +75,7 @@
             peer_client,
             weights: weights::Watch::default(),
             usage,
-            targets: targets::Watch::default(),
+            targets,
             centres: centre::Handle::new(&metrics).map_err(Error::Metrics)?,
             metrics,
             log: self.log,
--- a/crates/tamarackdock_node/src/router/state.rs
+++ b/crates/tamarackdock_node/src/router/state.rs
@@ -28,7 +28,7 @@
     Admitted, Handle, Message, admission::Pools, crash::Suspects, credits::Credits, parked::Parked,
     targets::Extra,
 };
-use crate::{active::Active, membership::Peers, peer, telemetry::log};
+use crate::{active::Active, membership::Peers, peer, targets, telemetry::log};
 
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a request that crashed two targets is refused.
@@ -39,6 +39,7 @@
 pub(crate) struct Parts {
     pub(crate) settings: Rc<Settings>,
     pub(crate) peers: Peers,
+    pub(crate) targets: targets::Watch,
     pub(crate) peer_client: peer::Client,
     pub(crate) pool: Rc<Pool>,
     pub(crate) log: Logger,
@@ -172,6 +173,7 @@
 
     fn tick(&mut self, now: Instant) {
         self.poll_due(now);
+        self.refresh_all();
         self.tick_credits(now);
         self.tick_admission(now);
         self.quarantine.expire(now);
--- a/crates/tamarackdock_node/src/router/targets.rs
+++ b/crates/tamarackdock_node/src/router/targets.rs
@@ -60,12 +60,21 @@
         self.serve_parked(now);
     }
 
+    /// Takes what has changed in the platform's lists.
+    pub(super) fn refresh_all(&mut self) {
+        let keys: Vec<Key> = self.extra.keys().copied().collect();
+        for key in keys {
+            self.refresh_state(key);
+        }
+    }
+
     /// Derives a target's state from what is known of it.
     pub(super) fn refresh_state(&mut self, key: Key) {
         let (Some(extra), Some(target)) = (self.extra.get(&key), self.table.get(key)) else {
             return;
         };
         let state = match target.state {
+            _ if !self.parts.targets.accepts_work(&extra.target) => State::Out,
             _ if !extra.is_in || extra.is_silent || !extra.health.is_up() => State::Out,
             _ if self.suspects.covers(&extra.target.name) => State::Out,
             State::Crashed => State::Crashed,
