Add scenarios of faults that nodes do not survive yet

Cause: four scenarios at the bounds of the promises need parts that are not wired into the node: load orders, propagation between nodes with the cut-off rule, quarantine, and cold start credits.

--- /dev/null
+++ b/crates/scenario/scenarios/key_withdrawn_at_a_cut_off_data_centre.rhai
@@ -0,0 +1,20 @@
+// A key is withdrawn while the only link of its caller's data centre to the store is cut.
+world(#{ nodes: ["d1", "d1", "d2"] });
+check(stream(2, "courier"), "a stream runs in d2");
+check(ask(2, "courier", "hello") == "ok", "the key works in d2");
+cut_store("d2");
+print("d2 loses the store");
+withdraw("courier");
+print("the key is withdrawn");
+wait(3000);
+check(ask(0, "courier", "hello") == "unauthorized", "d1 refuses the key after 3 s");
+let outcome = ask(2, "courier", "hello");
+check(outcome == "unauthorized" || outcome == "cut_off", "d2 refuses the key after 3 s");
+wait(1000);
+figure("stream served after, ms", served_after());
+check(served_after() <= 3000, "the stream in d2 ended within 3 s");
+heal_store("d2");
+print("d2 has the store again");
+wait(3000);
+check(ask(2, "courier", "hello") == "unauthorized", "d2 refuses the key");
+check(ask(2, "shop", "hello") == "ok", "other keys work in d2");
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -45,3 +45,32 @@
         include_str!("../scenarios/node_killed_on_a_slow_and_lossy_store.rhai"),
     );
 }
+
+#[test]
+fn store_down_for_a_weight_change() {
+    check(
+        "store_down_for_a_weight_change",
+        include_str!("../scenarios/store_down_for_a_weight_change.rhai"),
+    );
+}
+
+#[test]
+fn key_withdrawn_at_a_cut_off_data_centre() {
+    check(
+        "key_withdrawn_at_a_cut_off_data_centre",
+        include_str!("../scenarios/key_withdrawn_at_a_cut_off_data_centre.rhai"),
+    );
+}
+
+#[test]
+fn request_that_crashes_targets() {
+    check(
+        "request_that_crashes_targets",
+        include_str!("../scenarios/request_that_crashes_targets.rhai"),
+    );
+}
+
+#[test]
+fn warm_engine_turns_cold() {
+    check("warm_engine_turns_cold", include_str!("../scenarios/warm_engine_turns_cold.rhai"));
+}
