--- a/crates/standin/src/process/cluster.rs
+++ b/crates/standin/src/process/cluster.rs
@@ -60,6 +60,8 @@
             cluster.nodes.push(node);
         }
         cluster.list_hosts();
+        let operators = cluster.nodes.iter().map(|node| node.addresses().operators).collect();
+        cluster.world.submit_through(operators)?;
         cluster.wait_until_healthy()?;
         Ok(cluster)
     }
--- a/crates/standin/src/world/mod.rs
+++ b/crates/standin/src/world/mod.rs
@@ -56,6 +56,8 @@
     pub plain_proxies: Vec<Proxy>,
     /// Nodes.
     pub hosts: Vec<Node>,
+    /// Operators' ports of nodes that were started elsewhere.
+    operators: Vec<SocketAddr>,
     options: Options,
     deployment: Deployment,
     version: u64,
@@ -87,6 +89,7 @@
             engine_proxies,
             plain_proxies,
             hosts: Vec::new(),
+            operators: Vec::new(),
             options,
             deployment,
             version: 0,
@@ -96,7 +99,9 @@
             world.add_node(index)?;
         }
         world.list_hosts();
-        world.submit()?;
+        if !world.hosts.is_empty() {
+            world.submit()?;
+        }
         world.wait_until_active();
         Ok(world)
     }
@@ -219,6 +224,16 @@
 
     /// Submits the configuration through the first node that answers. A repetition
     /// through another node has the same operation id and so the same result.
+    /// Submits the configuration through nodes that are not of this world.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if none of the nodes accepts it.
+    pub fn submit_through(&mut self, operators: Vec<SocketAddr>) -> io::Result<()> {
+        self.operators = operators;
+        self.submit()
+    }
+
     fn submit(&mut self) -> io::Result<()> {
         let body = serde_json::to_string(&self.deployment).map_err(io::Error::other)?;
         let base = self.version;
@@ -228,7 +243,9 @@
 
     /// Sends a change through the first node that accepts it.
     fn accept(&mut self, method: &str, path: &str, body: &str) -> io::Result<()> {
-        let answers = (0..self.hosts.len()).map(|node| self.operate(node, method, path, body));
+        let own = self.hosts.iter().map(|node| node.addresses().operators);
+        let ports: Vec<SocketAddr> = own.chain(self.operators.iter().copied()).collect();
+        let answers = ports.into_iter().map(|port| operator::send(port, method, path, body));
         let mut last = None;
         for answer in answers {
             match answer {
