Hold the isolated holder long enough to show a late order

The test did not fail for a holder that ignored the end of its lease: the engine stopped failing after the first order of the next holder, before the isolated one sent its next retry.

The engine now fails until the next holder has ordered six times, which takes longer than the longest retry. A variant that keeps its loader after the loss of the lease and sends without a permit now fails the test; it passed before.

--- a/crates/standin/tests/weights.rs
+++ b/crates/standin/tests/weights.rs
@@ -114,7 +114,8 @@
 
 /// Guards against a holder that goes on ordering after its lease has ended:
 /// the nodes of d1 lose the platform while loads fail and are retried, and the
-/// node of d2 takes over.
+/// node of d2 takes over. Retries come at 250 ms, doubled up to 4 s, so a holder
+/// that goes on orders at least once while the next one orders six times.
 #[test]
 fn isolated_holder_stops() {
     let mut world = world(false);
@@ -124,10 +125,12 @@
     until("a failed load was retried", || (orders() >= 2).then_some(()));
     let (_, epoch) = world.holder("orders/d1").unwrap();
     world.platform.cut("d1", true);
-    until("the node of d2 orders", || {
-        let last = world.engines[0].read(|records| records.loads.last().map(|load| load.1.0));
-        last.filter(|last| *last > epoch)
-    });
+    let later = || {
+        world.engines[0]
+            .read(|records| records.loads.iter().filter(|(_, other, _, _)| other.0 > epoch).count())
+    };
+    until("the node of d2 orders", || (later() >= 1).then_some(()));
+    until("the node of d2 has ordered six times", || (later() >= 6).then_some(()));
     assert_eq!(world.holder("orders/d1").map(|(holder, _)| holder), Some(1));
     world.engines[0].configure(|options| options.load_failure_share = 0.0);
     until("all serve version 2", || all_serve(&world, 2));
