Read into the same buffer again

Each read of a connection took a new buffer of 4 KiB while the one before was kept, so that an idle connection held two.

The guard reads into its own buffer once all of its bytes were passed on.

--- a/crates/tamarackdock_wire/src/guard/reader.rs
+++ b/crates/tamarackdock_wire/src/guard/reader.rs
@@ -117,8 +117,8 @@
         if self.ended {
             return Ok(0);
         }
-        // A dropped read must not lose the buffer, so that bytes are kept only after the read.
-        let (result, buffer) = self.inner.read(Vec::with_capacity(READ_BYTES)).await;
+        let buffer = self.empty_buffer();
+        let (result, buffer) = self.inner.read(buffer).await;
         let count = result.inspect_err(|_| {
             self.ended = true;
             self.is_closed = true;
@@ -131,6 +131,20 @@
         Ok(count)
     }
 
+    /// Returns a buffer for a read. A dropped read loses it, so that the present
+    /// one is used again only if all of its bytes were passed on.
+    fn empty_buffer(&mut self) -> Vec<u8> {
+        if self.passed < self.buffer.len() {
+            return Vec::with_capacity(READ_BYTES);
+        }
+        self.passed = 0;
+        self.accepted = 0;
+        let mut buffer = std::mem::take(&mut self.buffer);
+        buffer.clear();
+        buffer.reserve_exact(READ_BYTES);
+        buffer
+    }
+
     /// Makes accepted bytes available and returns whether there are any.
     async fn advance(&mut self) -> io::Result<bool> {
         while self.passed == self.accepted && !self.scanner.is_complete() {
