Test that refusals by unreachable services are true

Cause: in `broken_connections_repeat_no_call_and_refusals_are_true` the proxies accept every connection, so that no answer said `ran: no` (383 ok, 97 unknown) and the check of it was never reached.

Change: a second test takes all plain services down without proxies, and each of the two tests requires its own kind of refusal.

--- a/crates/tamarackdock_node/tests/processes/plain_calls.rs
+++ b/crates/tamarackdock_node/tests/processes/plain_calls.rs
@@ -22,15 +22,34 @@
 #[test]
 fn broken_connections_repeat_no_call_and_refusals_are_true() {
     let cluster = cluster(world::Options { plain: vec!["d1", "d2"], proxied: true, ..options() });
+    check(&cluster, "unknown", disturb);
+}
+
+/// Guards against a refusal that wrongly says `ran: no`, and against a call
+/// that runs twice, while all targets break connections and refuse new ones.
+#[test]
+fn refusals_by_unreachable_services_are_true() {
+    let cluster = cluster(world::Options { plain: vec!["d1", "d2"], ..options() });
+    check(&cluster, "no", |cluster, _| {
+        cluster.world.plain.iter().for_each(|plain| plain.set_down(true));
+        thread::sleep(PHASE);
+        cluster.world.plain.iter().for_each(|plain| plain.set_down(false));
+        thread::sleep(PHASE);
+    });
+}
+
+/// Calls under faults and judges each answer by what ran. At least one answer
+/// must be a refusal with the expected `ran`.
+fn check(cluster: &Cluster, expected: &str, disturb: impl Fn(&Cluster, usize)) {
     let nodes: Vec<_> = cluster.nodes.iter().map(|node| node.addresses().callers).collect();
     let calls = thread::spawn(move || call_all(&nodes));
     let mut round = 0;
     while !calls.is_finished() {
-        disturb(&cluster, round);
+        disturb(cluster, round);
         round += 1;
     }
     let answers = calls.join().unwrap();
-    let runs = runs(&cluster);
+    let runs = runs(cluster);
     println!("{round} rounds of faults, {:?}", tally(&answers));
     for (id, answer) in &answers {
         let runs = runs.get(id).copied().unwrap_or_default();
@@ -44,8 +63,9 @@
         }
     }
     let tally = tally(&answers);
-    assert!(tally.contains_key("ok"), "{tally:?}");
-    assert!(tally.contains_key("unknown"), "{tally:?}");
+    for kind in ["ok", expected] {
+        assert!(tally.contains_key(kind), "{tally:?}");
+    }
     assert_eq!(cluster.world.keys_seen(), 0);
 }
 
