Check that the trainer runs through the rolling replacement

Cause: the test did not show that a step was running when each node stopped.

Change: the trainer must not have ended before each SIGTERM.

--- a/crates/tamarackdock_node/tests/processes/rolling.rs
+++ b/crates/tamarackdock_node/tests/processes/rolling.rs
@@ -20,6 +20,7 @@
         until("both apps get answers", || {
             apps.iter().zip(asked).all(|(app, before)| app.read(|r| r.answered) > before)
         });
+        assert!(!trainer.is_finished(), "the trainer had ended before n{index} was stopped");
         cluster.nodes[index].signal(Signal::TERM).unwrap();
         until("the health check fails", || !cluster.is_healthy(index));
         cluster.divert(index, (index + 1) % cluster.nodes.len());
