Confirm crashes by a second poll and tell the truth about forwarded step calls

A step call whose forwarded reply was lost was refused with `ran: no`. Change: an unchanged restart id clears a target only 150 ms after the break, a foreign answer counts as a break, and a lost forwarded reply gives `ran: unknown`.

--- a/crates/tamarackdock_node/src/engine/attempt.rs
+++ b/crates/tamarackdock_node/src/engine/attempt.rs
@@ -50,13 +50,14 @@
     pub(crate) fn outcome(self) -> Outcome {
         match self {
             Self::Connection(client::Error::Connect) => Outcome::Unreachable,
-            Self::Connection(client::Error::Broken) => Outcome::Broken,
+            // A foreign answer can be the rest of what a crashing engine sends.
+            Self::Connection(client::Error::Broken) | Self::Crossed => Outcome::Broken,
             Self::Connection(client::Error::OutOfStep) | Self::Abandoned | Self::Withdrawn => {
                 Outcome::Cancelled
             }
             Self::Connection(client::Error::Silent) => Outcome::Silent,
             Self::Rejected(_) => Outcome::Answered { first_byte: None },
-            Self::Connection(_) | Self::Refused | Self::Invalid | Self::Crossed => Outcome::Failed,
+            Self::Connection(_) | Self::Refused | Self::Invalid => Outcome::Failed,
         }
     }
 
--- a/crates/tamarackdock_node/src/peer/failure.rs
+++ b/crates/tamarackdock_node/src/peer/failure.rs
@@ -1,4 +1,5 @@
 use derive_more::{Display, Error};
+use tamarackdock_types::call::Ran;
 use tamarackdock_wire::client;
 
 /// The reason why a peer gave no reply.
@@ -11,3 +12,13 @@
     #[display("the peer's reply can't be read")]
     Malformed,
 }
+
+impl Failure {
+    /// Returns whether the peer may have acted on the message.
+    pub(crate) fn ran(self) -> Ran {
+        match self {
+            Self::Connection(error) => error.ran(),
+            Self::Malformed => Ran::Unknown,
+        }
+    }
+}
--- a/crates/tamarackdock_node/src/router/crash.rs
+++ b/crates/tamarackdock_node/src/router/crash.rs
@@ -8,6 +8,9 @@
 use super::{message::Done, state::Router};
 use crate::peer::{self, Crashed, Message};
 
+/// How long after a broken connection an unchanged restart id shows that the
+/// target did not crash. A crashing process can answer a last poll.
+const CONFIRMATION: Duration = Duration::from_millis(150);
 const NOTIFY_DEADLINES: Deadlines = Deadlines {
     connect: Duration::from_millis(300),
     first_byte: Duration::from_secs(1),
@@ -21,6 +24,7 @@
 #[derive(Debug)]
 struct Suspect {
     requests: Vec<(u64, Instant)>,
+    since: Instant,
     restart_id: Option<String>,
 }
 
@@ -46,7 +50,7 @@
         let restart_id = self.table.get(done.key).and_then(|t| t.restart_id().map(str::to_owned));
         let name = extra.target.name.clone();
         let reports = extra.reports;
-        let new = || Suspect { requests: Vec::new(), restart_id };
+        let new = || Suspect { requests: Vec::new(), since: now, restart_id };
         let suspect = self.suspects.0.entry(name.clone()).or_insert_with(new);
         suspect.requests.push((done.fingerprint, started));
         if reports {
@@ -65,8 +69,12 @@
         restart_id: Option<&str>,
         now: Instant,
     ) {
-        let Some(suspect) = self.suspects.0.remove(target) else { return };
+        let Some(suspect) = self.suspects.0.get(target) else { return };
         let is_crashed = restart_id.is_none() || restart_id != suspect.restart_id.as_deref();
+        if !is_crashed && now.since(suspect.since) < CONFIRMATION {
+            return self.poll_again(target, now);
+        }
+        let Some(suspect) = self.suspects.0.remove(target) else { return };
         if is_crashed {
             info!(self.log, "target crashed"; "target" => %target);
             let entries = self.quarantine.crash(target, now);
@@ -91,6 +99,13 @@
         self.serve_parked(now);
     }
 
+    fn poll_again(&mut self, target: &TargetName, now: Instant) {
+        let key = self.table.key(target);
+        if let Some(extra) = key.and_then(|key| self.extra.get_mut(&key)) {
+            extra.next_poll = Some(now + CONFIRMATION);
+        }
+    }
+
     /// Takes a crash that another node saw.
     pub(super) fn crash_elsewhere(
         &mut self,
--- a/crates/tamarackdock_node/src/step/service.rs
+++ b/crates/tamarackdock_node/src/step/service.rs
@@ -4,6 +4,7 @@
 use tamarackdock_lease::Row;
 use tamarackdock_types::{
     HostName, TrainerName,
+    call::Ran,
     refusal::{Code, Refusal},
 };
 use tamarackdock_wire::client::Deadlines;
@@ -25,6 +26,15 @@
 /// nothing, and its lease is not taken over before the forwarded call fails.
 const FORWARD_GRACE: Duration = Duration::from_secs(2);
 
+/// The result of passing a call to the node that holds the lease.
+enum Forwarded {
+    Answered(StepAnswer),
+    /// The holder may have acted on the call.
+    Lost,
+    /// No holder has acted on the call.
+    NotSent,
+}
+
 /// Answers trainers, here or through the node that holds the trainer's lease.
 pub(crate) struct Service {
     context: Context,
@@ -82,20 +92,23 @@
     async fn route(&self, call: &StepCall) -> Result<StepAnswer, Refusal> {
         let parsed = Call::parse(call)?;
         let deadline = monoio::time::Instant::now() + TAKEOVER_WAIT;
+        let mut ran = Ran::No;
         loop {
             let holder = self.holder(&parsed.trainer);
             if holder.lease.permit().is_some() {
                 return holder.answer(parsed).await;
             }
-            if let Some(answer) = self.forward(&parsed, call).await {
-                return Ok(answer);
+            match self.forward(&parsed, call).await {
+                Forwarded::Answered(answer) => return Ok(answer),
+                Forwarded::Lost => ran = Ran::Unknown,
+                Forwarded::NotSent => {}
             }
             if self.context.leaving.is_raised() {
-                return Err(stopping());
+                return Err(Refusal { ran, ..stopping() });
             }
             holder.lease.want();
             if monoio::time::Instant::now() >= deadline {
-                return Err(moved());
+                return Err(Refusal { ran, ..moved() });
             }
             monoio::time::sleep(TAKEOVER_POLL).await;
         }
@@ -104,18 +117,22 @@
     /// Forwards a call to the holder that the lease row names. Reads and
     /// acknowledgements can be repeated, and opening a step is idempotent, so
     /// that a lost reply needs no care.
-    async fn forward(&self, parsed: &Call, call: &StepCall) -> Option<StepAnswer> {
-        let holder = self.named_holder(&parsed.trainer).await?;
-        if holder == self.context.settings.host {
-            return None;
-        }
-        let address = self.context.peers.address(&holder)?;
+    async fn forward(&self, parsed: &Call, call: &StepCall) -> Forwarded {
+        let holder = self.named_holder(&parsed.trainer).await;
+        let holder = holder.filter(|holder| *holder != self.context.settings.host);
+        let address = holder.and_then(|holder| self.context.peers.address(&holder));
+        let Some(address) = address else {
+            return Forwarded::NotSent;
+        };
         let first_byte = parsed.wait() + FORWARD_GRACE;
         let deadlines = Deadlines { first_byte, ..Deadlines::default() };
         let message = Message::Step(call.clone());
         match self.context.peer_client.call(address, &message, deadlines).await {
-            Ok(Reply::Step(answer)) => Some(answer),
-            Ok(_) | Err(_) => None,
+            Ok(Reply::Step(answer)) => Forwarded::Answered(answer),
+            // A node that is not the holder has not acted on the call.
+            Ok(_) => Forwarded::NotSent,
+            Err(failure) if failure.ran() == Ran::No => Forwarded::NotSent,
+            Err(_) => Forwarded::Lost,
         }
     }
 
