Give apps and samples places of their own, and trust reports after a cold one

Cause: when training engines turned cold, the running samples filled the shrunken capacity, and app calls were refused as overloaded although their engines were free; and a target that was cold at the start of the nodes waited for 3 s of warm reports, which app calls did not outlast. Change: apps and samples have a lane each where a service has targets for both; a warm report that follows a cold one counts at once.

--- a/crates/tamarackdock_node/src/router/admission.rs
+++ b/crates/tamarackdock_node/src/router/admission.rs
@@ -1,8 +1,6 @@
-use std::{collections::BTreeMap, rc::Rc};
-
 use futures_channel::oneshot;
-use tamarackdock_admit::{Action, Admission, Call, Fair, Fixed, fair};
-use tamarackdock_config::{deployment::Role, settings};
+use tamarackdock_admit::{Action, Call, Level};
+use tamarackdock_config::deployment::Role;
 use tamarackdock_types::{
     ServiceName,
     clock::Instant,
@@ -11,105 +9,9 @@
 
 use super::{
     Admit, Admitted,
+    pool::{AVERAGE_COST, Lane},
     state::{Router, Waiting},
 };
-use crate::active::Active;
-
-/// Weight of a new call in the moving average of call sizes.
-const SIZE_WEIGHT: f64 = 0.05;
-const FIRST_SIZE: f64 = 64.0;
-/// Largest size of a call in averages.
-const MAX_SIZES: f64 = 4.0;
-/// Largest and inverse of the smallest cost of a call in averages.
-const MAX_COST_RATIO: u64 = 4;
-/// Cost of an average call, for which one place is counted.
-const AVERAGE_COST: u64 = 100;
-/// Calls at once of the baseline, for each service.
-const FIXED_LIMIT: usize = 256;
-
-/// One admission for each service.
-pub(super) struct Pools {
-    policy: settings::Admission,
-    active: Rc<Active>,
-    by_service: BTreeMap<ServiceName, Pool>,
-}
-
-struct Pool {
-    admission: Box<dyn Admission>,
-    /// Moving average of a call's tokens.
-    size: f64,
-}
-
-impl Pool {
-    /// Returns what a call costs, in parts of an average call. The cost is
-    /// relative, so that calls that run on don't exceed the capacity when the
-    /// average falls, and bounded, since few calls use all tokens that they may.
-    fn cost(&mut self, tokens: u32) -> u64 {
-        let tokens = f64::from(tokens).min(MAX_SIZES * self.size);
-        self.size = (self.size + SIZE_WEIGHT * (tokens - self.size)).max(1.0);
-        scaled(tokens / self.size).max(AVERAGE_COST / MAX_COST_RATIO)
-    }
-}
-
-/// Returns a multiple of the average cost.
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    clippy::cast_precision_loss,
-    reason = "ratios are positive and small"
-)]
-fn scaled(ratio: f64) -> u64 {
-    (ratio * AVERAGE_COST as f64) as u64
-}
-
-impl Pools {
-    pub(super) fn new(policy: settings::Admission) -> Self {
-        Self { policy, active: Rc::default(), by_service: BTreeMap::new() }
-    }
-
-    /// Takes a configuration and returns the services whose queues began anew,
-    /// since a share of an account or role changed.
-    pub(super) fn configure(&mut self, active: &Rc<Active>) -> Vec<ServiceName> {
-        let former = std::mem::replace(&mut self.active, active.clone());
-        let changed: Vec<ServiceName> = self.by_service.keys().cloned().collect();
-        let changed: Vec<ServiceName> = changed
-            .into_iter()
-            .filter(|service| options(&former, service) != options(active, service))
-            .collect();
-        for service in &changed {
-            self.by_service.remove(service);
-        }
-        changed
-    }
-
-    fn pool(&mut self, service: &ServiceName) -> &mut Pool {
-        let (policy, active) = (self.policy, self.active.clone());
-        self.by_service.entry(service.clone()).or_insert_with(|| Pool {
-            admission: match policy {
-                settings::Admission::Fair => Box::new(Fair::new(options(&active, service))),
-                settings::Admission::Fixed => Box::new(Fixed::new(FIXED_LIMIT)),
-            },
-            size: FIRST_SIZE,
-        })
-    }
-}
-
-/// Batch calls can't use the places of app targets, so that these are a buffer.
-fn options(active: &Active, service: &ServiceName) -> fair::Options {
-    let targets = active.targets().iter().filter(|target| target.service == *service);
-    let places = |role: Option<Role>| -> u64 {
-        let chosen = targets.clone().filter(|target| role.is_none_or(|role| role == target.role));
-        chosen.map(|target| u64::from(target.capacity)).sum()
-    };
-    let (app, training) = (places(Some(Role::App)), places(Some(Role::Training)));
-    let buffer_percent = if training == 0 { 0 } else { 100 * app / (app + training) };
-    let weights = active.deployment.accounts.iter();
-    fair::Options {
-        weights: weights.map(|account| (account.name.clone(), account.weight)).collect(),
-        buffer_percent,
-        ..fair::Options::default()
-    }
-}
 
 impl Router {
     pub(super) fn admit(
@@ -119,9 +21,8 @@
         now: Instant,
     ) {
         let id = self.next_id();
-        let service = admit.service.clone();
-        let pool = self.pools.pool(&service);
-        let tokens = pool.cost(admit.tokens);
+        let lane = self.lane(admit.service, admit.level);
+        let tokens = self.pools.pool(&lane).cost(admit.tokens);
         let call = Call {
             id,
             account: admit.account,
@@ -129,9 +30,9 @@
             tokens,
             deadline: admit.deadline,
         };
-        let waiting = Waiting { service: service.clone(), call: call.clone(), reply: Some(reply) };
+        let waiting = Waiting { lane: lane.clone(), call: call.clone(), reply: Some(reply) };
         self.admits.insert(id, waiting);
-        let actions = self.pools.pool(&service).admission.offer(call, now);
+        let actions = self.pools.pool(&lane).admission.offer(call, now);
         self.carry_out(actions);
     }
 
@@ -139,10 +40,10 @@
     pub(super) fn configure_admission(&mut self, now: Instant) {
         let changed = self.pools.configure(&self.active);
         let waiting = self.admits.values().filter(|waiting| waiting.reply.is_some());
-        let again = waiting.filter(|waiting| changed.contains(&waiting.service));
-        let again: Vec<_> = again.map(|w| (w.service.clone(), w.call.clone())).collect();
-        for (service, call) in again {
-            let actions = self.pools.pool(&service).admission.offer(call, now);
+        let again = waiting.filter(|waiting| changed.contains(&waiting.lane));
+        let again: Vec<_> = again.map(|w| (w.lane.clone(), w.call.clone())).collect();
+        for (lane, call) in again {
+            let actions = self.pools.pool(&lane).admission.offer(call, now);
             self.carry_out(actions);
         }
     }
@@ -150,7 +51,7 @@
     /// Takes the end of an admitted call.
     pub(super) fn finish_call(&mut self, call: u64, now: Instant) {
         if let Some(waiting) = self.admits.remove(&call) {
-            let actions = self.pools.pool(&waiting.service).admission.finish(call, now);
+            let actions = self.pools.pool(&waiting.lane).admission.finish(call, now);
             self.carry_out(actions);
         }
     }
@@ -164,24 +65,35 @@
         for call in left {
             self.finish_call(call, now);
         }
-        let services: Vec<ServiceName> = self.pools.by_service.keys().cloned().collect();
-        for service in services {
-            let places = self.places(&service);
-            let pool = self.pools.pool(&service);
-            let capacity = u64::from(places) * AVERAGE_COST;
+        for lane in self.pools.lanes() {
+            let capacity = u64::from(self.places(&lane)) * AVERAGE_COST;
+            let pool = self.pools.pool(&lane);
             let mut actions = pool.admission.set_capacity(capacity, now);
             actions.extend(pool.admission.tick(now));
             self.carry_out(actions);
         }
     }
 
-    /// Counts the places of a service that other nodes leave free.
-    fn places(&self, service: &ServiceName) -> u32 {
+    /// Samples have a lane of their own where they have targets of their own.
+    fn lane(&self, service: ServiceName, level: Level) -> Lane {
+        let level = if self.batch_role(&service).is_none() { Level::App } else { level };
+        Lane { service, level }
+    }
+
+    /// Counts the places of a lane that other nodes leave free. Apps can also
+    /// use training targets, as far as samples leave them free.
+    fn places(&self, lane: &Lane) -> u32 {
         let targets = self.table.iter().map(|(_, target)| target);
-        let targets = targets.filter(|target| target.spec.service == *service);
+        let targets = targets.filter(|target| target.spec.service == lane.service);
         let free = targets.map(|target| {
             let others = target.load.estimate().saturating_sub(target.load.own());
-            target.limit().saturating_sub(others)
+            match (lane.level, target.spec.role) {
+                (Level::App, Role::App) | (Level::Batch, Role::Training) => {
+                    target.limit().saturating_sub(others)
+                }
+                (Level::App, Role::Training) => target.limit().saturating_sub(target.calls()),
+                (Level::Batch, Role::App) => 0,
+            }
         });
         free.sum()
     }
--- a/crates/tamarackdock_node/src/router/crash.rs
+++ b/crates/tamarackdock_node/src/router/crash.rs
@@ -5,7 +5,7 @@
 use tamarackdock_types::{TargetName, clock::Instant};
 use tamarackdock_wire::client::Deadlines;
 
-use super::{message::Done, state::Router};
+use super::{message::Done, state::Router, warmth::Warmth};
 use crate::peer::{self, Crashed, Message};
 
 /// How long after a broken connection an unchanged restart id shows that the
@@ -129,7 +129,7 @@
         let Some(key) = self.table.key(target) else { return };
         let reports = self.extra.get(&key).is_some_and(|extra| extra.reports);
         if let Some(extra) = self.extra.get_mut(&key) {
-            extra.warm_since = None;
+            extra.warmth = Warmth::Unknown;
             extra.failures += 1;
         }
         if reports && !self.credits_are_off() {
--- a/crates/tamarackdock_node/src/router/mod.rs
+++ b/crates/tamarackdock_node/src/router/mod.rs
@@ -12,9 +12,11 @@
 mod permit;
 mod placement;
 mod poll;
+mod pool;
 mod report;
 mod state;
 mod targets;
+mod warmth;
 
 pub(crate) use admitted::Admitted;
 pub(crate) use handle::Handle;
--- a/crates/tamarackdock_node/src/router/placement.rs
+++ b/crates/tamarackdock_node/src/router/placement.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use futures_channel::oneshot;
+use slog::info;
 use tamarackdock_admit::Level;
 use tamarackdock_config::deployment::Role;
 use tamarackdock_route::{Key, State, policy::Call};
@@ -16,6 +17,7 @@
     message::Done,
     parked::Parked,
     state::{Router, Running},
+    warmth::Warmth,
 };
 
 const RETRY_HINT: Duration = Duration::from_secs(1);
@@ -153,7 +155,15 @@
             Outcome::Answered { first_byte } => first_byte,
             _ => None,
         };
+        let was_warm = self.is_warm(done.key);
         self.table.finish(done.key, first_byte);
+        if was_warm && !self.is_warm(done.key) {
+            info!(self.log, "target cold by its latency"; "target" => %name);
+            if let Some(extra) = self.extra.get_mut(&done.key) {
+                extra.warmth = Warmth::Unknown;
+            }
+            self.poll(done.key, now);
+        }
         if let Some(extra) = self.extra.get_mut(&done.key) {
             if attempt.has_credit {
                 extra.holder.finish();
--- a/crates/tamarackdock_node/src/router/state.rs
+++ b/crates/tamarackdock_node/src/router/state.rs
@@ -18,15 +18,14 @@
     table::Table,
 };
 use tamarackdock_types::{
-    ServiceName,
     clock::{BootClock, Clock, Instant},
     refusal::Refusal,
 };
 use tamarackdock_wire::{client::Pool, flag::Flag};
 
+use super::pool::{Lane, Pools};
 use super::{
-    Admitted, Handle, Message, admission::Pools, crash::Suspects, credits::Credits, parked::Parked,
-    targets::Extra,
+    Admitted, Handle, Message, crash::Suspects, credits::Credits, parked::Parked, targets::Extra,
 };
 use crate::{active::Active, membership::Peers, peer, targets, telemetry::log};
 
@@ -85,7 +84,7 @@
 
 /// A call that waits to be admitted.
 pub(super) struct Waiting {
-    pub(super) service: ServiceName,
+    pub(super) lane: Lane,
     pub(super) call: Call,
     pub(super) reply: Option<oneshot::Sender<Result<Admitted, Refusal>>>,
 }
--- a/crates/tamarackdock_node/src/router/targets.rs
+++ b/crates/tamarackdock_node/src/router/targets.rs
@@ -1,5 +1,6 @@
-use std::{collections::HashSet, rc::Rc, time::Duration};
+use std::{collections::HashSet, rc::Rc};
 
+use slog::info;
 use tamarackdock_config::deployment::{DataCentreState, Kind, Target};
 use tamarackdock_route::{
     Key, Spec, State,
@@ -8,13 +9,9 @@
 };
 use tamarackdock_types::{HostName, clock::Instant};
 
-use super::{Capacity, credits::TERMS, report::Report, state::Router};
+use super::{Capacity, credits::TERMS, report::Report, state::Router, warmth::Warmth};
 use crate::active::Active;
 
-/// How long a target must go on reporting itself warm after a cold start.
-/// Reports lag, so that the first ones can be from before it.
-const WARM_CONFIRMATION: Duration = Duration::from_secs(3);
-
 /// What the node keeps of a target beside the routing table.
 pub(super) struct Extra {
     pub(super) target: Rc<Target>,
@@ -26,8 +23,8 @@
     pub(super) health: Health,
     pub(super) granter: Granter,
     pub(super) holder: Holder,
-    /// Since when it reports itself warm without a break.
-    pub(super) warm_since: Option<Instant>,
+    /// What its reports say.
+    pub(super) warmth: Warmth,
     /// When it is polled next, `None` during a poll.
     pub(super) next_poll: Option<Instant>,
     pub(super) next_ask: Instant,
@@ -82,12 +79,16 @@
             // Calls to plain services need no credits, and neither do those of
             // the plain policies.
             _ if !extra.reports || self.credits_are_off() => State::Warm,
-            State::Out if extra.warm_since.is_some() => State::Warm,
+            State::Out if extra.warmth.is_warm() => State::Warm,
             _ => State::Cold,
         };
         self.table.set_state(key, state);
     }
 
+    pub(super) fn is_warm(&self, key: Key) -> bool {
+        self.table.get(key).is_some_and(|target| target.state == State::Warm)
+    }
+
     /// Sets the time of the next poll.
     pub(super) fn polled(&mut self, key: Key, next: Instant) {
         if let Some(extra) = self.extra.get_mut(&key) {
@@ -113,18 +114,21 @@
         let Some(extra) = self.extra.get_mut(&key) else { return };
         let name = extra.target.name.clone();
         let Some(report) = report else {
-            extra.warm_since = None;
+            extra.warmth = Warmth::Unknown;
             self.unreachable(key, now);
             return self.confirm_crash(&name, None, now);
         };
         extra.health.succeed();
         extra.is_silent = false;
         let is_first = self.table.get(key).is_none_or(|target| target.restart_id().is_none());
-        extra.warm_since = report.warm.then(|| extra.warm_since.unwrap_or(now));
-        let is_confirmed =
-            extra.warm_since.is_some_and(|since| now.since(since) >= WARM_CONFIRMATION);
+        extra.warmth = extra.warmth.report(report.warm, now);
+        let is_confirmed = extra.warmth.is_confirmed(now);
         let calls = report.running + report.queued;
+        let was_warm = self.is_warm(key);
         self.table.report(key, &report.restart_id, report.warm, calls);
+        if was_warm && !self.is_warm(key) {
+            info!(self.log, "target cold by its report"; "target" => %name);
+        }
         self.confirm_crash(&name, Some(&report.restart_id), now);
         let is_cold = self.table.get(key).is_some_and(|target| target.state == State::Cold);
         if is_cold && report.warm && (is_first || is_confirmed) {
@@ -175,7 +179,7 @@
         health: Health::default(),
         granter: Granter::new(target.cold_capacity, TERMS),
         holder: Holder::new(TERMS, incarnation),
-        warm_since: None,
+        warmth: Warmth::default(),
         next_poll: Some(now),
         next_ask: now,
         failures: 0,
