Place samples only when the trainer waits for them

Cause: groups were fixed for delivery as soon as they were complete, and a fixed sample is never replaced, so that a trainer that read late got samples older than the bound. Change: a group is placed when a read waits for the next position, and the newest version is taken over before; the pause between such writes doubles after every 16 writes of a step.

--- a/crates/tamarackdock_node/src/step/runner.rs
+++ b/crates/tamarackdock_node/src/step/runner.rs
@@ -100,6 +100,8 @@
         match command {
             Command::Read { cursor, reply } => {
                 self.waiting.entry(cursor).or_default().push(reply);
+                let newest = self.context.weights.get(&self.request.fields().service);
+                self.handle(Input::WeightsChanged(newest));
                 self.handle(Input::Read { cursor });
             }
             Command::Acknowledge { cursor } => self.handle(Input::Acknowledged { cursor }),
--- a/crates/tamarackdock_rollout/src/step/mod.rs
+++ b/crates/tamarackdock_rollout/src/step/mod.rs
@@ -120,6 +120,7 @@
         actions.extend(self.reader.serve_waiting(&self.recorder));
         actions.extend(self.reader.retry_loads(now));
         actions.extend(self.attempts.start_due(now));
+        self.recorder.demanded = self.reader.demands(&self.recorder);
         actions.extend(self.recorder.advance(now, self.newest));
         if self.is_complete() {
             self.end = Some(End::Complete);
--- a/crates/tamarackdock_rollout/src/step/reader.rs
+++ b/crates/tamarackdock_rollout/src/step/reader.rs
@@ -45,6 +45,11 @@
         actions
     }
 
+    /// Whether a read waits for the next position of the delivery order.
+    pub(super) fn demands(&self, recorder: &Recorder) -> bool {
+        self.waiting.contains(&recorder.recorded.position())
+    }
+
     /// Serves the waiting reads that have become possible.
     pub(super) fn serve_waiting(&mut self, recorder: &Recorder) -> Vec<Action> {
         let waiting: Vec<u32> = self.waiting.iter().copied().collect();
--- a/crates/tamarackdock_rollout/src/step/recorder.rs
+++ b/crates/tamarackdock_rollout/src/step/recorder.rs
@@ -30,6 +30,8 @@
     /// Samples in an object, but not in the row.
     pub(super) held: BTreeMap<u32, Entry>,
     pub(super) chunks: BTreeMap<Arc<str>, Chunk>,
+    /// Whether a read waits for the next position of the delivery order.
+    pub(super) demanded: bool,
     /// Complete groups that are not placed, in the order of completion.
     pub(super) complete: Vec<u32>,
     pub(super) last_commit: Option<Instant>,
@@ -50,6 +52,7 @@
             staged: BTreeMap::new(),
             held: BTreeMap::new(),
             chunks: BTreeMap::new(),
+            demanded: false,
             complete: Vec::new(),
             last_commit: None,
             waiting_since: None,
@@ -110,13 +113,16 @@
 
     fn schedule(&self) -> Schedule {
         let waiting = self.held.len() + self.staged.len();
+        let demanded = self.demanded && !self.complete.is_empty();
+        let has_news = waiting > 0 || demanded || self.acknowledged > self.recorded.acknowledged;
         Schedule {
             last: self.last_commit,
             waiting_since: self.waiting_since,
             waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
             total: self.request.samples(),
             writes: self.recorded.writes,
-            all_filled: self.all_filled(),
+            all_filled: has_news && self.all_filled(),
+            demanded,
         }
     }
 
@@ -228,7 +234,9 @@
     }
 
     /// Makes the next content of the row. Groups are placed strictly in the
-    /// order in which they became complete.
+    /// order in which they became complete, and only once the trainer waits
+    /// for them: a placed sample is never replaced, so that one that is placed
+    /// long before it is read would be older than the bound when it is.
     fn next_manifest(&self, newest: Version) -> Manifest {
         let mut next = self.recorded.clone();
         next.epoch = self.epoch;
@@ -238,6 +246,9 @@
         for (slot, entry) in self.held.iter().filter(|(_, entry)| self.is_stored(entry)) {
             next.record(*slot, entry.clone());
         }
+        if !self.demanded {
+            return next;
+        }
         let mut page = Vec::new();
         let mut page_bytes = 0;
         for group in &self.complete {
--- a/crates/tamarackdock_rollout/src/step/schedule.rs
+++ b/crates/tamarackdock_rollout/src/step/schedule.rs
@@ -25,8 +25,10 @@
     pub(super) waiting: u32,
     pub(super) total: u32,
     pub(super) writes: u32,
-    /// Whether every slot has a sample.
+    /// Whether every slot has a sample and there is something to write.
     pub(super) all_filled: bool,
+    /// Whether the trainer waits for groups that are complete.
+    pub(super) demanded: bool,
 }
 
 impl Schedule {
@@ -36,6 +38,8 @@
         let longest = MAX_WAIT * 2u32.pow(doublings);
         let late = self.waiting_since.is_some_and(|since| now.since(since) >= longest);
         let full = self.waiting > 0 && self.waiting >= self.total.div_ceil(FULL_SHARE);
-        rested && (late || full || self.all_filled)
+        let pause = MIN_INTERVAL * 2u32.pow(doublings);
+        let demanded = self.demanded && self.last.is_none_or(|last| now.since(last) >= pause);
+        rested && (late || full || self.all_filled || demanded)
     }
 }
