Use a subset of targets on each node, and leave data centres that fail

Cause: every node polled and chose among all targets of a service, so that polls grow with nodes times engines, and retries could stay in a data centre that had failed as a whole.

--- a/crates/tamarackdock_node/src/router/mod.rs
+++ b/crates/tamarackdock_node/src/router/mod.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod report;
 mod state;
+mod subset;
 mod targets;
 mod warmth;
 
--- a/crates/tamarackdock_node/src/router/placement.rs
+++ b/crates/tamarackdock_node/src/router/placement.rs
@@ -6,7 +6,7 @@
 use tamarackdock_config::deployment::Role;
 use tamarackdock_route::{Key, State, policy::Call};
 use tamarackdock_types::{
-    ServiceName,
+    DataCentreName, ServiceName,
     clock::Instant,
     refusal::{Code, Refusal},
 };
@@ -109,14 +109,18 @@
             Level::App => vec![Some(Role::App), None],
             Level::Batch => vec![self.batch_role(&query.service)],
         };
-        for role in roles {
+        let failed = self.failed_data_centres(&tried);
+        let attempts = roles.iter().map(|role| (*role, failed.as_slice()));
+        // Rather a target of a data centre with failures than none.
+        let attempts = attempts.chain(roles.iter().map(|role| (*role, [].as_slice())));
+        for (role, tried_data_centres) in attempts {
             let call = Call {
                 service: &query.service,
                 role,
                 prefix: query.prefix,
                 home: &home,
                 tried: &tried,
-                tried_data_centres: &[],
+                tried_data_centres,
             };
             let chosen = self.policy.choose(&self.table, &call);
             let chosen = chosen.filter(|key| {
@@ -129,6 +133,17 @@
         None
     }
 
+    /// Returns the data centres in which a call failed on several targets, so
+    /// that the whole data centre may have failed.
+    fn failed_data_centres(&self, tried: &[Key]) -> Vec<DataCentreName> {
+        let centres = tried.iter().filter_map(|key| self.table.get(*key));
+        let centres: Vec<_> = centres.map(|target| &target.spec.data_centre).collect();
+        let is_repeated = |centre: &&&DataCentreName| {
+            centres.iter().filter(|other| *other == *centre).count() > 1
+        };
+        centres.iter().filter(is_repeated).map(|centre| (*centre).clone()).collect()
+    }
+
     /// Returns the role of the targets that make samples: training targets, if
     /// the service has any.
     pub(super) fn batch_role(&self, service: &ServiceName) -> Option<Role> {
--- a/crates/tamarackdock_node/src/router/poll.rs
+++ b/crates/tamarackdock_node/src/router/poll.rs
@@ -23,6 +23,7 @@
         let due = self
             .extra
             .iter()
+            .filter(|(key, _)| self.assigned.has(**key))
             .filter(|(_, extra)| extra.reports || extra.is_silent || !extra.health.is_up())
             .filter(|(_, extra)| extra.next_poll.is_some_and(|at| now >= at));
         let due: Vec<Key> = due.map(|(key, _)| *key).collect();
--- a/crates/tamarackdock_node/src/router/state.rs
+++ b/crates/tamarackdock_node/src/router/state.rs
@@ -24,6 +24,7 @@
 use tamarackdock_wire::{client::Pool, flag::Flag};
 
 use super::pool::{Lane, Pools};
+use super::subset::Assigned;
 use super::{
     Admitted, Handle, Message, crash::Suspects, credits::Credits, parked::Parked, targets::Extra,
 };
@@ -61,6 +62,7 @@
         extra: HashMap::new(),
         policy,
         budget: Budget::new(RETRY_RATIO),
+        assigned: Assigned::default(),
         quarantine: Quarantine::new(QUARANTINE_SPAN),
         suspects: Suspects::default(),
         admits: HashMap::new(),
@@ -99,6 +101,7 @@
     pub(super) policy: Box<dyn Policy>,
     pub(super) pools: Pools,
     pub(super) budget: Budget,
+    pub(super) assigned: Assigned,
     pub(super) quarantine: Quarantine,
     pub(super) suspects: Suspects,
     pub(super) credits: Credits,
@@ -171,6 +174,7 @@
     }
 
     fn tick(&mut self, now: Instant) {
+        self.refresh_subset(now);
         self.poll_due(now);
         self.refresh_all();
         self.tick_credits(now);
--- a/crates/tamarackdock_node/src/router/targets.rs
+++ b/crates/tamarackdock_node/src/router/targets.rs
@@ -53,6 +53,7 @@
             self.table.remove(key);
         }
         self.active = active;
+        self.refresh_subset(now);
         self.configure_admission(now);
         self.serve_parked(now);
     }
@@ -72,7 +73,13 @@
         };
         let state = match target.state {
             _ if !self.parts.targets.accepts_work(&extra.target) => State::Out,
-            _ if !extra.is_in || extra.is_silent || !extra.health.is_up() => State::Out,
+            _ if !self.assigned.has(key)
+                || !extra.is_in
+                || extra.is_silent
+                || !extra.health.is_up() =>
+            {
+                State::Out
+            }
             _ if self.suspects.covers(&extra.target.name) => State::Out,
             State::Crashed => State::Crashed,
             State::Warm => State::Warm,
