Skip waiting attempts while no target is free

Cause: each end of a call tried to place every waiting attempt, which costs a choice for each of them under saturation. Change: once an attempt that may use any target finds none, those behind it in the same service and level wait.

--- a/crates/tamarackdock_node/src/router/placement.rs
+++ b/crates/tamarackdock_node/src/router/placement.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use futures_channel::oneshot;
 use slog::info;
@@ -51,13 +51,33 @@
         }
         let mut parked = std::mem::take(&mut self.parked);
         parked.sort_by_key(|parked| parked.query.level);
+        // Where an attempt that may use any target finds none, those behind it
+        // find none either. Without this, each end of a call would cost a
+        // choice for each waiting attempt.
+        let mut full = HashSet::new();
         for parked in parked {
+            let lane = (parked.query.service.clone(), parked.query.level);
+            if full.contains(&lane) && self.must_wait(&parked, now) {
+                self.parked.push(parked);
+                continue;
+            }
             if let Some(parked) = self.try_place(parked, now) {
+                let is_suspect = self.suspects.names(parked.query.fingerprint);
+                if parked.query.tried.is_empty() && !is_suspect {
+                    full.insert(lane);
+                }
                 self.parked.push(parked);
             }
         }
     }
 
+    /// Whether an attempt can only wait while no target is free.
+    fn must_wait(&self, parked: &Parked, now: Instant) -> bool {
+        now < parked.query.deadline
+            && !parked.reply.is_canceled()
+            && !self.quarantine.holds(parked.query.fingerprint, now)
+    }
+
     /// Answers an attempt, or returns it if it has to wait.
     fn try_place(&mut self, parked: Parked, now: Instant) -> Option<Parked> {
         let query = &parked.query;
