Count requests by area and peer bytes apart in slopes

`slopes` gave the sum of all platform requests and of all bytes, so that the load on the table service and the traffic between nodes could not be read off. The stand-in now counts reads and writes by the first part of the path, and `slopes` prints them and the bytes to the platform and between nodes apart.

--- a/crates/standin/examples/slopes/fleet.rs
+++ b/crates/standin/examples/slopes/fleet.rs
@@ -16,7 +16,8 @@
 /// through proxies, which count bytes.
 pub(crate) struct Fleet {
     nodes: Vec<Node>,
-    proxies: Vec<Proxy>,
+    platform_proxies: Vec<Proxy>,
+    peer_proxies: Vec<Proxy>,
     pub(crate) world: World,
 }
 
@@ -32,7 +33,12 @@
             plain: Vec::new(),
             ..world::Options::default()
         })?;
-        let mut fleet = Self { nodes: Vec::new(), proxies: Vec::new(), world };
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            platform_proxies: Vec::new(),
+            peer_proxies: Vec::new(),
+            world,
+        };
         let mut hosts = Vec::new();
         for (index, centre) in centres.take(nodes).enumerate() {
             let settings = fleet.world.settings(&format!("n{index}"), centre)?;
@@ -51,7 +57,8 @@
         let node = Node::spawn(&settings)?;
         let peers = Proxy::spawn(node.addresses().peers)?;
         let address = peers.address();
-        self.proxies.extend([platform, peers]);
+        self.platform_proxies.push(platform);
+        self.peer_proxies.push(peers);
         self.nodes.push(node);
         Ok(Host {
             name: settings.host,
@@ -72,10 +79,18 @@
         self.nodes.iter().filter_map(|node| resident_bytes(node.id())).sum()
     }
 
-    /// Returns the bytes that nodes sent and received on these connections.
-    /// Bytes between nodes are counted once.
-    pub(crate) fn bytes(&self) -> u64 {
-        let counts = self.proxies.iter().map(Proxy::counts);
-        counts.map(|counts| counts.sent + counts.returned).sum()
+    /// Returns the bytes between nodes and platform.
+    pub(crate) fn platform_bytes(&self) -> u64 {
+        bytes(&self.platform_proxies)
+    }
+
+    /// Returns the bytes between nodes, counted once.
+    pub(crate) fn peer_bytes(&self) -> u64 {
+        bytes(&self.peer_proxies)
     }
 }
+
+fn bytes(proxies: &[Proxy]) -> u64 {
+    let counts = proxies.iter().map(Proxy::counts);
+    counts.map(|counts| counts.sent + counts.returned).sum()
+}
--- a/crates/standin/examples/slopes/measure.rs
+++ b/crates/standin/examples/slopes/measure.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeMap,
     io, thread,
     time::{Duration, Instant},
 };
@@ -15,16 +16,20 @@
 struct Reading {
     at: Instant,
     cpu: Duration,
-    bytes: u64,
-    reads: u64,
-    writes: u64,
+    platform_bytes: u64,
+    peer_bytes: u64,
+    areas: BTreeMap<String, (u64, u64)>,
 }
 
 impl Reading {
     fn take(fleet: &Fleet) -> Self {
-        let (reads, writes) = fleet.world.platform.state().rates.total();
-        let (cpu, bytes) = (fleet.cpu_time(), fleet.bytes());
-        Self { at: Instant::now(), cpu, bytes, reads, writes }
+        Self {
+            at: Instant::now(),
+            cpu: fleet.cpu_time(),
+            platform_bytes: fleet.platform_bytes(),
+            peer_bytes: fleet.peer_bytes(),
+            areas: fleet.world.platform.state().rates.areas().clone(),
+        }
     }
 }
 
@@ -38,14 +43,24 @@
     let seconds = after.at.duration_since(before.at).as_secs_f64();
     let per_node = |amount: f64| amount / seconds / float(nodes as u64);
     let cpu = after.cpu.saturating_sub(before.cpu).as_secs_f64();
+    let platform_bytes = float(after.platform_bytes - before.platform_bytes);
+    let peer_bytes = float(after.peer_bytes - before.peer_bytes);
+    let per_second = |(area, (reads, writes)): (&String, &(u64, u64))| {
+        let (first_reads, first_writes) = before.areas.get(area).copied().unwrap_or_default();
+        let rate = |amount: u64| float(amount) / seconds;
+        let rates =
+            json!({"reads": rate(reads - first_reads), "writes": rate(writes - first_writes)});
+        (area.clone(), rates)
+    };
     Ok(json!({
         "nodes": nodes,
         "targets": targets,
         "cpu_share_per_node": per_node(cpu),
         "resident_bytes_per_node": fleet.resident_bytes() / nodes as u64,
-        "platform_reads_per_second": float(after.reads - before.reads) / seconds,
-        "platform_writes_per_second": float(after.writes - before.writes) / seconds,
-        "bytes_per_second_per_node": per_node(float(after.bytes - before.bytes)),
+        "platform_requests_per_second": after.areas.iter().map(per_second).collect::<Value>(),
+        "platform_bytes_per_second_per_node": per_node(platform_bytes),
+        "peer_bytes_per_second_per_node": per_node(peer_bytes),
+        "bytes_per_second_per_node": per_node(platform_bytes + peer_bytes),
     }))
 }
 
--- a/crates/standin/src/platform/handler.rs
+++ b/crates/standin/src/platform/handler.rs
@@ -50,7 +50,7 @@
         let response = route(&mut self.state(), &request);
         let (delay, is_lost) = {
             let mut state = self.state();
-            state.rates.count(is_write);
+            state.rates.count(request.path(), is_write);
             (
                 state.faults.delay,
                 is_write && state.faults.is_lost(request.path() == "/table/commit"),
--- a/crates/standin/src/platform/rates.rs
+++ b/crates/standin/src/platform/rates.rs
@@ -1,22 +1,26 @@
-use std::time::Instant;
+use std::{collections::BTreeMap, time::Instant};
 
 /// Requests in each second since the platform started.
 #[derive(Debug)]
 pub struct Rates {
     started: Instant,
     seconds: Vec<(u64, u64)>,
+    areas: BTreeMap<String, (u64, u64)>,
 }
 
 impl Rates {
     pub(super) fn new() -> Self {
-        Self { started: Instant::now(), seconds: Vec::new() }
+        Self { started: Instant::now(), seconds: Vec::new(), areas: BTreeMap::new() }
     }
 
-    pub(super) fn count(&mut self, is_write: bool) {
+    pub(super) fn count(&mut self, path: &str, is_write: bool) {
         let second = usize::try_from(self.started.elapsed().as_secs()).unwrap_or(usize::MAX);
         self.seconds.resize(self.seconds.len().max(second + 1), (0, 0));
         let (reads, writes) = &mut self.seconds[second];
         *(if is_write { writes } else { reads }) += 1;
+        let area = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+        let (reads, writes) = self.areas.entry(area.into()).or_default();
+        *(if is_write { writes } else { reads }) += 1;
     }
 
     /// Returns `(reads, writes)` of each second. Seconds after the last request are left out.
@@ -25,6 +29,12 @@
         &self.seconds
     }
 
+    /// Returns `(reads, writes)` by the first part of the path, such as `table`.
+    #[must_use]
+    pub fn areas(&self) -> &BTreeMap<String, (u64, u64)> {
+        &self.areas
+    }
+
     /// Returns `(reads, writes)` in total.
     #[must_use]
     pub fn total(&self) -> (u64, u64) {
