Submit a configuration in slopes and take a rate of calls

`slopes` never ended: a node is healthy only with a configuration, and none was submitted. It now submits one. `--calls` gives each node a rate of calls, `--size` measures given sizes.

--- a/crates/standin/examples/slopes/fleet.rs
+++ b/crates/standin/examples/slopes/fleet.rs
@@ -1,6 +1,7 @@
 use std::{io, time::Duration};
 
 use standin::{
+    app::{self, App},
     proxy::Proxy,
     resource::{Node, Threads, cpu_time, resident_bytes},
     world::{self, World, wait_until_healthy},
@@ -12,12 +13,11 @@
 const ENGINES: usize = 15;
 const DATA_CENTRES: [&str; 3] = ["d1", "d2", "d3"];
 
-/// Node processes whose connections to the platform and to each other pass
-/// through proxies, which count bytes.
+/// Node processes whose connections to the platform pass through proxies, which
+/// count bytes.
 pub(crate) struct Fleet {
     nodes: Vec<Node>,
-    platform_proxies: Vec<Proxy>,
-    peer_proxies: Vec<Proxy>,
+    proxies: Vec<Proxy>,
     pub(crate) world: World,
 }
 
@@ -33,18 +33,16 @@
             plain: Vec::new(),
             ..world::Options::default()
         })?;
-        let mut fleet = Self {
-            nodes: Vec::new(),
-            platform_proxies: Vec::new(),
-            peer_proxies: Vec::new(),
-            world,
-        };
+        let mut fleet = Self { nodes: Vec::new(), proxies: Vec::new(), world };
         let mut hosts = Vec::new();
         for (index, centre) in centres.take(nodes).enumerate() {
             let settings = fleet.world.settings(&format!("n{index}"), centre)?;
             hosts.push(fleet.add_node(settings)?);
         }
         fleet.world.platform.state().hosts.set(hosts);
+        // Nodes are healthy only once they have a configuration.
+        let operators = fleet.nodes.iter().map(|node| node.addresses().operators);
+        fleet.world.submit_through(operators.collect())?;
         for node in &fleet.nodes {
             wait_until_healthy(node.addresses().callers);
         }
@@ -55,10 +53,8 @@
         let platform = Proxy::spawn(settings.platform_address)?;
         let settings = Settings { platform_address: platform.address(), ..settings };
         let node = Node::spawn(&settings)?;
-        let peers = Proxy::spawn(node.addresses().peers)?;
-        let address = peers.address();
-        self.platform_proxies.push(platform);
-        self.peer_proxies.push(peers);
+        let address = node.addresses().peers;
+        self.proxies.push(platform);
         self.nodes.push(node);
         Ok(Host {
             name: settings.host,
@@ -68,6 +64,18 @@
         })
     }
 
+    /// Starts callers that ask each node about `calls` questions a second.
+    pub(crate) fn spawn_app(&self, calls: u64) -> io::Result<App> {
+        App::spawn(app::Options {
+            key: "shop-key".into(),
+            nodes: self.nodes.iter().map(|node| node.addresses().callers).collect(),
+            questions: u64::MAX,
+            callers: calls * self.nodes.len() as u64,
+            pause: Duration::from_secs(1),
+            ..app::Options::default()
+        })
+    }
+
     /// Returns the CPU time of all nodes.
     pub(crate) fn cpu_time(&self) -> Duration {
         let times = self.nodes.iter().filter_map(|node| cpu_time(node.id(), Threads::All));
@@ -79,18 +87,11 @@
         self.nodes.iter().filter_map(|node| resident_bytes(node.id())).sum()
     }
 
-    /// Returns the bytes between nodes and platform.
+    /// Returns the bytes between nodes and platform. Bytes between nodes are not
+    /// counted, since members tell each other the addresses of their own ports
+    /// and so pass by any proxy.
     pub(crate) fn platform_bytes(&self) -> u64 {
-        bytes(&self.platform_proxies)
+        let counts = self.proxies.iter().map(Proxy::counts);
+        counts.map(|counts| counts.sent + counts.returned).sum()
     }
-
-    /// Returns the bytes between nodes, counted once.
-    pub(crate) fn peer_bytes(&self) -> u64 {
-        bytes(&self.peer_proxies)
-    }
-}
-
-fn bytes(proxies: &[Proxy]) -> u64 {
-    let counts = proxies.iter().map(Proxy::counts);
-    counts.map(|counts| counts.sent + counts.returned).sum()
 }
--- a/crates/standin/examples/slopes/main.rs
+++ b/crates/standin/examples/slopes/main.rs
@@ -1,5 +1,5 @@
-//! Measures what nodes cost without calls, against the number of nodes and of
-//! targets. Each line of the output is one JSON object. See `docs/measurements.md`.
+//! Measures what nodes cost against the number of nodes and of targets, without
+//! calls unless `--calls` gives a rate. Each line of the output is one JSON object. See `docs/measurements.md`.
 
 mod fleet;
 mod measure;
@@ -9,13 +9,15 @@
 use getopts::Options;
 
 const SEED: u64 = 7;
-const USAGE: &str = "Usage: slopes [--seed N]";
+const USAGE: &str = "Usage: slopes [--seed N] [--calls N] [--size NODES,TARGETS]...";
 /// Numbers of nodes and of targets.
 const SIZES: [(usize, usize); 6] = [(3, 15), (6, 15), (12, 15), (24, 15), (3, 60), (3, 240)];
 
 fn main() -> ExitCode {
     let mut options = Options::new();
     options.optopt("", "seed", "seed of the stand-ins", "N");
+    options.optopt("", "calls", "calls a second for each node, 0 by default", "N");
+    options.optmulti("", "size", "size in place of the usual ones", "NODES,TARGETS");
     let matches = match options.parse(env::args().skip(1)) {
         Ok(matches) => matches,
         Err(error) => {
@@ -24,7 +26,18 @@
         }
     };
     let seed = matches.opt_get_default("seed", SEED).unwrap_or(SEED);
-    match run(seed) {
+    let calls = matches.opt_get_default("calls", 0).unwrap_or(0);
+    let given = matches.opt_strs("size");
+    let sizes: Option<Vec<_>> = given.iter().map(|size| parse(size)).collect();
+    let sizes = match sizes {
+        Some(sizes) if sizes.is_empty() => SIZES.to_vec(),
+        Some(sizes) => sizes,
+        None => {
+            eprintln!("slopes: `--size` takes two numbers such as `3,15`\n{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    match run(seed, calls, &sizes) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("slopes: {error}");
@@ -33,9 +46,14 @@
     }
 }
 
-fn run(seed: u64) -> Result<(), Box<dyn Error>> {
-    for (nodes, targets) in SIZES {
-        println!("{}", measure::measure(seed, nodes, targets)?);
+fn parse(size: &str) -> Option<(usize, usize)> {
+    let (nodes, targets) = size.split_once(',')?;
+    Some((nodes.parse().ok()?, targets.parse().ok()?))
+}
+
+fn run(seed: u64, calls: u64, sizes: &[(usize, usize)]) -> Result<(), Box<dyn Error>> {
+    for &(nodes, targets) in sizes {
+        println!("{}", measure::measure(seed, nodes, targets, calls)?);
     }
     Ok(())
 }
--- a/crates/standin/examples/slopes/measure.rs
+++ b/crates/standin/examples/slopes/measure.rs
@@ -17,7 +17,6 @@
     at: Instant,
     cpu: Duration,
     platform_bytes: u64,
-    peer_bytes: u64,
     areas: BTreeMap<String, (u64, u64)>,
 }
 
@@ -27,24 +26,24 @@
             at: Instant::now(),
             cpu: fleet.cpu_time(),
             platform_bytes: fleet.platform_bytes(),
-            peer_bytes: fleet.peer_bytes(),
             areas: fleet.world.platform.state().rates.areas().clone(),
         }
     }
 }
 
-/// Measures one size.
-pub(crate) fn measure(seed: u64, nodes: usize, targets: usize) -> io::Result<Value> {
+/// Measures one size, with about `calls` calls a second for each node.
+pub(crate) fn measure(seed: u64, nodes: usize, targets: usize, calls: u64) -> io::Result<Value> {
     let fleet = Fleet::spawn(seed, nodes, targets)?;
+    let app = if calls > 0 { Some(fleet.spawn_app(calls)?) } else { None };
     thread::sleep(SETTLE);
     let before = Reading::take(&fleet);
     thread::sleep(MEASURED);
     let after = Reading::take(&fleet);
+    drop(app);
     let seconds = after.at.duration_since(before.at).as_secs_f64();
     let per_node = |amount: f64| amount / seconds / float(nodes as u64);
     let cpu = after.cpu.saturating_sub(before.cpu).as_secs_f64();
     let platform_bytes = float(after.platform_bytes - before.platform_bytes);
-    let peer_bytes = float(after.peer_bytes - before.peer_bytes);
     let per_second = |(area, (reads, writes)): (&String, &(u64, u64))| {
         let (first_reads, first_writes) = before.areas.get(area).copied().unwrap_or_default();
         let rate = |amount: u64| float(amount) / seconds;
@@ -55,12 +54,11 @@
     Ok(json!({
         "nodes": nodes,
         "targets": targets,
+        "calls_per_second_per_node": calls,
         "cpu_share_per_node": per_node(cpu),
         "resident_bytes_per_node": fleet.resident_bytes() / nodes as u64,
         "platform_requests_per_second": after.areas.iter().map(per_second).collect::<Value>(),
         "platform_bytes_per_second_per_node": per_node(platform_bytes),
-        "peer_bytes_per_second_per_node": per_node(peer_bytes),
-        "bytes_per_second_per_node": per_node(platform_bytes + peer_bytes),
     }))
 }
 
