Measure staleness, reports, attempts and cost of ordered targets

Cause: nodes load weights, report usage and order targets now, while the example kept these figures null and the staleness bound at 4.

Change: the bound is 1. Attempts are starts at engines by calls that started, with samples of whole steps only. The platform stand-in notes when the first report of a window arrived; reports are compared with the tokens of engines and callers after the nodes' end. All engines are listed at the platform, and the cost is that of the listed targets. A report counts as late one window (5 s) after the closing, since no bound is stated.

Before, staleness, late reports and the cost of current spending were null. Memory and control bytes per node stay null: nodes share one process.

--- /dev/null
+++ b/crates/standin/examples/measure/attempts.rs
@@ -0,0 +1,96 @@
+use std::collections::BTreeSet;
+
+use standin::{trainer, world::World};
+
+use crate::{gather::float, profile::TRAINERS, work::Work};
+
+/// Starts at engines. Those of steps in progress are left out.
+#[derive(Debug, Default)]
+pub(crate) struct Attempts {
+    app_starts: u64,
+    app_calls: u64,
+    sample_starts: u64,
+    samples: u64,
+    tokens_generated: u64,
+    tokens_delivered: u64,
+}
+
+impl Attempts {
+    /// Counts the starts in the records of engines and trainers.
+    pub(crate) fn count(world: &World, work: &Work) -> Self {
+        let mut attempts = Self::default();
+        let whole: Vec<u64> = work
+            .trainers
+            .iter()
+            .map(|trainer| {
+                trainer.read(|records| {
+                    attempts.samples += records.whole_step_samples;
+                    attempts.tokens_delivered += records.whole_step_tokens;
+                    records.steps
+                })
+            })
+            .collect();
+        let mut app_ids = BTreeSet::new();
+        for engine in &world.engines {
+            engine.read(|records| {
+                for id in &records.started {
+                    if let Some(step) = Step::of(id) {
+                        attempts.sample_starts += u64::from(step.is_whole(&whole));
+                    } else {
+                        attempts.app_starts += 1;
+                        app_ids.insert(id.clone());
+                    }
+                }
+                let generated = records
+                    .tokens
+                    .iter()
+                    .filter(|((id, _), _)| Step::of(id).is_some_and(|step| step.is_whole(&whole)));
+                attempts.tokens_generated += generated.map(|(_, tokens)| tokens).sum::<u64>();
+            });
+        }
+        attempts.app_calls = app_ids.len() as u64;
+        attempts
+    }
+
+    pub(crate) fn per_call(&self) -> Option<f64> {
+        ratio(self.app_starts + self.sample_starts, self.app_calls + self.samples)
+    }
+
+    pub(crate) fn per_app_call(&self) -> Option<f64> {
+        ratio(self.app_starts, self.app_calls)
+    }
+
+    pub(crate) fn per_sample(&self) -> Option<f64> {
+        ratio(self.sample_starts, self.samples)
+    }
+
+    /// Returns tokens that were generated for whole steps and not delivered, by
+    /// tokens delivered. A resumed attempt continues with the tokens that were
+    /// received before, so that these are not counted.
+    pub(crate) fn unused_token_share(&self) -> Option<f64> {
+        ratio(self.tokens_generated, self.tokens_delivered).map(|share| share - 1.0)
+    }
+}
+
+/// Trainer and step of an attempt at a sample.
+struct Step {
+    trainer: usize,
+    step: u64,
+}
+
+impl Step {
+    /// Reads the ids `{trainer}-{step}-{attempt}`, which nodes send with attempts at samples.
+    fn of(id: &str) -> Option<Self> {
+        let (name, rest) = id.split_once('-')?;
+        let trainer = TRAINERS.iter().position(|trainer| *trainer == name)?;
+        Some(Self { trainer, step: rest.split_once('-')?.0.parse().ok()? })
+    }
+
+    fn is_whole(&self, whole: &[u64]) -> bool {
+        self.step < trainer::Options::default().first_step + whole[self.trainer]
+    }
+}
+
+fn ratio(part: u64, whole: u64) -> Option<f64> {
+    (whole > 0).then(|| float(part) / float(whole))
+}
--- a/crates/standin/examples/measure/figures.rs
+++ b/crates/standin/examples/measure/figures.rs
@@ -1,5 +1,7 @@
 use serde::Serialize;
 
+use crate::reports::Reports;
+
 /// What one run of one policy showed. A figure whose inputs are missing is `null`.
 #[derive(Debug, Serialize)]
 pub(crate) struct Figures {
@@ -33,17 +35,22 @@
     pub(crate) out_app_failed: u64,
     pub(crate) out_app_slow: u64,
     pub(crate) out_app_calls: u64,
+    /// Refusals of app calls by code and `ran`.
+    pub(crate) app_refusals: Vec<(String, u64)>,
+    /// Orders that the platform got, starts and stops.
+    pub(crate) orders: [usize; 2],
     /// Target seconds times price by million tokens delivered.
     pub(crate) cost_per_million_tokens: Option<f64>,
     pub(crate) tokens_delivered: u64,
     pub(crate) cheap_token_share: Option<f64>,
-    /// Starts at engines by ended app calls and delivered samples. Calls of the
-    /// flood are in the first count only.
+    /// Starts at engines by app calls that started and samples of whole steps.
     pub(crate) attempts_per_call: Option<f64>,
+    pub(crate) attempts_per_app_call: Option<f64>,
+    pub(crate) attempts_per_sample: Option<f64>,
+    /// Tokens generated for whole steps and not delivered, by tokens delivered in them.
+    pub(crate) unused_sample_token_share: Option<f64>,
     pub(crate) engine_crashes: u64,
-    /// Windows that were reported twice with different figures.
-    pub(crate) reports_wrong: Option<usize>,
-    pub(crate) reports_late: Option<usize>,
+    pub(crate) reports: Reports,
     /// CPU seconds by second of a node's thread, with the work of calls.
     pub(crate) node_cpu_share: Option<f64>,
     /// The nodes share one process and have no counters of their own.
--- a/crates/standin/examples/measure/gather.rs
+++ b/crates/standin/examples/measure/gather.rs
@@ -1,4 +1,7 @@
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use hdrhistogram::Histogram;
 use standin::{
@@ -6,20 +9,20 @@
     resource::{Threads, cpu_time, resident_bytes},
     world::World,
 };
-use tamarackdock_config::settings::{Policy, Spending};
 
 use crate::{
     accounts::Accounts,
+    attempts::Attempts,
     figures::Figures,
     histogram::{collect, millis, quantile},
     profile::Profile,
+    reports::Reports,
+    spend::Spend,
     work::Work,
 };
 
 /// App calls slower than this count as slow.
 const SLOW_MS: u64 = 1000;
-const PRICE_ORDINARY: f64 = 1.0;
-const PRICE_CHEAP: f64 = 0.35;
 const PLOT_QUANTILES: [f64; 9] = [0.1, 0.25, 0.5, 0.75, 0.9, 0.95, 0.98, 0.99, 0.999];
 
 /// App calls up to a time.
@@ -51,7 +54,7 @@
     pub(crate) world: &'a World,
     pub(crate) work: &'a Work,
     pub(crate) profile: &'a Profile,
-    pub(crate) policy: Policy,
+    pub(crate) spend: &'a Spend,
     /// Calls when the data centre left and after it was back.
     pub(crate) marks: [Calls; 2],
     pub(crate) begin: Instant,
@@ -66,6 +69,7 @@
         let (steps, ages) = (self.steps(), self.ages());
         let [left, returned] = self.marks;
         let tokens = self.tokens_delivered();
+        let attempts = Attempts::count(self.world, self.work);
         Figures {
             scenario: self.profile.name,
             policy: name.into(),
@@ -89,13 +93,18 @@
             out_app_failed: returned.failed - left.failed,
             out_app_slow: returned.slow - left.slow,
             out_app_calls: returned.answered + returned.failed - left.answered - left.failed,
-            cost_per_million_tokens: self.cost(elapsed).map(|cost| cost / (float(tokens) / 1e6)),
+            cost_per_million_tokens: (tokens > 0)
+                .then(|| self.spend.cost() / (float(tokens) / 1e6)),
+            app_refusals: self.app_refusals(),
+            orders: Spend::orders(self.world),
             tokens_delivered: tokens,
             cheap_token_share: self.cheap_token_share(),
-            attempts_per_call: self.attempts_per_call(&accounts),
+            attempts_per_call: attempts.per_call(),
+            attempts_per_app_call: attempts.per_app_call(),
+            attempts_per_sample: attempts.per_sample(),
+            unused_sample_token_share: attempts.unused_token_share(),
             engine_crashes: self.engines(|records| records.crashes).iter().sum(),
-            reports_wrong: self.reports_wrong(),
-            reports_late: None,
+            reports: Reports::default(),
             node_cpu_share: self.node_cpu_share(elapsed),
             node_memory_bytes: None,
             node_control_bytes_per_second: None,
@@ -136,19 +145,22 @@
     }
 
     /// Returns the tokens of delivered samples and whole app answers.
-    fn tokens_delivered(&self) -> u64 {
+    pub(crate) fn tokens_delivered(&self) -> u64 {
         let samples: u64 = self.trainers(|records| records.tokens).iter().sum();
         let apps = self.work.apps.iter().map(|(_, app)| app.read(|records| records.tokens));
         samples + apps.sum::<u64>()
     }
 
-    /// Returns target seconds times price. With targets on order, the time for
-    /// which each ran is not known here.
-    fn cost(&self, elapsed: Duration) -> Option<f64> {
-        let cheap = self.profile.cheap().len();
-        let ordinary = self.world.engines.len() - cheap;
-        let price = float(ordinary as u64) * PRICE_ORDINARY + float(cheap as u64) * PRICE_CHEAP;
-        (self.policy.spending == Spending::Fixed).then_some(price * elapsed.as_secs_f64())
+    fn app_refusals(&self) -> Vec<(String, u64)> {
+        let mut sums = BTreeMap::<String, u64>::new();
+        for (_, app) in &self.work.apps {
+            app.read(|records| {
+                for ((code, ran), count) in &records.refusals {
+                    *sums.entry(format!("{code}, ran {ran}")).or_default() += count;
+                }
+            });
+        }
+        sums.into_iter().collect()
     }
 
     fn cheap_token_share(&self) -> Option<f64> {
@@ -158,23 +170,6 @@
         (all > 0).then(|| float(cheap) / float(all))
     }
 
-    /// Returns starts at engines by calls. Samples of steps in progress and
-    /// calls of the flood are in the first count only.
-    fn attempts_per_call(&self, accounts: &Accounts) -> Option<f64> {
-        let started: u64 = self.engines(|records| records.started.len() as u64).iter().sum();
-        let samples: u64 = self.trainers(|records| records.samples).iter().sum();
-        let calls = samples + accounts.calls();
-        (calls > 0).then(|| float(started) / float(calls))
-    }
-
-    /// Counts windows that were reported with different bytes.
-    fn reports_wrong(&self) -> Option<usize> {
-        let state = self.world.platform.state();
-        let differs = |sent: &&Vec<_>| sent.iter().any(|bytes| *bytes != sent[0]);
-        let wrong = state.reports.values().filter(differs).count();
-        (!state.reports.is_empty()).then_some(wrong)
-    }
-
     fn node_cpu_share(&self, elapsed: Duration) -> Option<f64> {
         let process = std::process::id();
         let names = (0..self.world.hosts.len()).map(|index| format!("n{index}"));
@@ -185,6 +180,6 @@
     }
 }
 
-fn float(count: u64) -> f64 {
+pub(crate) fn float(count: u64) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
--- a/crates/standin/examples/measure/main.rs
+++ b/crates/standin/examples/measure/main.rs
@@ -2,6 +2,7 @@
 //! one line per policy. See `docs/measurements.md`.
 
 mod accounts;
+mod attempts;
 mod events;
 mod figures;
 mod gather;
@@ -9,7 +10,9 @@
 mod plot;
 mod policy;
 mod profile;
+mod reports;
 mod run;
+mod spend;
 mod work;
 
 use std::{env, error::Error, process::ExitCode};
--- a/crates/standin/examples/measure/profile.rs
+++ b/crates/standin/examples/measure/profile.rs
@@ -14,8 +14,7 @@
 /// Large account that floods with calls for a time.
 pub(crate) const FLOODING: &str = "a1";
 pub(crate) const TRAINERS: [&str; 2] = ["t1", "t2"];
-/// Versions are published three times in a run; without loads, steps must still end.
-pub(crate) const STALENESS_BOUND: u64 = 4;
+pub(crate) const STALENESS_BOUND: u64 = 1;
 
 /// The size of a user's deployment, with service times compressed.
 #[derive(Debug, Clone, Copy)]
--- a/crates/standin/examples/measure/run.rs
+++ b/crates/standin/examples/measure/run.rs
@@ -1,6 +1,6 @@
 use std::{
     io, thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
 use standin::{engine::Engine, trainer::Watch, world::World};
@@ -12,6 +12,8 @@
     figures::Figures,
     gather::{Calls, Gathered},
     profile::Profile,
+    reports::Reports,
+    spend::Spend,
     work::Work,
 };
 
@@ -23,12 +25,14 @@
     world.engines.iter().for_each(Engine::warm);
     let watch = Watch::new(Version(1));
     let mut work = Work::spawn(&world, profile, seed, &watch)?;
-    let begin = Instant::now();
+    let (begin, clock) = (Instant::now(), SystemTime::now());
+    let mut spend = Spend::begin(&world, profile);
     let mut marks = [Calls::default(); 2];
     let mut events = Events::new(&mut world, &watch);
     for (at, event) in SCHEDULE {
         while begin.elapsed() < Duration::from_millis(at) {
             events.restart_crashed();
+            spend.count(events.world);
             thread::sleep(POLL);
         }
         events.apply(event)?;
@@ -39,8 +43,13 @@
         }
     }
     drop(events);
-    let gathered = Gathered { world: &world, work: &work, profile, policy, marks, begin };
-    let figures = gathered.figures(name, seed);
+    spend.count(&world);
+    let gathered = Gathered { world: &world, work: &work, profile, spend: &spend, marks, begin };
+    let mut figures = gathered.figures(name, seed);
+    let received = gathered.tokens_delivered();
+    let span = [clock, SystemTime::now()];
     work.stop();
+    world.shut_down();
+    figures.reports = Reports::read(&world, span, received);
     Ok(figures)
 }
--- a/crates/standin/src/platform/state.rs
+++ b/crates/standin/src/platform/state.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::SystemTime};
 
 use bytes::Bytes;
 use tamarackdock_platform::weight::Latest;
@@ -18,6 +18,8 @@
     /// Every report that arrived, by window, in the order of arrival.
     /// The first of each window is the accepted one.
     pub reports: BTreeMap<u64, Vec<Bytes>>,
+    /// When the first report of each window arrived.
+    pub report_arrivals: BTreeMap<u64, SystemTime>,
     /// Host list.
     pub hosts: HostList,
     /// Weight store.
@@ -35,6 +37,7 @@
             objects: BTreeMap::new(),
             orders: Orders::default(),
             reports: BTreeMap::new(),
+            report_arrivals: BTreeMap::new(),
             hosts: HostList::new(),
             weights: BTreeMap::new(),
             faults: Faults::new(seed),
@@ -49,6 +52,7 @@
 
     /// Records a report and returns whether it equals the accepted one.
     pub(super) fn report(&mut self, window: u64, bytes: &Bytes) -> bool {
+        self.report_arrivals.entry(window).or_insert_with(SystemTime::now);
         let received = self.reports.entry(window).or_default();
         received.push(bytes.clone());
         received[0] == bytes
--- a/crates/standin/src/trainer/records.rs
+++ b/crates/standin/src/trainer/records.rs
@@ -11,6 +11,10 @@
     pub samples: u64,
     /// Tokens in these samples.
     pub tokens: u64,
+    /// Samples of whole steps.
+    pub whole_step_samples: u64,
+    /// Tokens in these samples.
+    pub whole_step_tokens: u64,
     /// Time of each step from asking for it to having it whole.
     pub idle: Vec<Duration>,
     /// Time spent on computing.
--- a/crates/standin/src/trainer/step.rs
+++ b/crates/standin/src/trainer/step.rs
@@ -44,7 +44,7 @@
             let cursor = self.read(step).await;
             self.records().idle.push(begin.elapsed());
             self.acknowledge(step, cursor).await;
-            self.records().steps += 1;
+            self.count_whole_step();
             monoio::time::sleep(self.options.compute_time).await;
             self.records().compute += self.options.compute_time;
         }
@@ -54,6 +54,13 @@
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn count_whole_step(&self) {
+        let mut records = self.records();
+        records.steps += 1;
+        records.whole_step_samples = records.samples;
+        records.whole_step_tokens = records.tokens;
+    }
+
     async fn ask(&self, step: u64) {
         let body = json!({
             "trainer": self.options.name,
