Submit the configuration of node processes in bench and slopes

Cause: the configuration is submitted through a node now, and a world without nodes of its own has none to submit through. Both examples waited without end for the health check of nodes that never got a configuration.

Change: both submit through the node processes, and bench lists its node.

--- a/crates/standin/examples/bench/setup.rs
+++ b/crates/standin/examples/bench/setup.rs
@@ -5,6 +5,8 @@
     resource::Node,
     world::{self, World, wait_until_healthy},
 };
+use tamarackdock_platform::host::{Host, State};
+use tamarackdock_types::{DataCentreName, HostName};
 
 /// Several engines, so that the node is the bottleneck.
 const ENGINES: usize = 4;
@@ -34,7 +36,7 @@
             tail_exponent: NO_TAIL,
             ..engine::Options::default()
         };
-        let world = World::spawn(world::Options {
+        let mut world = World::spawn(world::Options {
             seed,
             nodes: Vec::new(),
             engines: vec![("d1", false); ENGINES],
@@ -42,6 +44,13 @@
             ..world::Options::default()
         })?;
         let node = Node::spawn(&world.settings("bench", "d1")?)?;
+        world.platform.state().hosts.set(vec![Host {
+            name: HostName::new("bench").expect("a constant name"),
+            address: node.addresses().peers,
+            data_centre: DataCentreName::new("d1").expect("a constant name"),
+            state: State::Live,
+        }]);
+        world.submit_through(vec![node.addresses().operators])?;
         wait_until_healthy(node.addresses().callers);
         Ok(Self { node, world })
     }
--- a/crates/standin/examples/slopes/fleet.rs
+++ b/crates/standin/examples/slopes/fleet.rs
@@ -39,6 +39,8 @@
             hosts.push(fleet.add_node(settings)?);
         }
         fleet.world.platform.state().hosts.set(hosts);
+        let operators = fleet.nodes.iter().map(|node| node.addresses().operators).collect();
+        fleet.world.submit_through(operators)?;
         for node in &fleet.nodes {
             wait_until_healthy(node.addresses().callers);
         }
