Read load reports by one function

Cause: the router had its own request, deadlines and type for `GET /load` beside those of the weight loads. Change: it calls `engine::fetch_load`, which now also asks for status 200, as the router did. Behaviour is the same for reports with all documented fields.

--- a/crates/tamarackdock_node/src/engine/control.rs
+++ b/crates/tamarackdock_node/src/engine/control.rs
@@ -59,6 +59,9 @@
 pub(crate) async fn fetch_load(pool: &Pool, address: SocketAddr) -> Option<Load> {
     let request = request(address, Method::GET, "/load", Bytes::new())?;
     let answer = pool.call(address, request, REPORT_DEADLINES).await.ok()?;
+    if answer.status != StatusCode::OK {
+        return None;
+    }
     serde_json::from_slice(&answer.body).ok()
 }
 
--- a/crates/tamarackdock_node/src/router/message.rs
+++ b/crates/tamarackdock_node/src/router/message.rs
@@ -7,8 +7,8 @@
     AccountName, HostName, ServiceName, TargetName, clock::Instant, refusal::Refusal,
 };
 
-use super::{Admitted, Outcome, Permit, report::Report};
-use crate::{active::Active, peer};
+use super::{Admitted, Outcome, Permit};
+use crate::{active::Active, engine::Load, peer};
 
 /// A call that asks to be admitted.
 #[derive(Debug, Clone)]
@@ -70,7 +70,7 @@
     /// An attempt ended.
     Done(Done),
     /// A target answered a load poll, or did not.
-    Report { key: Key, report: Option<Report>, next: Instant },
+    Report { key: Key, report: Option<Load>, next: Instant },
     /// A target without reports could be connected to, or not.
     Probed { key: Key, is_up: bool, next: Instant },
     /// Another node asks for credits of a cold target.
--- a/crates/tamarackdock_node/src/router/mod.rs
+++ b/crates/tamarackdock_node/src/router/mod.rs
@@ -13,7 +13,6 @@
 mod placement;
 mod poll;
 mod pool;
-mod report;
 mod state;
 mod subset;
 mod targets;
--- a/crates/tamarackdock_node/src/router/poll.rs
+++ b/crates/tamarackdock_node/src/router/poll.rs
@@ -1,12 +1,11 @@
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
 use tamarackdock_route::{Key, State};
 use tamarackdock_types::clock::Instant;
 use tamarackdock_wire::client::Deadlines;
 
-use super::{Message, report::Report, state::Router};
+use super::{Message, state::Router};
+use crate::engine::fetch_load;
 
 /// With a subset of 20 targets this is 3 KB/s for each node.
 const WARM_INTERVAL: Duration = Duration::from_secs(2);
@@ -48,16 +47,7 @@
             return;
         }
         monoio::spawn(async move {
-            let request = Request::builder()
-                .method(Method::GET)
-                .uri("/load")
-                .header(header::HOST, address.to_string())
-                .body(Bytes::new())
-                .expect("constant parts");
-            let answer = pool.call(address, request, DEADLINES).await.ok();
-            let answer = answer.filter(|answer| answer.status == StatusCode::OK);
-            let report =
-                answer.and_then(|answer| serde_json::from_slice::<Report>(&answer.body).ok());
+            let report = fetch_load(&pool, address).await;
             let _ = sender.unbounded_send(Message::Report { key, report, next });
         });
     }
--- a/crates/tamarackdock_node/src/router/targets.rs
+++ b/crates/tamarackdock_node/src/router/targets.rs
@@ -9,8 +9,8 @@
 };
 use tamarackdock_types::{HostName, clock::Instant};
 
-use super::{Capacity, credits::TERMS, report::Report, state::Router, warmth::Warmth};
-use crate::active::Active;
+use super::{Capacity, credits::TERMS, state::Router, warmth::Warmth};
+use crate::{active::Active, engine::Load};
 
 /// What the node keeps of a target beside the routing table.
 pub(super) struct Extra {
@@ -117,7 +117,7 @@
     }
 
     /// Takes the answer to a load poll.
-    pub(super) fn report(&mut self, key: Key, report: Option<Report>, now: Instant) {
+    pub(super) fn report(&mut self, key: Key, report: Option<Load>, now: Instant) {
         let Some(extra) = self.extra.get_mut(&key) else { return };
         let name = extra.target.name.clone();
         let Some(report) = report else {
@@ -130,7 +130,7 @@
         let is_first = self.table.get(key).is_none_or(|target| target.restart_id().is_none());
         extra.warmth = extra.warmth.report(report.warm, now);
         let is_confirmed = extra.warmth.is_confirmed(now);
-        let calls = report.running + report.queued;
+        let calls = u32::try_from(report.running + report.queued).unwrap_or(u32::MAX);
         let was_warm = self.is_warm(key);
         self.table.report(key, &report.restart_id, report.warm, calls);
         if was_warm && !self.is_warm(key) {
