--- /dev/null
+++ b/crates/tamarackdock_gateway/src/batch/adopt.rs
@@ -0,0 +1,183 @@
+//! Take-over of batch jobs whose node is gone, and text that earlier runs left.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use monoio::time::{sleep, timeout};
+use tamarackdock_platform::Error;
+use tamarackdock_types::clock::{BootClock, Clock};
+
+use super::{
+    commit, end,
+    index::Entry,
+    job::{Job, Progress},
+    rows::{self, Head},
+    submit,
+};
+use crate::{call::fingerprint, deployment::Name, members::Run, node::Node};
+
+/// Time between looks for jobs without a node.
+const INTERVAL: Duration = Duration::from_millis(150);
+/// Time that each candidate leaves to the one before it.
+const RANK_PAUSE: Duration = Duration::from_millis(700);
+/// Jobs of a trainer whose text may be continued.
+const CARRIED_JOBS: usize = 2;
+/// Longest time for which the start of a job waits for such text.
+const CARRY_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Returns the rank of a run among the candidates for a job: the order of
+/// their hashes with the job, the same on all nodes.
+pub(crate) fn rank(job: &str, own: &Run, live: &[Run]) -> usize {
+    let weight = |run: &Run| fingerprint(format!("{job}/{}", run.host).as_bytes());
+    let mine = weight(own);
+    live.iter().filter(|run| run.host != own.host && weight(run) < mine).count()
+}
+
+/// Takes over jobs without a node for ever.
+pub(crate) async fn run(node: Rc<Node>) {
+    let mut orphans: std::collections::BTreeMap<Name, tamarackdock_types::clock::Instant> =
+        std::collections::BTreeMap::new();
+    loop {
+        sleep(INTERVAL).await;
+        let now = BootClock.now();
+        if node.is_leaving() || !node.members.is_informed(now) {
+            continue;
+        }
+        let found = find(&node);
+        orphans.retain(|id, _| found.iter().any(|(job, _)| job == id));
+        let live = node.members.live();
+        for (id, entry) in found {
+            let since = *orphans.entry(id.clone()).or_insert(now);
+            let rank = u32::try_from(rank(&id, &node.members.own, &live)).unwrap_or(u32::MAX);
+            if now.since(since) >= RANK_PAUSE * rank {
+                orphans.remove(&id);
+                take(&node, &id, entry).await;
+            }
+        }
+    }
+}
+
+fn find(node: &Node) -> Vec<(Name, Entry)> {
+    let heads = node.jobs.heads();
+    let orphan = |id: &Name, head: &Head| match &head.owner {
+        _ if head.ended => false,
+        None => true,
+        // A run that lost its job before it could store that, or a commit whose
+        // answer was lost.
+        Some(run) if *run == node.members.own => {
+            node.jobs.own(id).is_none_or(|job| job.borrow().closed)
+        }
+        Some(run) => node.members.address(run).is_none(),
+    };
+    let found = heads.iter().filter(|(id, entry)| orphan(id, &entry.head));
+    found.map(|(id, entry)| (id.clone(), entry.clone())).collect()
+}
+
+async fn take(node: &Rc<Node>, id: &Name, entry: Entry) {
+    let before = entry.head.owner.as_ref().map(|run| run.host.to_string());
+    let head =
+        Head { owner: Some(node.members.own.clone()), epoch: entry.head.epoch + 1, ..entry.head };
+    let taken = async {
+        let revision = end::write_head(node, id, &head, entry.revision).await?;
+        node.jobs.record(id, Entry { head: head.clone(), revision });
+        let submission = load(node, id, &head).await?;
+        let mut listed = Vec::new();
+        loop {
+            let more = commit::stored(node, id, listed.len()).await?;
+            if more.is_empty() {
+                break;
+            }
+            listed.extend(more);
+        }
+        let texts = progress(node, id).await?;
+        let job = submit::open(node, id.clone(), head.clone(), revision, Rc::new(submission));
+        let mut job = job.borrow_mut();
+        texts.into_iter().for_each(|(item, text)| job.restore(&item, text, false));
+        job.adopt(listed);
+        Ok::<usize, Error>(job.listed.len())
+    };
+    match taken.await {
+        Ok(listed) => slog::info!(node.log, "job: taken over"; "job" => &**id,
+            "from" => before, "epoch" => head.epoch, "listed" => listed),
+        Err(error) => slog::warn!(node.log, "job: not taken over"; "job" => &**id,
+            "from" => before, "error" => %error),
+    }
+}
+
+/// Reads the submission of a job.
+pub(crate) async fn load(node: &Node, id: &str, head: &Head) -> Result<super::Submission, Error> {
+    let mut text = String::new();
+    let mut next = 0;
+    while next < head.chunks {
+        let from = rows::spec(id, Some(next));
+        let chunks = node.store.range(rows::spec(id, None), from).await?;
+        if chunks.is_empty() {
+            return Err(Error::Malformed);
+        }
+        next += chunks.len();
+        chunks.iter().for_each(|row| text.push_str(&row.value));
+    }
+    node.dialect.submission(text.as_bytes()).map_err(|_| Error::Malformed)
+}
+
+/// Reads the text of unfinished items of a job.
+async fn progress(node: &Node, id: &str) -> Result<Vec<(String, Progress)>, Error> {
+    let prefix = rows::progress(id, "");
+    let rows = node.store.range(prefix.clone(), prefix.clone()).await?;
+    let texts = rows.iter().filter_map(|row| {
+        let item = row.key.strip_prefix(&prefix)?;
+        Some((item.to_owned(), serde_json::from_str(&row.value).ok()?))
+    });
+    Ok(texts.collect())
+}
+
+/// Gives a job the text that earlier jobs of the same trainer left for items
+/// that come again.
+pub(crate) async fn carry_over(node: &Rc<Node>, job: &Rc<RefCell<Job>>) {
+    let earlier = earlier_jobs(node, &job.borrow());
+    for (id, head) in earlier {
+        let texts = match node.jobs.own(&id) {
+            Some(own) => unfinished(&own.borrow()),
+            None => match timeout(CARRY_TIMEOUT, progress(node, &id)).await {
+                Ok(Ok(texts)) => texts,
+                Ok(Err(error)) => {
+                    node.store_failed("carry", &error);
+                    continue;
+                }
+                Err(_) => continue,
+            },
+        };
+        let mut job = job.borrow_mut();
+        let before = job.works.iter().filter(|work| work.carried).count();
+        texts.into_iter().for_each(|(item, text)| job.restore(&item, text, true));
+        let carried = job.works.iter().filter(|work| work.carried).count() - before;
+        if carried > 0 {
+            slog::info!(node.log, "job: items carried over"; "job" => &*job.id,
+                "from" => &*id, "step" => head.step, "items" => carried);
+        }
+    }
+}
+
+fn unfinished(job: &Job) -> Vec<(String, Progress)> {
+    let works = job.works.iter().filter(|work| work.phase != super::job::Phase::Finished);
+    works.map(|work| (work.item.id.as_ref().to_owned(), work.progress.clone())).collect()
+}
+
+fn earlier_jobs(node: &Node, job: &Job) -> Vec<(Name, Head)> {
+    let heads = node.jobs.heads();
+    let same = |head: &Head| {
+        head.model.is_some()
+            && head.model == job.head.model
+            && head.account == job.head.account
+            && head.step < job.head.step
+    };
+    let mut earlier: Vec<_> = heads
+        .iter()
+        .filter(|(_, entry)| same(&entry.head))
+        .map(|(id, entry)| (id.clone(), entry.head.clone()))
+        .collect();
+    earlier.sort_by_key(|(_, head)| std::cmp::Reverse(head.step));
+    earlier.truncate(CARRIED_JOBS);
+    // The newest text is taken in last, and stays.
+    earlier.reverse();
+    earlier
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -0,0 +1,173 @@
+//! The heads of all batch jobs, as the store's feed tells them, and the jobs
+//! that this node runs.
+
+use std::{
+    cell::{Ref, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use tamarackdock_platform::table::{Change, News};
+
+use super::{
+    end,
+    job::Job,
+    rows::{self, Head},
+};
+use crate::{deployment::Name, node::Node, signal::Signal};
+
+/// How long the feed waits for a change.
+const WAIT: Duration = Duration::from_secs(5);
+/// Pause after a failed question.
+const RETRY_PAUSE: Duration = Duration::from_millis(120);
+/// Jobs over whose work the demand for a model is averaged.
+const DEMAND_JOBS: usize = 3;
+
+/// A head as last read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Entry {
+    pub(crate) head: Head,
+    pub(crate) revision: u64,
+}
+
+/// All known jobs.
+#[derive(Debug, Default)]
+pub(crate) struct Index {
+    heads: RefCell<BTreeMap<Name, Entry>>,
+    own: RefCell<BTreeMap<Name, Rc<RefCell<Job>>>>,
+    /// Raised when a head changes or an item may start.
+    pub(crate) changed: Signal,
+}
+
+impl Index {
+    pub(crate) fn head(&self, job: &str) -> Option<Entry> {
+        self.heads.borrow().get(job).cloned()
+    }
+
+    pub(crate) fn heads(&self) -> Ref<'_, BTreeMap<Name, Entry>> {
+        self.heads.borrow()
+    }
+
+    /// Records a head unless a newer one is known.
+    pub(crate) fn record(&self, job: &Name, entry: Entry) {
+        let mut heads = self.heads.borrow_mut();
+        if heads.get(job).is_none_or(|known| known.revision < entry.revision) {
+            heads.insert(job.clone(), entry);
+        }
+    }
+
+    pub(crate) fn forget(&self, job: &str) {
+        self.heads.borrow_mut().remove(job);
+    }
+
+    /// Returns a job that this node runs or has run a short time ago.
+    pub(crate) fn own(&self, job: &str) -> Option<Rc<RefCell<Job>>> {
+        self.own.borrow().get(job).cloned()
+    }
+
+    /// Returns all jobs that this node runs.
+    pub(crate) fn open(&self) -> Vec<Rc<RefCell<Job>>> {
+        self.own.borrow().values().filter(|job| !job.borrow().closed).cloned().collect()
+    }
+
+    pub(crate) fn insert(&self, job: Rc<RefCell<Job>>) {
+        let id = job.borrow().id.clone();
+        self.own.borrow_mut().insert(id, job);
+        self.changed.raise();
+    }
+
+    /// Forgets a job unless this node has taken it over again.
+    pub(crate) fn remove(&self, job: &Rc<RefCell<Job>>) {
+        let id = job.borrow().id.clone();
+        let mut own = self.own.borrow_mut();
+        if own.get(&id).is_some_and(|known| Rc::ptr_eq(known, job)) {
+            own.remove(&id);
+        }
+    }
+
+    /// Returns the number of different nodes that run jobs.
+    pub(crate) fn owners(&self) -> usize {
+        let heads = self.heads.borrow();
+        let open = heads.values().filter(|entry| !entry.head.ended);
+        let mut owners: Vec<_> = open.filter_map(|entry| entry.head.owner.as_ref()).collect();
+        owners.sort_unstable();
+        owners.dedup();
+        owners.len().max(1)
+    }
+
+    /// Returns the mean work of the newest jobs by model.
+    pub(crate) fn demand(&self) -> BTreeMap<Name, u64> {
+        let heads = self.heads.borrow();
+        let mut newest: BTreeMap<Name, Vec<(u64, u64)>> = BTreeMap::new();
+        for Entry { head, .. } in heads.values() {
+            if let Some(model) = &head.model {
+                newest.entry(model.clone()).or_default().push((head.step, head.work));
+            }
+        }
+        let mean = |mut steps: Vec<(u64, u64)>| {
+            steps.sort_unstable_by(|left, right| right.cmp(left));
+            steps.truncate(DEMAND_JOBS);
+            steps.iter().map(|(_, work)| work).sum::<u64>() / steps.len().max(1) as u64
+        };
+        newest.into_iter().map(|(model, steps)| (model, mean(steps))).collect()
+    }
+}
+
+/// Follows the heads of all jobs for ever.
+pub(crate) async fn follow(node: Rc<Node>) {
+    let mut revision = None;
+    loop {
+        let result = match revision {
+            Some(after) => node.store.changes(rows::HEADS, after, WAIT).await,
+            None => whole(&node).await,
+        };
+        match result {
+            Ok(News::HistoryLost) => {
+                slog::warn!(node.log, "jobs: history lost, reading again"; "after" => revision);
+                revision = None;
+            }
+            Ok(News::Changes(batch)) => {
+                batch.changes.iter().for_each(|change| apply(&node, change));
+                revision = Some(batch.revision);
+            }
+            Err(error) => {
+                node.store_failed("jobs", &error);
+                monoio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Reads the heads of all parts. The revision is that of the first part, so
+/// that the feed repeats what changed in the meantime.
+async fn whole(node: &Node) -> Result<News, tamarackdock_platform::Error> {
+    let mut all = tamarackdock_platform::table::Batch { changes: Vec::new(), revision: u64::MAX };
+    for part in rows::parts() {
+        let batch = node.store.snapshot(rows::HEADS, part).await?;
+        all.revision = all.revision.min(batch.revision);
+        all.changes.extend(batch.changes);
+    }
+    Ok(News::Changes(all))
+}
+
+fn apply(node: &Rc<Node>, change: &Change) {
+    let job: Name = change.key.as_str().into();
+    match change.value.as_deref().map(serde_json::from_str::<Head>) {
+        None => node.jobs.forget(&job),
+        Some(Ok(head)) => {
+            let known = node.jobs.head(&job);
+            if known.is_none_or(|known| known.revision < change.revision) {
+                slog::info!(node.log, "jobs: head"; "job" => &*job, "revision" => change.revision,
+                    "owner" => head.owner.as_ref().map(|run| run.host.to_string()),
+                    "epoch" => head.epoch, "ended" => head.ended);
+            }
+            node.jobs.record(&job, Entry { head, revision: change.revision });
+            end::check(node, &job);
+        }
+        Some(Err(error)) => {
+            slog::error!(node.log, "jobs: head left out"; "job" => &*job, "error" => %error);
+        }
+    }
+    node.jobs.changed.raise();
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/batch/mod.rs
@@ -0,0 +1,23 @@
+//! Batch jobs: requests that are submitted at once and run later. The section
+//! "Batch jobs" of `docs/platform-system.md` gives the protocol between nodes.
+
+pub(crate) mod adopt;
+pub(crate) mod commit;
+pub(crate) mod end;
+pub(crate) mod index;
+pub(crate) mod job;
+pub(crate) mod place;
+pub(crate) mod read;
+pub(crate) mod rows;
+pub(crate) mod run;
+pub(crate) mod schedule;
+pub(crate) mod submit;
+
+mod page;
+mod submission;
+
+pub use page::{Listed, Page, State};
+pub use submission::{Item, Submission};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/batch/read.rs
@@ -0,0 +1,168 @@
+//! Reads of batch jobs at any node.
+
+use std::{rc::Rc, time::Duration};
+
+use tamarackdock_platform::Error;
+use tamarackdock_types::clock::{BootClock, Clock, Instant};
+
+use super::{Page, adopt, commit, end, index::Entry, rows};
+use crate::{
+    call::until,
+    deployment::Name,
+    dialect::BatchCall,
+    node::Node,
+    peer::{self, Question, Response},
+    reply::Reply,
+    server::Request,
+};
+
+/// Longest time that a read is kept waiting for a result.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+/// When to come back after a read that no node could answer for certain.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+fn unsure() -> Reply {
+    Reply::not_run("the store can't be asked for the batch job now", RETRY_AFTER)
+}
+
+/// Answers a call about a batch job.
+pub(crate) async fn serve(
+    node: &Rc<Node>,
+    call: BatchCall,
+    account: Option<Name>,
+    request: &Request,
+) -> Reply {
+    let (BatchCall::Read { job, .. } | BatchCall::Item { job, .. } | BatchCall::End { job }) =
+        &call;
+    if !rows::is_valid_id(job) {
+        return Reply::error(404, "no such batch job");
+    }
+    let id: Name = job.as_str().into();
+    let entry = match node.jobs.head(&id) {
+        Some(entry) => entry,
+        None => match end::read_head(node, &id).await {
+            Ok(Some(entry)) => entry,
+            Ok(None) => return Reply::error(404, "no such batch job"),
+            Err(error) => {
+                node.store_failed("head", &error);
+                return unsure();
+            }
+        },
+    };
+    if entry.head.account != account {
+        return Reply::error(404, "no such batch job");
+    }
+    match call {
+        BatchCall::Read { after, .. } => {
+            let field = node.dialect.fields().wait;
+            let wait = request.head.headers.number::<u64>(field).unwrap_or_default();
+            let wait = Duration::from_millis(wait).min(MAX_WAIT);
+            results(node, &id, &entry, after, request.arrived + wait).await
+        }
+        BatchCall::Item { item, .. } => body(node, &id, &entry, &item).await,
+        BatchCall::End { .. } => match end::end(node, &id, entry).await {
+            Ok(()) => Reply::empty(200),
+            Err(error) => {
+                node.store_failed("end", &error);
+                unsure()
+            }
+        },
+    }
+}
+
+async fn results(
+    node: &Rc<Node>,
+    id: &Name,
+    entry: &Entry,
+    after: usize,
+    wait_until: Instant,
+) -> Reply {
+    let total = entry.head.items;
+    let page = |page: &Page| Reply::new(200, "application/json", node.dialect.page(page));
+    if let Some(found) = own_results(node, id, after, wait_until).await {
+        return page(&found);
+    }
+    if let Some(found) = owner_results(node, id, entry, after, wait_until).await {
+        return page(&found);
+    }
+    match commit::stored(node, id, after).await {
+        Ok(results) => {
+            let results: Vec<_> = results.into_iter().map(Rc::new).collect();
+            page(&Page::of(total, after, &results))
+        }
+        Err(error) => {
+            node.store_failed("read", &error);
+            unsure()
+        }
+    }
+}
+
+/// Returns a page from memory if this node runs the job. Waits for a result.
+pub(crate) async fn own_results(
+    node: &Rc<Node>,
+    id: &str,
+    after: usize,
+    wait_until: Instant,
+) -> Option<Page> {
+    loop {
+        let (seen, signal) = {
+            let job = node.jobs.own(id)?;
+            let job = job.borrow();
+            if job.closed {
+                return None;
+            }
+            let waits = BootClock.now() < wait_until && !job.is_complete();
+            if after < job.listed.len() || !waits {
+                let results = job.listed.get(after..).unwrap_or_default();
+                return Some(Page::of(job.works.len(), after, results));
+            }
+            (job.changed.count(), job.changed.clone())
+        };
+        // The page is made anew at the end of the wait.
+        let _ = until(wait_until, signal.after(seen)).await;
+    }
+}
+
+/// Asks the node that runs the job.
+async fn owner_results(
+    node: &Rc<Node>,
+    id: &Name,
+    entry: &Entry,
+    after: usize,
+    wait_until: Instant,
+) -> Option<Page> {
+    let owner = entry.head.owner.as_ref().filter(|_| !entry.head.ended)?;
+    let address = node.members.address(owner).filter(|_| *owner != node.members.own)?;
+    let wait_ms = wait_until.since(BootClock.now()).as_millis();
+    let wait_ms = u64::try_from(wait_ms).unwrap_or_default();
+    let question = Question::Results { job: id.clone(), after, wait_ms };
+    match peer::ask(node, address, &question, Duration::from_millis(wait_ms)).await {
+        Ok(Response::Results(page)) => page,
+        Err(error) => {
+            slog::info!(node.log, "peer: no answer"; "job" => &**id,
+                "host" => &*owner.host, "error" => %error);
+            None
+        }
+    }
+}
+
+async fn body(node: &Rc<Node>, id: &Name, entry: &Entry, item: &str) -> Reply {
+    let missing = || Reply::error(404, "no such item");
+    let submission = match node.jobs.own(id) {
+        Some(job) => Ok(job.borrow().submission.clone()),
+        None => adopt::load(node, id, &entry.head).await.map(Rc::new),
+    };
+    match submission {
+        Ok(submission) => {
+            let found = submission.items.iter().find(|candidate| *candidate.id == *item);
+            found.map_or_else(missing, |found| {
+                Reply::new(200, "application/octet-stream", found.body.clone())
+            })
+        }
+        Err(Error::Malformed) => missing(),
+        Err(error) => {
+            node.store_failed("spec", &error);
+            unsure()
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -0,0 +1,157 @@
+//! Acceptance of batch jobs.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use tamarackdock_platform::{
+    Error,
+    table::{Commit, Condition, Write},
+};
+use tamarackdock_types::clock::{BootClock, Clock};
+
+use super::{
+    Submission, commit, end,
+    index::Entry,
+    job::Job,
+    rows::{self, Head},
+    schedule,
+};
+use crate::{call::Call, deployment::Name, node::Node, reply::Reply};
+
+/// When a client should come back after the store refused a job.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Takes a batch job. It is durable before the answer.
+pub(crate) async fn submit(node: &Rc<Node>, call: &Call) -> Reply {
+    let id: Name = call.id.as_str().into();
+    if !rows::is_valid_id(&id) {
+        return Reply::error(400, "the id of a batch job has 1 to 64 letters, digits, `-` or `_`");
+    }
+    if let Some(entry) = node.jobs.head(&id) {
+        return accepted_before(node, call, &id, &entry);
+    }
+    let submission = match node.dialect.submission(&call.request.body) {
+        Ok(submission) => submission,
+        Err(error) => return Reply::error(400, &error.to_string()),
+    };
+    if !submission.items.iter().all(|item| rows::is_valid_id(&item.id)) {
+        return Reply::error(400, "the id of an item has 1 to 64 letters, digits, `-` or `_`");
+    }
+    let Ok(text) = std::str::from_utf8(&call.request.body) else {
+        return Reply::error(400, "a batch job is JSON text");
+    };
+    let chunks = rows::pieces(text, node.row_bytes());
+    let head = head(node, call, &submission, chunks.len());
+    match write(node, &id, &head, &chunks).await {
+        Ok(revision) => {
+            slog::info!(node.log, "job: accepted"; "job" => &*id, "items" => head.items,
+                "step" => head.step, "model" => head.model.as_deref(),
+                "work" => head.work, "revision" => revision);
+            node.jobs.record(&id, Entry { head: head.clone(), revision });
+            if head.owner.is_some() {
+                open(node, id, head, revision, Rc::new(submission));
+            }
+            Reply::empty(202)
+        }
+        Err(Error::Conflict { .. }) => match end::read_head(node, &id).await {
+            Ok(Some(entry)) => accepted_before(node, call, &id, &entry),
+            Ok(None) | Err(_) => Reply::error(502, "the batch job may have been accepted"),
+        },
+        Err(Error::Unreachable) => {
+            Reply::not_run("the store takes no batch job now; nothing of it runs", RETRY_AFTER)
+        }
+        Err(error) => {
+            slog::warn!(node.log, "job: acceptance unknown"; "job" => &*id, "error" => %error);
+            Reply::error(502, "the batch job may have been accepted")
+        }
+    }
+}
+
+fn accepted_before(node: &Node, call: &Call, id: &Name, entry: &Entry) -> Reply {
+    slog::info!(node.log, "job: submitted again"; "job" => &**id, "revision" => entry.revision);
+    match entry.head.account == call.account {
+        true => Reply::empty(202),
+        false => Reply::error(400, "the id belongs to a batch job of another client account"),
+    }
+}
+
+fn head(node: &Node, call: &Call, submission: &Submission, chunks: usize) -> Head {
+    // A node that is about to stop accepts jobs and leaves them to the others.
+    let owner = (!node.is_leaving()).then(|| node.members.own.clone());
+    Head {
+        account: call.account.clone(),
+        host: call.request.head.headers.get("host").unwrap_or_default().into(),
+        path: call.request.head.path().into(),
+        model: submission.model.clone(),
+        step: submission.step,
+        accepted_ms: node.store_clock.millis(BootClock.now()).unwrap_or_default(),
+        items: submission.items.len(),
+        chunks,
+        work: submission.work(),
+        owner,
+        epoch: 1,
+        ended: false,
+    }
+}
+
+/// Writes the submission and then the head, which makes the job exist.
+async fn write(node: &Node, id: &str, head: &Head, chunks: &[&str]) -> Result<u64, Error> {
+    let key = rows::head(id);
+    let specs = chunks.iter().enumerate().map(|(chunk, text)| Write {
+        key: rows::spec(id, Some(chunk)),
+        value: Some((*text).into()),
+    });
+    let mut batches = end::batches(specs.collect());
+    let mut last = batches.pop().unwrap_or_default();
+    for writes in batches {
+        let commit = Commit { operation: node.operation(), conditions: Vec::new(), writes };
+        // Without the head these rows are no job, whether or not they were written.
+        node.store.commit(commit).await.map_err(|_| Error::Unreachable)?;
+    }
+    last.push(Write { key: key.clone(), value: Some(head.encode()) });
+    let operation = node.operation();
+    let conditions = vec![Condition { key: key.clone(), revision: 0 }];
+    let commit = Commit { operation: operation.clone(), conditions, writes: last };
+    match node.store.commit(commit).await {
+        Err(Error::Unknown) => {
+            let mut found = node.store.read(vec![key.clone()]).await.map_err(|_| Error::Unknown)?;
+            match found.remove(&key) {
+                Some(row) if row.operation == operation => Ok(row.revision),
+                Some(_) => Err(Error::Conflict { key }),
+                // The write can still take effect.
+                None => Err(Error::Unknown),
+            }
+        }
+        result => result,
+    }
+}
+
+/// Starts to run a job.
+pub(crate) fn open(
+    node: &Rc<Node>,
+    id: Name,
+    head: Head,
+    revision: u64,
+    submission: Rc<Submission>,
+) -> Rc<RefCell<Job>> {
+    let now = BootClock.now();
+    let age = node.store_clock.millis(now).map_or(0, |store| store - head.accepted_ms);
+    let age = Duration::from_millis(u64::try_from(age).unwrap_or_default());
+    let accepted = tamarackdock_types::clock::Instant::from_millis(
+        now.as_millis().saturating_sub(u64::try_from(age.as_millis()).unwrap_or_default()),
+    );
+    let route = node.beliefs.deployment().route(&head.host, &head.path);
+    let attempts = route.map_or(1, |route| route.attempts);
+    let job = Job::new(id, head, revision, submission, accepted, attempts);
+    let job = Rc::new(RefCell::new(job));
+    monoio::spawn(commit::run(node.clone(), job.clone()));
+    monoio::spawn(schedule::expire(node.clone(), job.clone()));
+    monoio::spawn(begin(node.clone(), job.clone()));
+    job
+}
+
+/// Fetches the text that earlier jobs of the trainer left, then lets items start.
+async fn begin(node: Rc<Node>, job: Rc<RefCell<Job>>) {
+    super::adopt::carry_over(&node, &job).await;
+    node.jobs.insert(job);
+    node.metrics.jobs.set(i64::try_from(node.jobs.open().len()).unwrap_or(i64::MAX));
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/dump.rs
@@ -0,0 +1,54 @@
+//! The state of a node as JSON, for operators.
+
+use serde_json::json;
+use tamarackdock_types::clock::{BootClock, Clock};
+
+use crate::node::Node;
+
+/// Returns the state of a node.
+pub(crate) fn state(node: &Node) -> Vec<u8> {
+    let now = BootClock.now();
+    let targets = node.beliefs.targets.borrow();
+    let loads = node.loads.borrow();
+    let targets: Vec<_> = targets
+        .iter()
+        .map(|target| {
+            let entry = &target.registration;
+            let load = loads.get(&entry.id);
+            json!({
+                "id": &*entry.id, "service": &*entry.service, "data_centre": &*entry.data_centre,
+                "draining": entry.draining, "cold_ms": target.cold_until.since(now).as_millis(),
+                "versions": entry.versions.iter().map(|(model, version)| (model.to_string(), *version))
+                    .collect::<std::collections::BTreeMap<_, _>>(),
+                "running": load.running, "avoided": load.is_avoided(now), "pace_ms": load.pace,
+            })
+        })
+        .collect();
+    let jobs: Vec<_> = node
+        .jobs
+        .open()
+        .iter()
+        .map(|job| {
+            let job = job.borrow();
+            json!({
+                "id": &*job.id, "step": job.head.step, "items": job.works.len(),
+                "listed": job.listed.len(), "epoch": job.head.epoch,
+            })
+        })
+        .collect();
+    let live: Vec<_> = node.members.live().iter().map(|run| run.host.to_string()).collect();
+    let state = json!({
+        "host": &*node.members.own.host,
+        "run": format!("{:016x}", node.members.own.number),
+        "leaving": node.is_leaving(),
+        "configuration": node.beliefs.deployment().version,
+        "proof_age_ms": node.beliefs.freshness.borrow().age(now).map(|age| age.as_millis()),
+        "evacuated": node.beliefs.evacuated.borrow().iter().map(ToString::to_string).collect::<Vec<_>>(),
+        "holds_duties": node.duties.permit().is_some(),
+        "live": live,
+        "targets": targets,
+        "jobs": jobs,
+        "connections": node.connections.get(),
+    });
+    state.to_string().into_bytes()
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/duty/clear.rs
@@ -0,0 +1,67 @@
+//! Removal of batch jobs whose results need not be kept any more.
+
+use std::{rc::Rc, time::Duration};
+
+use monoio::time::sleep;
+use tamarackdock_platform::{
+    Error,
+    table::{Commit, Write},
+};
+use tamarackdock_types::clock::{BootClock, Clock};
+
+use crate::{
+    batch::{end::batches, rows},
+    clock::signed,
+    deployment::Name,
+    node::Node,
+};
+
+/// Time between looks for old jobs.
+const INTERVAL: Duration = Duration::from_secs(5);
+/// Time beyond the bound for which results are kept.
+const MARGIN: Duration = Duration::from_secs(10);
+
+/// Removes old jobs for ever, while this node holds the duties.
+pub(crate) async fn run(node: Rc<Node>) {
+    loop {
+        sleep(INTERVAL).await;
+        if node.duties.permit().is_none() {
+            continue;
+        }
+        let Some(now) = node.store_clock.millis(BootClock.now()) else { continue };
+        let keep = node.settings().bounds.keep_results + MARGIN;
+        let oldest = now - signed(u64::try_from(keep.as_millis()).unwrap_or(u64::MAX));
+        let old: Vec<Name> = {
+            let heads = node.jobs.heads();
+            let old = |(_, entry): &(&Name, &crate::batch::index::Entry)| {
+                entry.head.ended && entry.head.accepted_ms < oldest
+            };
+            heads.iter().filter(old).map(|(id, _)| id.clone()).collect()
+        };
+        for id in old {
+            let result = remove(&node, &id).await;
+            slog::info!(node.log, "job: cleared"; "job" => &*id, "result" => ?result);
+        }
+    }
+}
+
+/// Removes the rows of a job, the head last.
+async fn remove(node: &Node, id: &str) -> Result<(), Error> {
+    for prefix in [rows::spec(id, None), rows::result(id, None), rows::progress(id, "")] {
+        loop {
+            let rows = node.store.range(prefix.clone(), prefix.clone()).await?;
+            if rows.is_empty() {
+                break;
+            }
+            let writes = rows.into_iter().map(|row| Write { key: row.key, value: None });
+            for writes in batches(writes.collect()) {
+                let operation = node.operation();
+                let commit = Commit { operation, conditions: Vec::new(), writes };
+                node.store.commit(commit).await?;
+            }
+        }
+    }
+    let writes = vec![Write { key: rows::head(id), value: None }];
+    let commit = Commit { operation: node.operation(), conditions: Vec::new(), writes };
+    node.store.commit(commit).await.map(drop)
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/duty/loads.rs
@@ -0,0 +1,205 @@
+//! Orders to targets to load weights.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use monoio::time::{sleep, timeout};
+use tamarackdock_types::clock::{BootClock, Clock, Instant};
+
+use super::plan::{self, Due, Engine};
+use crate::{
+    deployment::Name,
+    dialect::{Load, TargetReport},
+    http::{Answer, Exchange},
+    node::Node,
+    target::Registration,
+};
+
+/// Time between looks for loads that are due.
+const INTERVAL: Duration = Duration::from_millis(50);
+/// Time for the answer of a target to an order or a question.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time after an accepted order at which the target is first asked for its version.
+const FIRST_LOOK: Duration = Duration::from_millis(850);
+/// Time between later questions.
+const NEXT_LOOK: Duration = Duration::from_millis(200);
+/// Time after which an order without effect is given up and may be sent again.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause after an order that was not accepted.
+const REFUSED_PAUSE: Duration = Duration::from_millis(300);
+/// Largest report of a target, in bytes.
+const MAX_REPORT: usize = 256 * 1024;
+
+/// What the holder knows of its own orders.
+#[derive(Debug, Default)]
+pub(crate) struct Orders {
+    loading: BTreeMap<Name, Name>,
+    /// Versions that targets have told, which can be newer than registered ones.
+    told: BTreeMap<Name, BTreeMap<Name, u64>>,
+    not_before: BTreeMap<Name, Instant>,
+}
+
+/// Returns the targets of services with models, as plans see them.
+fn engines(node: &Node) -> Vec<Engine> {
+    let deployment = node.beliefs.deployment();
+    let targets = node.beliefs.targets.borrow();
+    let evacuated = node.beliefs.evacuated.borrow();
+    let orders = node.loads_ordered.borrow();
+    let usable = targets.iter().map(|target| &target.registration).filter(|entry| {
+        let service = deployment.services.get(&entry.service);
+        service.is_some_and(|service| !service.models.is_empty())
+            && !entry.draining
+            && !evacuated.contains(&entry.data_centre)
+    });
+    usable
+        .map(|entry| {
+            let mut versions = entry.versions.clone();
+            for (model, version) in orders.told.get(&entry.id).into_iter().flatten() {
+                let known = versions.entry(model.clone()).or_default();
+                *known = (*version).max(*known);
+            }
+            let loading = orders.loading.get(&entry.id).cloned();
+            Engine { id: entry.id.clone(), versions, loading }
+        })
+        .collect()
+}
+
+/// Returns the model that each target is meant for.
+pub(crate) fn assignment(node: &Node) -> BTreeMap<Name, Name> {
+    let published = node.beliefs.published.borrow();
+    plan::assign(&engines(node), &node.jobs.demand(), &published)
+}
+
+/// Orders loads for ever, while this node holds the duties.
+pub(crate) async fn run(node: Rc<Node>) {
+    loop {
+        sleep(INTERVAL).await;
+        if node.duties.permit().is_none() {
+            let mut orders = node.loads_ordered.borrow_mut();
+            orders.told.clear();
+            continue;
+        }
+        let engines = engines(&node);
+        let now = BootClock.now();
+        let published = node.beliefs.published.borrow().clone();
+        if published.is_empty() {
+            continue;
+        }
+        let assigned = plan::assign(&engines, &node.jobs.demand(), &published);
+        for due in plan::due(&engines, &assigned, &published) {
+            let mut orders = node.loads_ordered.borrow_mut();
+            if orders.not_before.get(&due.target).is_some_and(|at| now < *at) {
+                continue;
+            }
+            orders.loading.insert(due.target.clone(), due.model.clone());
+            monoio::spawn(order(node.clone(), due));
+        }
+    }
+}
+
+async fn order(node: Rc<Node>, due: Due) {
+    let began = BootClock.now();
+    let target = node.beliefs.targets.borrow().get(&due.target).cloned();
+    let outcome = match target {
+        Some(target) => load(&node, &target.registration, &due).await,
+        None => "target_gone",
+    };
+    slog::info!(node.log, "loads: order ended"; "target" => &*due.target,
+        "model" => &*due.model, "version" => due.version, "outcome" => outcome,
+        "ms" => BootClock.now().since(began).as_millis());
+    node.metrics.orders.with_label_values(&["load", outcome]).inc();
+    let mut orders = node.loads_ordered.borrow_mut();
+    orders.loading.remove(&due.target);
+    if outcome != "loaded" {
+        orders.not_before.insert(due.target.clone(), BootClock.now() + REFUSED_PAUSE);
+    }
+}
+
+async fn load(node: &Rc<Node>, target: &Registration, due: &Due) -> &'static str {
+    let Some(report) = report(node, target).await else { return "no_report" };
+    tell(node, target, &report);
+    if report.versions.get(&due.model).is_some_and(|version| *version >= due.version) {
+        return "loaded";
+    }
+    if report.busy {
+        return "busy";
+    }
+    let load = Load {
+        target: target.id.clone(),
+        model: due.model.clone(),
+        version: due.version,
+        after_orders: report.orders,
+    };
+    let Some(sender) = node.duties.permit() else { return "lease_lost" };
+    slog::info!(node.log, "loads: order"; "target" => &*target.id, "model" => &*due.model,
+        "version" => due.version, "after_orders" => report.orders, "epoch" => sender.epoch);
+    let answer = ask(node, target, &node.dialect.load(&load, &sender)).await;
+    match answer.map(|answer| answer.head.status) {
+        Some(200) => return "loaded",
+        Some(202) => {}
+        Some(_) => return "refused",
+        // The order may be carried out later; the same one again is then refused.
+        None => return "no_answer",
+    }
+    let accepted = BootClock.now();
+    sleep(FIRST_LOOK).await;
+    while BootClock.now().since(accepted) < LOAD_TIMEOUT {
+        if let Some(report) = self::report(node, target).await {
+            tell(node, target, &report);
+            if report.versions.get(&due.model).is_some_and(|version| *version >= due.version) {
+                return "loaded";
+            }
+        }
+        let registered = node.beliefs.targets.borrow().get(&target.id).is_some_and(|target| {
+            target.registration.versions.get(&due.model).is_some_and(|have| *have >= due.version)
+        });
+        if registered {
+            return "loaded";
+        }
+        sleep(NEXT_LOOK).await;
+    }
+    "timeout"
+}
+
+fn tell(node: &Node, target: &Registration, report: &TargetReport) {
+    node.loads_ordered.borrow_mut().told.insert(target.id.clone(), report.versions.clone());
+}
+
+async fn report(node: &Rc<Node>, target: &Registration) -> Option<TargetReport> {
+    let answer = ask(node, target, &node.dialect.report_request()).await?;
+    match node.dialect.report(&answer.body) {
+        Ok(report) if answer.head.status == 200 => Some(report),
+        Ok(_) => None,
+        Err(error) => {
+            slog::warn!(node.log, "loads: report left out"; "target" => &*target.id,
+                "error" => %error);
+            None
+        }
+    }
+}
+
+async fn ask(
+    node: &Rc<Node>,
+    target: &Registration,
+    message: &crate::dialect::Outgoing,
+) -> Option<Answer> {
+    let exchange = async {
+        let mut connection = node.pool.connect(target).await.ok()?;
+        let mut headers = message.headers.clone();
+        headers.push("Host", target.address.to_string());
+        headers.push(node.dialect.fields().expected_target, target.id.as_bytes());
+        headers.push("Content-Length", message.body.len().to_string());
+        let exchange = Exchange::begin(
+            &mut connection,
+            message.method,
+            &message.path,
+            &headers,
+            &message.body,
+        );
+        let (answer, reusable) = exchange.await.ok()?.collect(MAX_REPORT).await.ok()?;
+        if reusable {
+            node.pool.put(&target.id, connection, &answer.head.headers);
+        }
+        Some(answer)
+    };
+    timeout(ANSWER_TIMEOUT, exchange).await.ok().flatten()
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/duty/plan.rs
@@ -0,0 +1,171 @@
+//! Which target holds the weights of which model, and when it loads a version.
+//!
+//! The load that this answers is several trainers that share the targets, with
+//! a new version each few seconds. A target that serves one model only loads
+//! that model only, and trainers don't slow each other down. A step accepts the
+//! version before its own, so half of a model's targets load each version while
+//! the other half serves, and each target loads every second version.
+
+use std::collections::BTreeMap;
+
+use crate::deployment::Name;
+
+/// Difference between the number of a model's targets and its share of the
+/// demand above which a target is moved.
+const MOVE_ABOVE: f64 = 0.8;
+/// Share of all targets that load at once. More loads at once are slower each.
+const LOADING_SHARE: f64 = 0.2;
+/// Least loads at once.
+const MIN_LOADING: usize = 2;
+
+/// A target as the plan sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Engine {
+    pub(crate) id: Name,
+    /// Version by model.
+    pub(crate) versions: BTreeMap<Name, u64>,
+    /// Model that an order in progress loads.
+    pub(crate) loading: Option<Name>,
+}
+
+/// A load that is due.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Due {
+    pub(crate) target: Name,
+    pub(crate) model: Name,
+    pub(crate) version: u64,
+}
+
+fn lag(engine: &Engine, model: &Name, published: &BTreeMap<Name, u64>) -> u64 {
+    let newest = published.get(model).copied().unwrap_or(1);
+    newest.saturating_sub(engine.versions.get(model).copied().unwrap_or_default())
+}
+
+/// Returns the model that a target serves by the versions that it holds, or
+/// `None` if several models are equally up to date.
+fn current(engine: &Engine, models: &[&Name], published: &BTreeMap<Name, u64>) -> Option<Name> {
+    if let Some(model) = engine.loading.as_ref().filter(|model| models.contains(model)) {
+        return Some(model.clone());
+    }
+    let least = models.iter().map(|model| lag(engine, model, published)).min()?;
+    let mut best = models.iter().filter(|model| lag(engine, model, published) == least);
+    match (best.next(), best.next()) {
+        (Some(model), None) => Some((**model).clone()),
+        _ => None,
+    }
+}
+
+/// Assigns each target to one model, in proportion to demand. Targets stay with
+/// the model that they are up to date for unless the shares are off.
+pub(crate) fn assign(
+    engines: &[Engine],
+    demand: &BTreeMap<Name, u64>,
+    published: &BTreeMap<Name, u64>,
+) -> BTreeMap<Name, Name> {
+    let models: Vec<&Name> = demand.keys().collect();
+    if models.is_empty() {
+        return BTreeMap::new();
+    }
+    let ideal = shares(engines.len(), demand);
+    let mut assigned: BTreeMap<Name, Name> = BTreeMap::new();
+    let mut undecided = Vec::new();
+    for engine in engines {
+        match current(engine, &models, published) {
+            Some(model) => {
+                assigned.insert(engine.id.clone(), model);
+            }
+            None => undecided.push(engine),
+        }
+    }
+    for engine in undecided {
+        let model = neediest(&models, &ideal, &assigned);
+        assigned.insert(engine.id.clone(), model);
+    }
+    while let Some((id, model)) = misplaced(engines, &models, &ideal, &assigned) {
+        assigned.insert(id, model);
+    }
+    assigned
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn shares(engines: usize, demand: &BTreeMap<Name, u64>) -> BTreeMap<Name, f64> {
+    let total: u64 = demand.values().sum();
+    let share = |work: u64| match total {
+        0 => engines as f64 / demand.len() as f64,
+        total => (engines as f64 * work as f64 / total as f64).max(1.0),
+    };
+    demand.iter().map(|(model, work)| (model.clone(), share(*work))).collect()
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn surplus(model: &Name, ideal: &BTreeMap<Name, f64>, assigned: &BTreeMap<Name, Name>) -> f64 {
+    let count = assigned.values().filter(|other| *other == model).count();
+    count as f64 - ideal.get(model).copied().unwrap_or_default()
+}
+
+fn neediest(
+    models: &[&Name],
+    ideal: &BTreeMap<Name, f64>,
+    assigned: &BTreeMap<Name, Name>,
+) -> Name {
+    let least = models.iter().min_by(|left, right| {
+        surplus(left, ideal, assigned).total_cmp(&surplus(right, ideal, assigned))
+    });
+    (**least.expect("there is a model")).clone()
+}
+
+/// Returns a target that is to move, and its new model.
+fn misplaced(
+    engines: &[Engine],
+    models: &[&Name],
+    ideal: &BTreeMap<Name, f64>,
+    assigned: &BTreeMap<Name, Name>,
+) -> Option<(Name, Name)> {
+    let to = neediest(models, ideal, assigned);
+    let from = models.iter().find(|model| {
+        surplus(model, ideal, assigned) > MOVE_ABOVE
+            && surplus(model, ideal, assigned) - surplus(&to, ideal, assigned) > 1.0
+    })?;
+    let idle =
+        |engine: &&Engine| assigned.get(&engine.id) == Some(from) && engine.loading.is_none();
+    engines.iter().rev().find(idle).map(|engine| (engine.id.clone(), to))
+}
+
+/// Returns the loads that are due now. Targets that the next step can't use go
+/// first; of those that it can use, half load a version.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, clippy::cast_precision_loss)]
+pub(crate) fn due(
+    engines: &[Engine],
+    assigned: &BTreeMap<Name, Name>,
+    published: &BTreeMap<Name, u64>,
+) -> Vec<Due> {
+    let at_once = (engines.len() as f64 * LOADING_SHARE) as usize;
+    let loading = engines.iter().filter(|engine| engine.loading.is_some()).count();
+    let mut room = at_once.max(MIN_LOADING).saturating_sub(loading);
+    let mut candidates: Vec<(u64, &Engine, &Name)> = Vec::new();
+    let mut fresh: BTreeMap<&Name, (usize, usize)> = BTreeMap::new();
+    for engine in engines {
+        let Some(model) = assigned.get(&engine.id) else { continue };
+        let lag = lag(engine, model, published);
+        let (newest, all) = fresh.entry(model).or_default();
+        *all += 1;
+        if lag == 0 || engine.loading.is_some() {
+            *newest += 1;
+        } else {
+            candidates.push((lag, engine, model));
+        }
+    }
+    candidates.sort_by_key(|(lag, engine, _)| (std::cmp::Reverse(*lag), engine.id.clone()));
+    let mut due = Vec::new();
+    for (lag, engine, model) in candidates {
+        let (newest, all) = fresh.entry(model).or_default();
+        let wanted = lag >= 2 || *newest < all.div_ceil(2);
+        if room > 0 && wanted {
+            room -= 1;
+            *newest += 1;
+            let version = published.get(model).copied().unwrap_or(1);
+            due.push(Due { target: engine.id.clone(), model: model.clone(), version });
+        }
+    }
+    due
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/http/connection.rs
@@ -0,0 +1,76 @@
+use std::{io, net::SocketAddr, time::Duration};
+
+use bytes::BytesMut;
+use futures_util::FutureExt;
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable},
+    net::TcpStream,
+    time::timeout,
+};
+
+/// Bytes asked for in one read. Events and most heads fit.
+const READ_SIZE: usize = 4 * 1024;
+
+/// A TCP connection whose unread bytes are kept in a buffer.
+pub struct Connection {
+    pub(crate) reader: Reader,
+    pub(crate) writer: Writer,
+}
+
+/// The receiving half of a connection.
+pub(crate) struct Reader {
+    half: OwnedReadHalf<TcpStream>,
+    /// Bytes received and not yet used.
+    pub(crate) buffer: BytesMut,
+}
+
+/// The sending half of a connection.
+pub(crate) struct Writer(OwnedWriteHalf<TcpStream>);
+
+impl Connection {
+    /// Takes over an accepted or connected stream.
+    #[must_use]
+    pub fn new(stream: TcpStream) -> Self {
+        // Delayed small segments only cost latency; the connection works without.
+        let _ = stream.set_nodelay(true);
+        let (reader, writer) = stream.into_split();
+        Self { reader: Reader { half: reader, buffer: BytesMut::new() }, writer: Writer(writer) }
+    }
+
+    /// Connects within a time.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system, or `TimedOut`.
+    pub async fn open(address: SocketAddr, within: Duration) -> io::Result<Self> {
+        let connected = timeout(within, TcpStream::connect_addr(address)).await;
+        Ok(Self::new(connected.map_err(|_| io::ErrorKind::TimedOut)??))
+    }
+
+    /// Returns whether an idle connection is open and has nothing unread.
+    /// Unread bytes on an idle connection belong to no request.
+    #[must_use]
+    pub fn is_quiet(&mut self) -> bool {
+        self.reader.buffer.is_empty() && self.reader.fill().now_or_never().is_none()
+    }
+}
+
+impl Reader {
+    /// Receives more bytes and returns whether there were any before the end.
+    pub(crate) async fn fill(&mut self) -> io::Result<bool> {
+        let (result, bytes) = self.half.read(BytesMut::with_capacity(READ_SIZE)).await;
+        let count = result?;
+        match self.buffer.is_empty() {
+            true => self.buffer = bytes,
+            false => self.buffer.extend_from_slice(&bytes),
+        }
+        Ok(count > 0)
+    }
+}
+
+impl Writer {
+    pub(crate) async fn send(&mut self, bytes: impl Into<Vec<u8>>) -> io::Result<()> {
+        let (result, _) = self.0.write_all(bytes.into()).await;
+        result.map(drop)
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/http/exchange.rs
@@ -0,0 +1,148 @@
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use futures_util::{
+    future::{Either, select},
+    pin_mut,
+};
+
+use super::{Body, Connection, Headers, ResponseHead, head};
+
+/// Largest head of a response, in bytes. Heads of targets are far smaller.
+const MAX_RESPONSE_HEAD: usize = 32 * 1024;
+
+/// Why an exchange gave no whole response. Only [`Failure::NotSent`] proves
+/// that the request has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum Failure {
+    /// No byte of the request was sent.
+    #[display("the request was not sent")]
+    NotSent,
+    /// The connection broke before the response was whole.
+    #[display("the connection broke before the response was complete")]
+    Broken,
+    /// The response is no HTTP/1.1.
+    #[display("the response is malformed")]
+    Malformed,
+    /// The response is larger than the caller of the exchange accepts.
+    #[display("the response is larger than allowed")]
+    TooLarge,
+}
+
+/// A whole response.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Head of the response.
+    pub head: ResponseHead,
+    /// Body, without its framing.
+    pub body: Bytes,
+}
+
+/// One request and its response on a connection.
+pub struct Exchange<'a> {
+    connection: &'a mut Connection,
+    head: ResponseHead,
+    body: Body,
+    /// Whether the whole request was sent before the response began.
+    sent_whole: bool,
+}
+
+impl<'a> Exchange<'a> {
+    /// Sends a request and waits for the head of its response. A target may
+    /// answer before it has read a long body, so that both go on at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Failure`]; the connection must not be used again.
+    pub async fn begin(
+        connection: &'a mut Connection,
+        method: &str,
+        target: &str,
+        headers: &Headers,
+        body: &[u8],
+    ) -> Result<Self, Failure> {
+        let mut bytes = head::request(method, target, headers);
+        bytes.extend_from_slice(body);
+        let (head, sent_whole) = Self::send(connection, bytes).await?;
+        let body = Body::new(head.framing);
+        Ok(Self { connection, head, body, sent_whole })
+    }
+
+    /// Returns the head of the response and whether the request was sent before it.
+    async fn send(
+        connection: &mut Connection,
+        bytes: Vec<u8>,
+    ) -> Result<(ResponseHead, bool), Failure> {
+        let Connection { reader, writer } = connection;
+        let sending = writer.send(bytes);
+        let receiving = async {
+            loop {
+                match ResponseHead::parse(&mut reader.buffer, MAX_RESPONSE_HEAD) {
+                    Ok(Some(head)) => return Ok(head),
+                    Ok(None) => {}
+                    Err(_) => return Err(Failure::Malformed),
+                }
+                match reader.fill().await {
+                    Ok(true) => {}
+                    Ok(false) | Err(_) => return Err(Failure::Broken),
+                }
+            }
+        };
+        pin_mut!(sending, receiving);
+        match select(sending, receiving).await {
+            Either::Left((_, receiving)) => Ok((receiving.await?, true)),
+            Either::Right((head, _)) => Ok((head?, false)),
+        }
+    }
+
+    /// Returns the head of the response.
+    #[must_use]
+    pub fn head(&self) -> &ResponseHead {
+        &self.head
+    }
+
+    /// Returns the next part of the body, or `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Failure`]; the connection must not be used again.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        loop {
+            let reader = &mut self.connection.reader;
+            match self.body.take(&mut reader.buffer) {
+                Ok(Some(data)) => return Ok(Some(data)),
+                Ok(None) if self.body.is_done() => return Ok(None),
+                Ok(None) => {}
+                Err(_) => return Err(Failure::Malformed),
+            }
+            match reader.fill().await {
+                Ok(true) => {}
+                Ok(false) => self.body.end_of_stream().map_err(|_| Failure::Broken)?,
+                Err(_) => return Err(Failure::Broken),
+            }
+        }
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Failure`], [`Failure::TooLarge`] beyond `limit` bytes.
+    pub async fn collect(mut self, limit: usize) -> Result<(Answer, bool), Failure> {
+        let mut body = Vec::new();
+        while let Some(data) = self.next().await? {
+            if body.len() + data.len() > limit {
+                return Err(Failure::TooLarge);
+            }
+            body.extend_from_slice(&data);
+        }
+        let reusable = self.is_reusable();
+        Ok((Answer { head: self.head, body: body.into() }, reusable))
+    }
+
+    /// Returns whether the connection can carry a next request.
+    #[must_use]
+    pub fn is_reusable(&self) -> bool {
+        let in_step = self.body.is_done() && self.connection.reader.buffer.is_empty();
+        in_step && self.sent_whole && self.head.keep_alive
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/http/mod.rs
@@ -0,0 +1,17 @@
+//! HTTP/1.1 with exact framing on both sides. `docs/decisions/0006-http-framing.md`
+//! gives the reasons for parsing heads with `httparse` and framing bodies here.
+
+mod body;
+mod connection;
+mod exchange;
+mod head;
+
+pub use body::{Body, Framing, FramingError};
+pub use connection::Connection;
+pub(crate) use connection::{Reader, Writer};
+pub use exchange::{Answer, Exchange, Failure};
+pub(crate) use head::response as response_head;
+pub use head::{HeadError, Headers, RequestHead, ResponseHead};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -0,0 +1,33 @@
+//! The node of a deployment whose targets register themselves in the platform's
+//! store and whose operators write their orders there. The wire format of the
+//! platform is behind [`dialect::Dialect`] and
+//! [`Watch`](tamarackdock_platform::table::Watch); `docs/platform-system.md`
+//! describes the design.
+
+pub mod batch;
+pub mod clock;
+pub mod deployment;
+pub mod dialect;
+pub mod freshness;
+pub mod http;
+pub mod settings;
+pub mod target;
+pub mod telemetry;
+
+mod balance;
+mod beliefs;
+mod call;
+mod dump;
+mod duty;
+mod event;
+mod members;
+mod node;
+mod peer;
+mod pool;
+mod reply;
+mod server;
+mod signal;
+mod stop;
+mod stream;
+
+pub use node::{Node, StartError};
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/members.rs
@@ -0,0 +1,184 @@
+//! The nodes of the deployment, by rows that each of them renews in the store.
+
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tamarackdock_platform::table::{Batch, Commit, Write};
+use tamarackdock_types::clock::{BootClock, Clock, Instant};
+
+use crate::{clock, deployment::Name, node::Node};
+
+/// Table of the rows.
+pub(crate) const TABLE: &str = "member";
+/// Part of the rows, apart from those that operators write.
+pub(crate) const PART: &str = "m";
+/// Time between renewals of a row, and between reads of all rows.
+const HEARTBEAT: Duration = Duration::from_millis(800);
+/// Age of a row at which its node counts as gone: three renewals were missed.
+const GONE_AFTER: Duration = Duration::from_millis(2600);
+/// Pause between reads after which the ages of rows start anew, as the other
+/// nodes may not have reached the store either.
+const BLIND_AFTER: Duration = Duration::from_millis(2000);
+
+/// A run of a node.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub(crate) struct Run {
+    /// Host.
+    pub(crate) host: Name,
+    /// Random number of the process.
+    pub(crate) number: u64,
+}
+
+/// What a node tells the others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Row {
+    /// Random number of the process.
+    pub(crate) number: u64,
+    /// Address for peers.
+    pub(crate) peers: SocketAddr,
+    /// Data centre.
+    pub(crate) data_centre: Name,
+    /// Unix time of the host less the store's time, in milliseconds.
+    pub(crate) wall_offset_ms: i64,
+    /// Whether the process is about to stop.
+    pub(crate) leaving: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Seen {
+    row: Row,
+    revision: u64,
+    changed: Instant,
+}
+
+/// The nodes as last read.
+#[derive(Debug, Default)]
+pub(crate) struct Known {
+    nodes: BTreeMap<Name, Seen>,
+    read: Option<Instant>,
+}
+
+impl Known {
+    /// Takes in all rows, as read at `now`.
+    pub(crate) fn update(&mut self, batch: &Batch, now: Instant) {
+        let blind = self.read.is_none_or(|read| now.since(read) > BLIND_AFTER);
+        self.read = Some(now);
+        let mut nodes = BTreeMap::new();
+        for change in &batch.changes {
+            let Some(row) =
+                change.value.as_deref().and_then(|text| serde_json::from_str(text).ok())
+            else {
+                continue;
+            };
+            let name: Name = change.key.as_str().into();
+            let earlier = self.nodes.get(&name).filter(|seen| seen.revision == change.revision);
+            let changed = earlier.filter(|_| !blind).map_or(now, |seen| seen.changed);
+            nodes.insert(name, Seen { row, revision: change.revision, changed });
+        }
+        self.nodes = nodes;
+    }
+
+    fn is_fresh(&self, seen: &Seen) -> bool {
+        self.read.is_some_and(|read| read.since(seen.changed) < GONE_AFTER)
+    }
+
+    /// Returns the peer address of a run that is alive.
+    pub(crate) fn address(&self, run: &Run) -> Option<SocketAddr> {
+        let seen = self.nodes.get(&run.host)?;
+        (seen.row.number == run.number && self.is_fresh(seen)).then_some(seen.row.peers)
+    }
+
+    /// Returns the runs that are alive and stay.
+    pub(crate) fn live(&self) -> Vec<Run> {
+        let live = self.nodes.iter().filter(|(_, seen)| self.is_fresh(seen) && !seen.row.leaving);
+        live.map(|(host, seen)| Run { host: host.clone(), number: seen.row.number }).collect()
+    }
+
+    /// Returns the median difference between the Unix time of hosts and the
+    /// store's time, which a minority of wrong clocks does not move.
+    pub(crate) fn wall_offset(&self) -> Option<i64> {
+        let fresh = self.nodes.values().filter(|seen| self.is_fresh(seen));
+        let mut offsets: Vec<i64> = fresh.map(|seen| seen.row.wall_offset_ms).collect();
+        offsets.sort_unstable();
+        offsets.get(offsets.len() / 2).copied()
+    }
+}
+
+/// The nodes of the deployment as this one knows them.
+pub(crate) struct Members {
+    /// This run.
+    pub(crate) own: Run,
+    known: RefCell<Known>,
+}
+
+impl Members {
+    pub(crate) fn new(own: Run) -> Self {
+        Self { own, known: RefCell::default() }
+    }
+
+    /// Returns the number of live nodes, this one included.
+    pub(crate) fn live_count(&self) -> usize {
+        self.known.borrow().live().len().max(1)
+    }
+
+    /// Returns the live nodes that stay.
+    pub(crate) fn live(&self) -> Vec<Run> {
+        self.known.borrow().live()
+    }
+
+    /// Returns the peer address of a run that is alive.
+    pub(crate) fn address(&self, run: &Run) -> Option<SocketAddr> {
+        self.known.borrow().address(run)
+    }
+
+    /// Returns whether the rows were read a short time ago.
+    pub(crate) fn is_informed(&self, now: Instant) -> bool {
+        self.known.borrow().read.is_some_and(|read| now.since(read) < BLIND_AFTER)
+    }
+
+    /// Returns the median difference between Unix time and the store's time.
+    pub(crate) fn wall_offset(&self) -> Option<i64> {
+        self.known.borrow().wall_offset()
+    }
+}
+
+/// Renews the row of this node.
+pub(crate) async fn renew(node: &Node) -> Result<(), tamarackdock_platform::Error> {
+    let now = BootClock.now();
+    let store = node.store_clock.millis(now).unwrap_or_default();
+    let row = Row {
+        number: node.members.own.number,
+        peers: node.settings().listen.peers,
+        data_centre: node.data_centre.clone(),
+        wall_offset_ms: clock::wall_millis() - store,
+        leaving: node.is_leaving(),
+    };
+    let key = format!("{TABLE}@{PART}/{}", node.members.own.host);
+    let value = serde_json::to_string(&row).ok();
+    let writes = vec![Write { key, value }];
+    let commit = Commit { operation: node.operation(), conditions: Vec::new(), writes };
+    node.store.commit(commit).await.map(drop)
+}
+
+/// Renews this node's row and reads the others' for ever.
+pub(crate) async fn run(node: Rc<Node>) {
+    loop {
+        if let Err(error) = renew(&node).await {
+            node.store_failed("renew", &error);
+        }
+        match node.store.snapshot(TABLE, PART.into()).await {
+            Ok(batch) => {
+                let now = BootClock.now();
+                let before = node.members.live();
+                node.members.known.borrow_mut().update(&batch, now);
+                let after = node.members.live();
+                if before != after {
+                    let hosts: Vec<&str> = after.iter().map(|run| &*run.host).collect();
+                    slog::info!(node.log, "members: changed"; "live" => hosts.join(","));
+                }
+            }
+            Err(error) => node.store_failed("members", &error),
+        }
+        monoio::time::sleep(HEARTBEAT).await;
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/pool.rs
@@ -0,0 +1,72 @@
+//! Open connections to targets.
+
+use std::{cell::RefCell, collections::BTreeMap, io, time::Duration};
+
+use tamarackdock_types::clock::{BootClock, Clock, Instant};
+
+use crate::{
+    deployment::Name,
+    http::{Connection, Headers},
+    target::Registration,
+};
+
+/// Time to connect to a target. Links of the design take a few milliseconds,
+/// and a lost packet is repeated after 200 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
+/// How long an idle connection is kept where the target names no time.
+const DEFAULT_IDLE: Duration = Duration::from_secs(8);
+/// Time before the end that a target names at which a connection is not used any more.
+const IDLE_MARGIN: Duration = Duration::from_millis(600);
+
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+/// Idle connections by target.
+#[derive(Default)]
+pub(crate) struct Pool(RefCell<BTreeMap<Name, Vec<Idle>>>);
+
+impl Pool {
+    /// Returns an idle connection or opens one.
+    pub(crate) async fn connect(&self, target: &Registration) -> io::Result<Connection> {
+        match self.take(&target.id) {
+            Some(connection) => Ok(connection),
+            None => Connection::open(target.address, CONNECT_TIMEOUT).await,
+        }
+    }
+
+    fn take(&self, target: &str) -> Option<Connection> {
+        let now = BootClock.now();
+        let mut idle = self.0.borrow_mut();
+        let connections = idle.get_mut(target)?;
+        while let Some(Idle { mut connection, until }) = connections.pop() {
+            if now < until && connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection after a whole response whose header fields are given.
+    pub(crate) fn put(&self, target: &Name, connection: Connection, headers: &Headers) {
+        let until = BootClock.now() + idle_time(headers);
+        self.0.borrow_mut().entry(target.clone()).or_default().push(Idle { connection, until });
+    }
+
+    /// Closes connections that are too old and those to targets that are not in use.
+    pub(crate) fn sweep(&self, in_use: impl Fn(&str) -> bool) {
+        let now = BootClock.now();
+        self.0.borrow_mut().retain(|target, connections| {
+            connections.retain(|idle| now < idle.until);
+            in_use(target) && !connections.is_empty()
+        });
+    }
+}
+
+fn idle_time(headers: &Headers) -> Duration {
+    let named = headers.get("keep-alive").and_then(|value| {
+        value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.parse().ok())
+    });
+    named.map_or(DEFAULT_IDLE, |seconds| Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/server.rs
@@ -0,0 +1,219 @@
+//! Connections from callers, the balancer, peers and operators.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{
+    future::{Either, pending, select},
+    pin_mut,
+};
+use monoio::{net::TcpListener, time::timeout};
+use tamarackdock_types::clock::{BootClock, Clock, Instant};
+
+use crate::{
+    deployment::Limits,
+    http::{Body, Connection, HeadError, Reader, RequestHead, Writer, response_head},
+    node::Node,
+    reply::Reply,
+};
+
+/// Pause after a failed accept, for example when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Bytes of further requests that are kept while one is in progress.
+const MAX_PIPELINED: usize = 64 * 1024;
+/// Time for the rest of a body to arrive after each part.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Who uses a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Port {
+    /// Callers.
+    Callers,
+    /// The balancer's health checks.
+    Health,
+    /// Other nodes.
+    Peers,
+    /// Operators.
+    Metrics,
+}
+
+/// A whole request.
+pub(crate) struct Request {
+    /// Head.
+    pub(crate) head: RequestHead,
+    /// Body without its framing.
+    pub(crate) body: Bytes,
+    /// When the head was complete.
+    pub(crate) arrived: Instant,
+}
+
+/// What a handler did with a request.
+pub(crate) enum Outcome {
+    /// The answer is to be sent.
+    Reply(Reply),
+    /// The answer was sent by the handler, with its end if `whole`.
+    Streamed {
+        /// Whether the connection can carry a next request.
+        whole: bool,
+    },
+}
+
+/// Binds a listener and serves it for ever.
+pub(crate) fn listen(node: Rc<Node>, address: SocketAddr, port: Port) -> io::Result<()> {
+    let listener = TcpListener::bind(address)?;
+    monoio::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let node = node.clone();
+                    monoio::spawn(async move {
+                        node.connections.set(node.connections.get() + 1);
+                        serve(&node, Connection::new(stream), port).await;
+                        node.connections.set(node.connections.get() - 1);
+                    });
+                }
+                Err(error) => {
+                    slog::warn!(node.log, "server: accept failed"; "error" => %error);
+                    monoio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn serve(node: &Rc<Node>, mut connection: Connection, port: Port) {
+    loop {
+        let limits = node.beliefs.deployment().limits;
+        let Connection { reader, writer } = &mut connection;
+        let request = match read(node, reader, writer, limits).await {
+            Ok(request) => request,
+            Err(None) => return,
+            Err(Some(reply)) => {
+                slog::info!(node.log, "server: request not readable"; "status" => reply.status);
+                // The client may be gone; there is nobody else to tell.
+                let _ = send(writer, reply, true).await;
+                return;
+            }
+        };
+        let keep_alive = request.head.keep_alive;
+        let outcome = {
+            let handling = node.handle(port, request, writer);
+            let gone = closed(reader);
+            pin_mut!(handling, gone);
+            match select(handling, gone).await {
+                Either::Left((outcome, _)) => outcome,
+                Either::Right(((), _)) => return,
+            }
+        };
+        let close = !keep_alive || node.is_leaving();
+        let open = match outcome {
+            Outcome::Reply(reply) => {
+                let close = close || reply.close;
+                send(writer, reply, close).await.is_ok() && !close
+            }
+            Outcome::Streamed { whole } => whole && !close,
+        };
+        if !open {
+            return;
+        }
+    }
+}
+
+/// Waits until the client closes the connection.
+async fn closed(reader: &mut Reader) {
+    loop {
+        match reader.buffer.len() < MAX_PIPELINED {
+            false => pending().await,
+            true => match reader.fill().await {
+                Ok(true) => {}
+                Ok(false) | Err(_) => return,
+            },
+        }
+    }
+}
+
+/// Reads a request. Returns `None` as error if the connection is to be closed
+/// without an answer.
+async fn read(
+    node: &Node,
+    reader: &mut Reader,
+    writer: &mut Writer,
+    limits: Limits,
+) -> Result<Request, Option<Reply>> {
+    let head = read_head(node, reader, limits).await?;
+    let arrived = BootClock.now();
+    if head.headers.lists("expect", "100-continue") {
+        writer.send(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await.map_err(|_| None)?;
+    }
+    let body = read_body(reader, &head, limits.body_bytes).await?;
+    Ok(Request { head, body, arrived })
+}
+
+async fn read_head(
+    node: &Node,
+    reader: &mut Reader,
+    limits: Limits,
+) -> Result<RequestHead, Option<Reply>> {
+    let mut began = None;
+    loop {
+        match RequestHead::parse(&mut reader.buffer, limits.head_bytes) {
+            Ok(Some(head)) => return Ok(head),
+            Ok(None) => {}
+            Err(HeadError::TooLarge) => {
+                return Err(Some(Reply::error(431, "the request head is too large")));
+            }
+            Err(error) => return Err(Some(Reply::error(400, &error.to_string()))),
+        }
+        let now = BootClock.now();
+        let idle = reader.buffer.is_empty();
+        let left = match idle {
+            true => limits.idle_time,
+            false => limits.head_time.saturating_sub(now.since(*began.get_or_insert(now))),
+        };
+        let filling = timeout(left, reader.fill());
+        let closing = node.closing(idle);
+        pin_mut!(filling, closing);
+        match select(filling, closing).await {
+            Either::Left((Ok(Ok(true)), _)) => {}
+            Either::Left((Err(_), _)) if !idle => {
+                return Err(Some(Reply::error(408, "the request head took too long")));
+            }
+            _ => return Err(None),
+        }
+    }
+}
+
+async fn read_body(
+    reader: &mut Reader,
+    head: &RequestHead,
+    limit: usize,
+) -> Result<Bytes, Option<Reply>> {
+    let mut body = Body::new(head.framing);
+    let mut whole = Vec::new();
+    loop {
+        match body.take(&mut reader.buffer) {
+            Ok(Some(data)) if whole.len() + data.len() > limit => {
+                return Err(Some(Reply::error(413, "the request body is too large")));
+            }
+            Ok(Some(data)) => whole.extend_from_slice(&data),
+            Ok(None) if body.is_done() => return Ok(whole.into()),
+            Ok(None) => match timeout(BODY_TIMEOUT, reader.fill()).await {
+                Ok(Ok(true)) => {}
+                Ok(_) => return Err(None),
+                Err(_) => return Err(Some(Reply::error(408, "the request body took too long"))),
+            },
+            Err(error) => return Err(Some(Reply::error(400, &error.to_string()))),
+        }
+    }
+}
+
+async fn send(writer: &mut Writer, mut reply: Reply, close: bool) -> io::Result<()> {
+    reply.headers.push("Content-Length", reply.body.len().to_string());
+    if close {
+        reply.headers.push("Connection", "close");
+    }
+    let mut bytes = response_head(reply.status, &reply.headers);
+    bytes.extend_from_slice(&reply.body);
+    writer.send(bytes).await
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/signal.rs
@@ -0,0 +1,49 @@
+//! Wakes tasks of the same thread.
+
+use std::{
+    cell::RefCell,
+    future::poll_fn,
+    rc::Rc,
+    task::{Poll, Waker},
+};
+
+#[derive(Debug, Default)]
+struct State {
+    raised: u64,
+    wakers: Vec<Waker>,
+}
+
+/// A counter that tasks can wait on.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Signal(Rc<RefCell<State>>);
+
+impl Signal {
+    /// Wakes all waiting tasks.
+    pub(crate) fn raise(&self) {
+        let mut state = self.0.borrow_mut();
+        state.raised += 1;
+        let wakers = std::mem::take(&mut state.wakers);
+        drop(state);
+        wakers.into_iter().for_each(Waker::wake);
+    }
+
+    /// Returns the number of raises so far.
+    pub(crate) fn count(&self) -> u64 {
+        self.0.borrow().raised
+    }
+
+    /// Waits until there were more raises than `seen`.
+    pub(crate) async fn after(&self, seen: u64) {
+        poll_fn(|context| {
+            let mut state = self.0.borrow_mut();
+            if state.raised > seen {
+                return Poll::Ready(());
+            }
+            if !state.wakers.iter().any(|waker| waker.will_wake(context.waker())) {
+                state.wakers.push(context.waker().clone());
+            }
+            Poll::Pending
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -0,0 +1,172 @@
+//! Streams of events from targets to callers.
+
+use std::rc::Rc;
+
+use tamarackdock_types::clock::{BootClock, Clock};
+
+use crate::{
+    call::{Attempt, Call, is_hop_by_hop, judge, until},
+    deployment::{Name, Repeat},
+    event::Splitter,
+    http::{Exchange, Headers, ResponseHead, Writer, response_head},
+    node::Node,
+    reply::Reply,
+    server::Outcome,
+};
+
+/// Largest answer that is not a stream, in bytes: an error with its text.
+const MAX_ERROR: usize = 256 * 1024;
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// What the caller has received of a stream.
+#[derive(Debug, Default)]
+struct Progress {
+    began: bool,
+    last_event: Option<u64>,
+}
+
+/// How one attempt of a stream ended.
+enum Ended {
+    Whole,
+    /// The caller has gone, or an event can't be sent.
+    CallerGone,
+    /// The attempt gave an answer that is not a stream.
+    Answer(Attempt),
+    /// The stream broke after it had begun to run.
+    Broken,
+}
+
+/// Serves a call whose answer is a stream. A resumable stream goes on at
+/// another target when its target breaks off.
+pub(crate) async fn serve(node: &Rc<Node>, call: &Call, writer: &mut Writer) -> Outcome {
+    let resumable = call.route.repeat == Repeat::Stream { resumable: true };
+    let mut progress = Progress::default();
+    let mut tried: Vec<Name> = Vec::new();
+    let mut last = Attempt::NotRun(None);
+    while tried.len() < call.route.attempts.max(1) as usize && BootClock.now() < call.until {
+        let Some(target) = call.choose(node, &tried) else { break };
+        tried.push(target.id.clone());
+        let began = BootClock.now();
+        let guard = node.begin(&target.id, began);
+        let ended = run(node, call, &target, &mut progress, writer).await;
+        drop(guard);
+        if !matches!(ended, Ended::Answer(Attempt::NotRun(_)))
+            && let Some(account) = &call.account
+        {
+            node.count_usage(account, began);
+        }
+        match ended {
+            Ended::Whole => return Outcome::Streamed { whole: true },
+            Ended::CallerGone => return Outcome::Streamed { whole: false },
+            Ended::Answer(answer @ Attempt::NotRun(_)) => {
+                node.loads.borrow_mut().full(&target.id, BootClock.now());
+                last = answer;
+            }
+            Ended::Answer(answer) => {
+                last = answer;
+                break;
+            }
+            Ended::Broken => {
+                node.loads.borrow_mut().suspect(&target.id, BootClock.now());
+                slog::info!(node.log, "stream: broken"; "id" => &call.id,
+                    "target" => &*target.id, "last_event" => progress.last_event);
+                if !resumable {
+                    break;
+                }
+            }
+        }
+    }
+    match last {
+        _ if progress.began => Outcome::Streamed { whole: false },
+        Attempt::Answered(answer) => {
+            let headers = forwarded(&answer.head);
+            let (status, body) = (answer.head.status, answer.body);
+            Outcome::Reply(Reply { status, headers, body, close: false })
+        }
+        Attempt::NotRun(after) if tried.is_empty() || after.is_some() => {
+            let after = after.unwrap_or(std::time::Duration::from_millis(250));
+            Outcome::Reply(Reply::not_run("no target can take the request now", after))
+        }
+        _ => Outcome::Reply(Reply::error(502, "the stream broke before its first event")),
+    }
+}
+
+async fn run(
+    node: &Rc<Node>,
+    call: &Call,
+    target: &crate::target::Registration,
+    progress: &mut Progress,
+    writer: &mut Writer,
+) -> Ended {
+    let fields = node.dialect.fields();
+    let Ok(mut connection) = node.pool.connect(target).await else {
+        return Ended::Answer(Attempt::NotRun(None));
+    };
+    let mut headers = call.headers(node, target, BootClock.now());
+    if let Some(last) = progress.last_event {
+        headers.push(fields.last_event, last.to_string());
+    }
+    let head = &call.request.head;
+    let sent =
+        Exchange::begin(&mut connection, &head.method, &head.target, &headers, &call.request.body);
+    let mut exchange = match until(call.until, sent).await {
+        Some(Ok(exchange)) => exchange,
+        Some(Err(_)) | None => return Ended::Broken,
+    };
+    let stream = exchange
+        .head()
+        .headers
+        .get("content-type")
+        .is_some_and(|value| value.starts_with("text/event-stream"));
+    let own = exchange.head().headers.get(fields.request_id) == Some(call.id.as_str());
+    if !stream || !own || exchange.head().status != 200 {
+        return match exchange.collect(MAX_ERROR).await {
+            Ok((answer, _)) => Ended::Answer(judge(&fields, &call.id, answer)),
+            Err(_) => Ended::Broken,
+        };
+    }
+    if !std::mem::replace(&mut progress.began, true) {
+        let mut headers = forwarded(exchange.head());
+        headers.push("Transfer-Encoding", "chunked");
+        if writer.send(response_head(200, &headers)).await.is_err() {
+            return Ended::CallerGone;
+        }
+    }
+    let mut events = Splitter::new(fields.weight_version);
+    loop {
+        let data = match until(call.until, exchange.next()).await {
+            Some(Ok(Some(data))) => data,
+            Some(Ok(None)) if events.has_rest() => return Ended::Broken,
+            Some(Ok(None)) => break,
+            Some(Err(_)) | None => return Ended::Broken,
+        };
+        events.push(&data);
+        while let Ok(Some(event)) = events.next() {
+            let mut chunk = format!("{:x}\r\n", event.raw.len()).into_bytes();
+            chunk.extend_from_slice(&event.raw);
+            chunk.extend_from_slice(b"\r\n");
+            if writer.send(chunk).await.is_err() {
+                return Ended::CallerGone;
+            }
+            progress.last_event = event.id.or(progress.last_event);
+        }
+    }
+    let reusable = exchange.is_reusable();
+    let headers = exchange.head().headers.clone();
+    if reusable {
+        node.pool.put(&target.id, connection, &headers);
+    }
+    match writer.send(LAST_CHUNK).await {
+        Ok(()) => Ended::Whole,
+        Err(_) => Ended::CallerGone,
+    }
+}
+
+fn forwarded(head: &ResponseHead) -> Headers {
+    let mut headers = Headers::default();
+    head.headers
+        .iter()
+        .filter(|(name, _)| !is_hop_by_hop(&head.headers, name))
+        .for_each(|(name, value)| headers.push(name, value));
+    headers
+}
--- a/crates/tamarackdock_node/src/bin/tamarackdock.rs
+++ b/crates/tamarackdock_node/src/bin/tamarackdock.rs
@@ -1,17 +1,27 @@
 //! The node program.
 
-use std::{env, fs, process::ExitCode};
+use std::{env, fs, process::ExitCode, rc::Rc};
 
 use getopts::Options;
+use tamarackdock_adapter::{Format, Store};
 use tamarackdock_config::{Settings, reader};
+use tamarackdock_gateway::{
+    Node as Gateway, clock::StoreClock, settings::Settings as GatewaySettings, telemetry::Output,
+};
 use tamarackdock_node::{Node, log, runtime};
 
-const USAGE: &str = "Usage: tamarackdock --config FILE [--check]";
+const USAGE: &str = "Usage: tamarackdock (--config FILE | --gateway FILE) [--check]";
 const EXIT_USAGE: u8 = 2;
 
 fn main() -> ExitCode {
     let mut options = Options::new();
     options.optopt("c", "config", "settings file, JSON with comments", "FILE");
+    options.optopt(
+        "g",
+        "gateway",
+        "settings file of a gateway, whose targets register in the platform's store",
+        "FILE",
+    );
     options.optflag("", "check", "only check the settings file");
     options.optflag("V", "version", "print the version");
     options.optflag("h", "help", "print this help");
@@ -19,12 +29,19 @@
         Ok(matches) => matches,
         Err(error) => return usage_error(&error.to_string()),
     };
-    match matches.opt_str("config") {
+    let check = matches.opt_present("check");
+    match (matches.opt_str("config"), matches.opt_str("gateway")) {
         _ if matches.opt_present("help") => print(&options.usage(USAGE)),
         _ if matches.opt_present("version") => print(env!("CARGO_PKG_VERSION")),
-        None => usage_error("`--config` is missing"),
-        Some(path) => match read(&path) {
-            Ok(_) if matches.opt_present("check") => print(&format!("`{path}` is valid")),
+        (None, None) => usage_error("`--config` or `--gateway` is missing"),
+        (Some(_), Some(_)) => usage_error("`--config` and `--gateway` exclude each other"),
+        (None, Some(path)) => match GatewaySettings::read(&path) {
+            Ok(_) if check => print(&format!("`{path}` is valid")),
+            Ok(settings) => run_gateway(settings, &path),
+            Err(error) => invalid(&error.to_string()),
+        },
+        (Some(path), None) => match read(&path) {
+            Ok(_) if check => print(&format!("`{path}` is valid")),
             Ok(settings) => run(settings),
             Err(error) => invalid(&error),
         },
@@ -72,3 +89,25 @@
         }
     })
 }
+
+fn run_gateway(settings: GatewaySettings, path: &str) -> ExitCode {
+    let Ok(mut runtime) = runtime::build() else {
+        return ExitCode::FAILURE;
+    };
+    let output = Output::default();
+    let log = output.logger();
+    let result = runtime.block_on(async {
+        let clock = Rc::new(StoreClock::default());
+        let store = Rc::new(Store::new(settings.store, clock.clone()));
+        let node = Gateway::new(settings, Rc::new(Format), store, clock, output.clone())?;
+        node.run(path).await
+    });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            slog::error!(log, "node: can't start"; "error" => %error);
+            output.flush_now();
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/tamarackdock_platform/src/table.rs
+++ b/crates/tamarackdock_platform/src/table.rs
@@ -57,3 +57,45 @@
     /// Commits changes and returns the new revision.
     fn commit(&self, commit: Commit) -> Call<'_, u64>;
 }
+
+/// A changed row of a feed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Key of the row.
+    pub key: String,
+    /// Revision of the change.
+    pub revision: u64,
+    /// New value, or `None` if the row was deleted.
+    pub value: Option<String>,
+}
+
+/// The rows of a table at one moment, or what has changed since.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Batch {
+    /// Rows or changes, in order.
+    pub changes: Vec<Change>,
+    /// Revision up to which the batch is complete.
+    pub revision: u64,
+}
+
+/// The outcome of asking a feed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum News {
+    /// What has changed, nothing if the wait ended first.
+    Changes(Batch),
+    /// The feed has dropped the history that was asked for. The table must be
+    /// read again as a whole.
+    HistoryLost,
+}
+
+/// A table service whose tables can be followed.
+pub trait Watch: Table {
+    /// Waits for changes of a table after a revision.
+    fn changes(&self, table: &'static str, after: u64, wait: std::time::Duration)
+    -> Call<'_, News>;
+    /// Reads all rows of one part of a table as of one moment.
+    fn snapshot(&self, table: &'static str, part: String) -> Call<'_, Batch>;
+    /// Reads the rows whose keys start with `prefix` from `from` on, in order,
+    /// as many as one answer holds.
+    fn range(&self, prefix: String, from: String) -> Call<'_, Vec<Row>>;
+}
