--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -193,6 +193,9 @@
             }
             Ok(None) => break,
             Err(_) if BootClock.now() >= call.until => {
+                slog::info!(node.log, "call: out of time"; "id" => &call.id,
+                    "route" => &*call.route.name, "tried" => tried.join(","),
+                    "running" => running.len());
                 return Reply::error(504, "no target answered in time");
             }
             Err(_) => {}
