--- a/crates/tamarackdock_gateway/src/batch/adopt.rs
+++ b/crates/tamarackdock_gateway/src/batch/adopt.rs
@@ -98,8 +98,14 @@
     match taken.await {
         Ok(listed) => slog::info!(node.log, "job: taken over"; "job" => &**id,
             "from" => before, "epoch" => head.epoch, "listed" => listed),
-        Err(error) => slog::warn!(node.log, "job: not taken over"; "job" => &**id,
-            "from" => before, "error" => %error),
+        Err(error) => {
+            slog::warn!(node.log, "job: not taken over"; "job" => &**id,
+                "from" => before, "error" => %error);
+            // The known head may be old.
+            if let Err(error) = end::read_head(node, id).await {
+                node.store_failed("head", &error);
+            }
+        }
     }
 }
 
--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -96,6 +96,16 @@
         owners.len().max(1)
     }
 
+    /// Returns the items of the newest job of each of some models.
+    pub(crate) fn items(&self, models: &[Name]) -> u64 {
+        let heads = self.heads.borrow();
+        let newest = |model: &Name| {
+            let own = heads.values().filter(|entry| entry.head.model.as_ref() == Some(model));
+            own.max_by_key(|entry| entry.head.step).map_or(0, |entry| entry.head.items as u64)
+        };
+        models.iter().map(newest).sum()
+    }
+
     /// Returns the mean work of the newest jobs by model.
     pub(crate) fn demand(&self) -> BTreeMap<Name, u64> {
         let heads = self.heads.borrow();
--- a/crates/tamarackdock_gateway/src/batch/read.rs
+++ b/crates/tamarackdock_gateway/src/batch/read.rs
@@ -136,8 +136,9 @@
     let wait_ms = wait_until.since(BootClock.now()).as_millis();
     let wait_ms = u64::try_from(wait_ms).unwrap_or_default();
     let question = Question::Results { job: id.clone(), after, wait_ms };
-    match peer::ask(node, address, &question, Duration::from_millis(wait_ms)).await {
+    match peer::ask(address, &question, Duration::from_millis(wait_ms)).await {
         Ok(Response::Results(page)) => page,
+        Ok(_) => None,
         Err(error) => {
             slog::info!(node.log, "peer: no answer"; "job" => &**id,
                 "host" => &*owner.host, "error" => %error);
--- a/crates/tamarackdock_gateway/src/duty/mod.rs
+++ b/crates/tamarackdock_gateway/src/duty/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod holder;
 pub(crate) mod loads;
 pub(crate) mod plan;
+pub(crate) mod scale;
 pub(crate) mod usage;
 
 #[cfg(test)]
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod node;
 mod peer;
 mod pool;
+mod relay;
 mod reply;
 mod server;
 mod signal;
--- a/crates/tamarackdock_gateway/src/members.rs
+++ b/crates/tamarackdock_gateway/src/members.rs
@@ -13,9 +13,9 @@
 /// Part of the rows, apart from those that operators write.
 pub(crate) const PART: &str = "m";
 /// Time between renewals of a row, and between reads of all rows.
-const HEARTBEAT: Duration = Duration::from_millis(800);
+const HEARTBEAT: Duration = Duration::from_millis(450);
 /// Age of a row at which its node counts as gone: three renewals were missed.
-const GONE_AFTER: Duration = Duration::from_millis(2600);
+const GONE_AFTER: Duration = Duration::from_millis(1800);
 /// Pause between reads after which the ages of rows start anew, as the other
 /// nodes may not have reached the store either.
 const BLIND_AFTER: Duration = Duration::from_millis(2000);
@@ -108,12 +108,14 @@
 pub(crate) struct Members {
     /// This run.
     pub(crate) own: Run,
+    /// Addresses of some nodes, for the time before any row was read.
+    seeds: Vec<SocketAddr>,
     known: RefCell<Known>,
 }
 
 impl Members {
-    pub(crate) fn new(own: Run) -> Self {
-        Self { own, known: RefCell::default() }
+    pub(crate) fn new(own: Run, seeds: Vec<SocketAddr>) -> Self {
+        Self { own, seeds, known: RefCell::default() }
     }
 
     /// Returns the number of live nodes, this one included.
@@ -131,6 +133,16 @@
         self.known.borrow().address(run)
     }
 
+    /// Returns the peer addresses of the other nodes as last read.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        let known = self.known.borrow();
+        if known.read.is_none() {
+            return self.seeds.clone();
+        }
+        let others = known.nodes.iter().filter(|(host, _)| **host != self.own.host);
+        others.filter(|(_, seen)| known.is_fresh(seen)).map(|(_, seen)| seen.row.peers).collect()
+    }
+
     /// Returns whether the rows were read a short time ago.
     pub(crate) fn is_informed(&self, now: Instant) -> bool {
         self.known.borrow().read.is_some_and(|read| now.since(read) < BLIND_AFTER)
@@ -160,12 +172,19 @@
     node.store.commit(commit).await.map(drop)
 }
 
-/// Renews this node's row and reads the others' for ever.
-pub(crate) async fn run(node: Rc<Node>) {
+/// Renews this node's row for ever.
+pub(crate) async fn run_renew(node: Rc<Node>) {
     loop {
         if let Err(error) = renew(&node).await {
             node.store_failed("renew", &error);
         }
+        monoio::time::sleep(HEARTBEAT).await;
+    }
+}
+
+/// Reads the rows of all nodes for ever.
+pub(crate) async fn run_read(node: Rc<Node>) {
+    loop {
         match node.store.snapshot(TABLE, PART.into()).await {
             Ok(batch) => {
                 let now = BootClock.now();
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -31,6 +31,7 @@
     members::{self, Members, Run},
     peer,
     pool::Pool,
+    relay::Relay,
     reply::Reply,
     server::{self, Outcome, Port, Request},
     settings::Settings,
@@ -69,7 +70,8 @@
     pub(crate) beliefs: Rc<Beliefs>,
     pub(crate) pool: Pool,
     pub(crate) loads: RefCell<Loads>,
-    pub(crate) members: Members,
+    pub(crate) members: Rc<Members>,
+    pub(crate) relay: Rc<Relay>,
     pub(crate) jobs: Index,
     pub(crate) duties: Rc<Holder>,
     pub(crate) loads_ordered: RefCell<Orders>,
@@ -118,21 +120,29 @@
         let bound = bounds.strict_keys.then_some(bounds.withdrawn_key);
         let own = Run { host: settings.host.clone(), number };
         let duties = Holder::new(host, settings.host.clone(), bounds.lease, number);
+        let own_address = settings.listen.peers;
+        let others = settings.seeds.iter().copied().filter(|seed| *seed != own_address);
+        let seeds = others.collect();
+        let members = Rc::new(Members::new(own, seeds));
+        let foreign = [dialect.orders_table(), dialect.targets_table()];
+        let log = output.logger();
+        let relay = Rc::new(Relay::new(store, members.clone(), foreign, log.clone()));
         Ok(Rc::new(Self {
             data_centre: settings.data_centre.clone(),
             dialect,
-            store,
+            store: relay.clone(),
+            relay,
             store_clock,
             beliefs: Rc::new(Beliefs::new(Freshness::new(bound))),
             pool: Pool::default(),
             loads: RefCell::default(),
-            members: Members::new(own),
+            members,
             jobs: Index::default(),
             duties: Rc::new(duties),
             loads_ordered: RefCell::default(),
             usage: RefCell::default(),
             metrics: Metrics::new()?,
-            log: output.logger(),
+            log,
             output,
             connections: Cell::new(0),
             calls: Cell::new(0),
@@ -169,7 +179,9 @@
         monoio::spawn(follower.clone().follow_orders());
         monoio::spawn(follower.clone().follow_targets());
         monoio::spawn(follower.expire_targets());
-        monoio::spawn(members::run(self.clone()));
+        monoio::spawn(self.relay.clone().probe());
+        monoio::spawn(members::run_renew(self.clone()));
+        monoio::spawn(members::run_read(self.clone()));
         monoio::spawn(batch::index::follow(self.clone()));
         monoio::spawn(batch::schedule::run(self.clone()));
         monoio::spawn(batch::adopt::run(self.clone()));
@@ -177,6 +189,7 @@
         monoio::spawn(duty::loads::run(self.clone()));
         monoio::spawn(duty::usage::run_flush(self.clone()));
         monoio::spawn(duty::usage::run_report(self.clone()));
+        monoio::spawn(duty::scale::run(self.clone()));
         monoio::spawn(duty::clear::run(self.clone()));
         monoio::spawn(sweep(self.clone()));
         stop::run(&self, settings_path).await;
--- a/crates/tamarackdock_gateway/src/peer.rs
+++ b/crates/tamarackdock_gateway/src/peer.rs
@@ -12,6 +12,7 @@
     deployment::Name,
     http::{Connection, Exchange, Headers},
     node::Node,
+    relay::{StoreAnswer, StoreCall},
     reply::Reply,
     server::Request,
 };
@@ -38,6 +39,8 @@
         /// Milliseconds to wait for a result.
         wait_ms: u64,
     },
+    /// A call to the store by a node that can't reach it.
+    Store(StoreCall),
 }
 
 /// What a node answers.
@@ -45,6 +48,8 @@
 pub(crate) enum Response {
     /// A page, or `None` if the node does not run the job.
     Results(Option<Page>),
+    /// What the store answered.
+    Store(Result<StoreAnswer, tamarackdock_platform::Error>),
 }
 
 /// A peer gave no usable answer.
@@ -63,7 +68,6 @@
 
 /// Asks a peer, on a connection of its own.
 pub(crate) async fn ask(
-    node: &Node,
     address: SocketAddr,
     question: &Question,
     wait: Duration,
@@ -72,7 +76,7 @@
     let mut connection = connected.map_err(|_| PeerError::Unreachable)?;
     let body = rmp_serde::to_vec(question).map_err(|_| PeerError::Malformed)?;
     let mut headers = Headers::default();
-    headers.push("Host", &*node.data_centre);
+    headers.push("Host", address.to_string());
     headers.push("Content-Type", MEDIA_TYPE);
     headers.push("Content-Length", body.len().to_string());
     headers.push("Connection", "close");
@@ -99,6 +103,7 @@
             let page = batch::read::own_results(node, &job, after, wait_until).await;
             Response::Results(page)
         }
+        Ok(Question::Store(call)) => Response::Store(node.relay.serve(call).await),
         Err(error) => {
             slog::warn!(node.log, "peer: question not readable"; "error" => %error);
             return Reply::error(400, "the question can't be read");
--- a/crates/tamarackdock_gateway/src/settings.rs
+++ b/crates/tamarackdock_gateway/src/settings.rs
@@ -20,6 +20,9 @@
     pub listen: Listen,
     /// Address of the store.
     pub store: SocketAddr,
+    /// Addresses of some nodes for peers, for the time before others are known.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Address of the interface for usage reports and orders of targets.
     pub orders: Option<SocketAddr>,
     /// Time bounds that the deployment promises.
--- a/crates/tamarackdock_platform/src/error.rs
+++ b/crates/tamarackdock_platform/src/error.rs
@@ -1,8 +1,9 @@
 use derive_more::{Display, Error as StdError};
+use serde::{Deserialize, Serialize};
 use tamarackdock_types::fence::Epoch;
 
 /// The reason why a platform call gave no result.
-#[derive(Debug, Clone, PartialEq, Eq, Display, StdError)]
+#[derive(Debug, Clone, PartialEq, Eq, Display, StdError, Serialize, Deserialize)]
 pub enum Error {
     /// No byte was sent, the call had no effect.
     #[display("the platform can't be reached")]
--- a/crates/tamarackdock_platform/src/table.rs
+++ b/crates/tamarackdock_platform/src/table.rs
@@ -59,7 +59,7 @@
 }
 
 /// A changed row of a feed.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     /// Key of the row.
     pub key: String,
@@ -70,7 +70,7 @@
 }
 
 /// The rows of a table at one moment, or what has changed since.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
     /// Rows or changes, in order.
     pub changes: Vec<Change>,
@@ -79,7 +79,7 @@
 }
 
 /// The outcome of asking a feed.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum News {
     /// What has changed, nothing if the wait ended first.
     Changes(Batch),
