Run all jobs of a trainer on one node, earlier steps first

Cause: each step ran on the node that accepted it, with connections of its own and no regard to the step before it, which still ran. Also marks jobs that are being opened, which the search for jobs without a node took for lost ones.

--- a/crates/tamarackdock_gateway/src/batch/adopt.rs
+++ b/crates/tamarackdock_gateway/src/batch/adopt.rs
@@ -24,12 +24,22 @@
 /// Longest time for which the start of a job waits for such text.
 const CARRY_TIMEOUT: Duration = Duration::from_millis(200);
 
+fn weight(key: &str, run: &Run) -> u64 {
+    fingerprint(format!("{key}/{}", run.host).as_bytes())
+}
+
 /// Returns the rank of a run among the candidates for a job: the order of
 /// their hashes with the job, the same on all nodes.
 pub(crate) fn rank(job: &str, own: &Run, live: &[Run]) -> usize {
-    let weight = |run: &Run| fingerprint(format!("{job}/{}", run.host).as_bytes());
-    let mine = weight(own);
-    live.iter().filter(|run| run.host != own.host && weight(run) < mine).count()
+    let mine = weight(job, own);
+    live.iter().filter(|run| run.host != own.host && weight(job, run) < mine).count()
+}
+
+/// Returns the first candidate for what has a key. The jobs of a trainer have
+/// one key, so that one node runs them all, places their items with regard to
+/// each other, and keeps its connections to targets from step to step.
+pub(crate) fn first(key: &str, live: &[Run]) -> Option<Run> {
+    live.iter().min_by_key(|run| weight(key, run)).cloned()
 }
 
 /// Takes over jobs without a node for ever.
@@ -59,7 +69,7 @@
 fn find(node: &Node) -> Vec<(Name, Entry)> {
     let heads = node.jobs.heads();
     let orphan = |id: &Name, head: &Head| match &head.owner {
-        _ if head.ended => false,
+        _ if head.ended || node.jobs.is_opening(id) => false,
         None => true,
         // A run that lost its job before it could store that, or a commit whose
         // answer was lost.
@@ -72,10 +82,25 @@
     found.map(|(id, entry)| (id.clone(), entry.clone())).collect()
 }
 
+/// Opens a job that another node accepted and left to this one.
+pub(crate) async fn receive(node: Rc<Node>, id: Name, entry: Entry) {
+    let (head, revision) = (entry.head, entry.revision);
+    let opening = node.jobs.begin_opening(&id);
+    match load(&node, &id, &head).await {
+        Ok(submission) => {
+            slog::info!(node.log, "job: received"; "job" => &*id, "revision" => revision);
+            submit::open(&node, id, head, revision, Rc::new(submission), opening);
+        }
+        // It is found as a job without a node soon.
+        Err(error) => node.store_failed("receive", &error),
+    }
+}
+
 async fn take(node: &Rc<Node>, id: &Name, entry: Entry) {
     let before = entry.head.owner.as_ref().map(|run| run.host.to_string());
     let head =
         Head { owner: Some(node.members.own.clone()), epoch: entry.head.epoch + 1, ..entry.head };
+    let opening = node.jobs.begin_opening(id);
     let taken = async {
         let revision = end::write_head(node, id, &head, entry.revision).await?;
         node.jobs.record(id, Entry { head: head.clone(), revision });
@@ -89,7 +114,8 @@
             listed.extend(more);
         }
         let texts = progress(node, id).await?;
-        let job = submit::open(node, id.clone(), head.clone(), revision, Rc::new(submission));
+        let submission = Rc::new(submission);
+        let job = submit::open(node, id.clone(), head.clone(), revision, submission, opening);
         let mut job = job.borrow_mut();
         texts.into_iter().for_each(|(item, text)| job.restore(&item, text, false));
         job.adopt(listed);
--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cell::{Ref, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::Duration,
 };
@@ -11,7 +11,7 @@
 use tamarackdock_platform::table::{Change, News};
 
 use super::{
-    end,
+    adopt, end,
     job::Job,
     rows::{self, Head},
 };
@@ -31,11 +31,25 @@
     pub(crate) revision: u64,
 }
 
+/// Marks a job that this node is about to run until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Opening {
+    all: Rc<RefCell<BTreeSet<Name>>>,
+    job: Name,
+}
+
+impl Drop for Opening {
+    fn drop(&mut self) {
+        self.all.borrow_mut().remove(&self.job);
+    }
+}
+
 /// All known jobs.
 #[derive(Debug, Default)]
 pub(crate) struct Index {
     heads: RefCell<BTreeMap<Name, Entry>>,
     own: RefCell<BTreeMap<Name, Rc<RefCell<Job>>>>,
+    opening: Rc<RefCell<BTreeSet<Name>>>,
     /// Raised when a head changes or an item may start.
     pub(crate) changed: Signal,
 }
@@ -66,9 +80,22 @@
         self.own.borrow().get(job).cloned()
     }
 
-    /// Returns all jobs that this node runs.
+    /// Marks a job that this node is about to run.
+    pub(crate) fn begin_opening(&self, job: &Name) -> Opening {
+        self.opening.borrow_mut().insert(job.clone());
+        Opening { all: self.opening.clone(), job: job.clone() }
+    }
+
+    pub(crate) fn is_opening(&self, job: &str) -> bool {
+        self.opening.borrow().contains(job)
+    }
+
+    /// Returns all jobs that this node runs, earlier steps first.
     pub(crate) fn open(&self) -> Vec<Rc<RefCell<Job>>> {
-        self.own.borrow().values().filter(|job| !job.borrow().closed).cloned().collect()
+        let own = self.own.borrow();
+        let mut open: Vec<_> = own.values().filter(|job| !job.borrow().closed).cloned().collect();
+        open.sort_by_key(|job| job.borrow().head.step);
+        open
     }
 
     pub(crate) fn insert(&self, job: Rc<RefCell<Job>>) {
@@ -167,12 +194,18 @@
         None => node.jobs.forget(&job),
         Some(Ok(head)) => {
             let known = node.jobs.head(&job);
+            let fresh = known.is_none();
             if known.is_none_or(|known| known.revision < change.revision) {
                 slog::info!(node.log, "jobs: head"; "job" => &*job, "revision" => change.revision,
                     "owner" => head.owner.as_ref().map(|run| run.host.to_string()),
                     "epoch" => head.epoch, "ended" => head.ended);
             }
-            node.jobs.record(&job, Entry { head, revision: change.revision });
+            let entry = Entry { head, revision: change.revision };
+            let given = entry.head.owner.as_ref() == Some(&node.members.own);
+            if fresh && given && entry.head.epoch == 1 && !entry.head.ended {
+                monoio::spawn(adopt::receive(node.clone(), job.clone(), entry.clone()));
+            }
+            node.jobs.record(&job, entry);
             end::check(node, &job);
         }
         Some(Err(error)) => {
--- a/crates/tamarackdock_gateway/src/batch/place.rs
+++ b/crates/tamarackdock_gateway/src/batch/place.rs
@@ -4,7 +4,8 @@
 //! targets of its model have slots, of which few are much longer than the
 //! others and decide when the step ends. So the longest items start first, on
 //! the targets that are fastest with what they run already, and short ones fill
-//! up the rest. Groups that the trainer waits for in any case go before others.
+//! up the rest. Groups that the trainer waits for in any case go before others,
+//! and earlier steps before those that are asked ahead of them.
 
 use std::{cmp::Reverse, time::Duration};
 
@@ -20,7 +21,7 @@
 /// An item that waits.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Waiting {
-    /// Index of its job among the open ones.
+    /// Index of its job among the open ones, earlier steps first.
     pub(crate) job: usize,
     /// Index of the item in the job.
     pub(crate) item: usize,
@@ -65,7 +66,7 @@
 
 /// Returns which waiting item starts on which target, by index.
 pub(crate) fn place(mut waiting: Vec<Waiting>, engines: &mut [Engine]) -> Vec<(Waiting, usize)> {
-    waiting.sort_by_key(|item| (!item.carried, Reverse(item.left), item.job, item.item));
+    waiting.sort_by_key(|item| (item.job, !item.carried, Reverse(item.left), item.item));
     let mut placed = Vec::new();
     for item in waiting {
         let fitting = engines
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -9,8 +9,8 @@
 use tamarackdock_types::clock::{BootClock, Clock};
 
 use super::{
-    Submission, commit, end,
-    index::Entry,
+    Submission, adopt, commit, end,
+    index::{Entry, Opening},
     job::Job,
     rows::{self, Head},
     schedule,
@@ -47,8 +47,9 @@
                 "step" => head.step, "model" => head.model.as_deref(),
                 "work" => head.work, "revision" => revision);
             node.jobs.record(&id, Entry { head: head.clone(), revision });
-            if head.owner.is_some() {
-                open(node, id, head, revision, Rc::new(submission));
+            if head.owner.as_ref() == Some(&node.members.own) {
+                let opening = node.jobs.begin_opening(&id);
+                open(node, id, head, revision, Rc::new(submission), opening);
             }
             Reply::empty(202)
         }
@@ -75,8 +76,11 @@
 }
 
 fn head(node: &Node, call: &Call, submission: &Submission, chunks: usize) -> Head {
-    // A node that is about to stop accepts jobs and leaves them to the others.
-    let owner = (!node.is_leaving()).then(|| node.members.own.clone());
+    let key = format!("{:?}/{:?}", call.account, submission.model);
+    let owner = adopt::first(&key, &node.members.live());
+    // Before the other nodes are known this one runs the job. While it is about
+    // to stop it leaves the job to the others.
+    let owner = owner.or_else(|| (!node.is_leaving()).then(|| node.members.own.clone()));
     Head {
         account: call.account.clone(),
         host: call.request.head.headers.get("host").unwrap_or_default().into(),
@@ -132,6 +136,7 @@
     head: Head,
     revision: u64,
     submission: Rc<Submission>,
+    opening: Opening,
 ) -> Rc<RefCell<Job>> {
     let now = BootClock.now();
     let age = node.store_clock.millis(now).map_or(0, |store| store - head.accepted_ms);
@@ -145,13 +150,14 @@
     let job = Rc::new(RefCell::new(job));
     monoio::spawn(commit::run(node.clone(), job.clone()));
     monoio::spawn(schedule::expire(node.clone(), job.clone()));
-    monoio::spawn(begin(node.clone(), job.clone()));
+    monoio::spawn(begin(node.clone(), job.clone(), opening));
     job
 }
 
 /// Fetches the text that earlier jobs of the trainer left, then lets items start.
-async fn begin(node: Rc<Node>, job: Rc<RefCell<Job>>) {
-    super::adopt::carry_over(&node, &job).await;
+async fn begin(node: Rc<Node>, job: Rc<RefCell<Job>>, opening: Opening) {
+    adopt::carry_over(&node, &job).await;
     node.jobs.insert(job);
+    drop(opening);
     node.metrics.jobs.set(i64::try_from(node.jobs.open().len()).unwrap_or(i64::MAX));
 }
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -144,11 +144,15 @@
     route.services.first().map_or_else(|| "".into(), |(name, _)| name.clone())
 }
 
-/// Returns the FNV-1a hash of some bytes, the same on all nodes.
+/// Returns a hash of some bytes, the same on all nodes: FNV-1a with the
+/// finalizer of `MurmurHash3`, as FNV alone orders similar texts alike.
 pub(crate) fn fingerprint(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+    let mut hash = bytes.iter().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
         (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    })
+    });
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
 }
 
 /// Returns whether a field concerns one connection only.
