Keep the text of unfinished items in the store

Feeds waited up to 5 s on connections that had gone silent. Change: owners save new events under the head's condition every 0.7 s, results are listed before a hand-over, and a lost way wakes the feeds.

--- a/crates/tamarackdock_gateway/src/batch/adopt.rs
+++ b/crates/tamarackdock_gateway/src/batch/adopt.rs
@@ -1,15 +1,16 @@
 //! Take-over of batch jobs whose node is gone, and text that earlier runs left.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
 use monoio::time::{sleep, timeout};
 use tamarackdock_platform::Error;
-use tamarackdock_types::clock::{BootClock, Clock};
+use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use super::{
     commit, end,
     index::Entry,
-    job::{Job, Progress},
+    job::Job,
+    progress::{self, Progress},
     rows::{self, Head},
     submit,
 };
@@ -44,8 +45,7 @@
 
 /// Takes over jobs without a node for ever.
 pub(crate) async fn run(node: Rc<Node>) {
-    let mut orphans: std::collections::BTreeMap<Name, tamarackdock_types::clock::Instant> =
-        std::collections::BTreeMap::new();
+    let mut orphans: BTreeMap<Name, Instant> = BTreeMap::new();
     loop {
         sleep(INTERVAL).await;
         let now = BootClock.now();
@@ -152,14 +152,17 @@
 }
 
 /// Reads the text of unfinished items of a job.
-async fn progress(node: &Node, id: &str) -> Result<Vec<(String, Progress)>, Error> {
+async fn progress(node: &Node, id: &str) -> Result<BTreeMap<String, Progress>, Error> {
     let prefix = rows::progress(id, "");
-    let rows = node.store.range(prefix.clone(), prefix.clone()).await?;
-    let texts = rows.iter().filter_map(|row| {
-        let item = row.key.strip_prefix(&prefix)?;
-        Some((item.to_owned(), serde_json::from_str(&row.value).ok()?))
-    });
-    Ok(texts.collect())
+    let mut stored = Vec::new();
+    let mut from = prefix.clone();
+    loop {
+        let more = node.store.range(prefix.clone(), from).await?;
+        let Some(last) = more.last() else { break };
+        from = format!("{}\0", last.key);
+        stored.extend(more);
+    }
+    Ok(progress::assemble(id, &stored))
 }
 
 /// Gives a job the text that earlier jobs of the same trainer left for items
@@ -180,7 +183,9 @@
         };
         let mut job = job.borrow_mut();
         let before = job.works.iter().filter(|work| work.carried).count();
-        texts.into_iter().for_each(|(item, text)| job.restore(&item, text, true));
+        for (item, text) in texts {
+            job.restore(&item, text.into_new_job(), true);
+        }
         let carried = job.works.iter().filter(|work| work.carried).count() - before;
         if carried > 0 {
             slog::info!(node.log, "job: items carried over"; "job" => &*job.id,
@@ -189,7 +194,7 @@
     }
 }
 
-fn unfinished(job: &Job) -> Vec<(String, Progress)> {
+fn unfinished(job: &Job) -> BTreeMap<String, Progress> {
     let works = job.works.iter().filter(|work| work.phase != super::job::Phase::Finished);
     works.map(|work| (work.item.id.as_ref().to_owned(), work.progress.clone())).collect()
 }
--- a/crates/tamarackdock_gateway/src/batch/end.rs
+++ b/crates/tamarackdock_gateway/src/batch/end.rs
@@ -2,15 +2,18 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
+use monoio::time::sleep;
 use tamarackdock_platform::{
     Error,
     table::{Commit, Condition, Write},
 };
+use tamarackdock_types::clock::{BootClock, Clock};
 
 use super::{
     index::Entry,
-    job::{Job, Phase},
+    job::Job,
     rows::{self, Head},
+    save,
 };
 use crate::{deployment::Name, node::Node};
 
@@ -22,6 +25,8 @@
 const MAX_COMMIT: usize = 400 * 1024;
 /// Rows that one transaction takes.
 const MAX_ROWS: usize = 90;
+/// Time between looks whether all jobs were handed over.
+const HAND_OVER_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Compares a job that this node runs with its head, and stops running it if
 /// the client has ended it or another node has taken it over.
@@ -39,6 +44,10 @@
     slog::info!(node.log, "job: stopped"; "job" => id, "ended" => entry.head.ended,
         "owner" => entry.head.owner.as_ref().map(|run| run.host.to_string()),
         "listed" => job.borrow().listed.len());
+    if mine {
+        // The text of unfinished items is saved under the condition of this revision.
+        job.borrow_mut().revision = entry.revision;
+    }
     job.borrow_mut().close();
     monoio::spawn(retire(node.clone(), job, entry.head.ended));
 }
@@ -46,36 +55,12 @@
 /// Keeps the text of unfinished items for later jobs, then forgets the job.
 async fn retire(node: Rc<Node>, job: Rc<RefCell<Job>>, ended: bool) {
     if ended {
-        save_progress(&node, &job).await;
+        save::save(&node, &job, 1).await;
     }
-    monoio::time::sleep(KEEP_CLOSED).await;
+    sleep(KEEP_CLOSED).await;
     node.jobs.remove(&job);
 }
 
-/// Writes the text of unfinished items to the store. It only saves work, so
-/// that a failure is logged and not repeated.
-pub(crate) async fn save_progress(node: &Node, job: &Rc<RefCell<Job>>) {
-    let mut writes = Vec::new();
-    {
-        let job = job.borrow();
-        for work in &job.works {
-            let text = serde_json::to_string(&work.progress).ok();
-            let fits = text.as_ref().is_some_and(|text| text.len() < node.row_bytes() / 2);
-            if work.phase != Phase::Finished && work.progress.events > 0 && fits {
-                let key = rows::progress(&job.id, &work.item.id);
-                writes.push(Write { key, value: text });
-            }
-        }
-    }
-    for batch in batches(writes) {
-        let commit = Commit { operation: node.operation(), conditions: Vec::new(), writes: batch };
-        if let Err(error) = node.store.commit(commit).await {
-            node.store_failed("progress", &error);
-            return;
-        }
-    }
-}
-
 /// Splits writes into transactions of bounded size.
 pub(crate) fn batches(writes: Vec<Write>) -> Vec<Vec<Write>> {
     let mut batches: Vec<Vec<Write>> = Vec::new();
@@ -142,16 +127,15 @@
     Ok(Some(entry))
 }
 
-/// Hands all jobs over before a planned stop.
-pub(crate) async fn hand_over(node: &Rc<Node>) {
+/// Hands all jobs over before a planned stop. Results and text go to the store
+/// first, as long as there is time.
+pub(crate) async fn hand_over(node: &Rc<Node>, within: Duration) {
+    let until = BootClock.now() + within;
     for job in node.jobs.open() {
-        let (id, head, revision) = {
-            let mut job = job.borrow_mut();
-            job.close();
-            (job.id.clone(), Head { owner: None, ..job.head.clone() }, job.revision)
-        };
-        save_progress(node, &job).await;
-        let result = write_head(node, &id, &head, revision).await;
-        slog::info!(node.log, "job: handed over"; "job" => &*id, "result" => ?result);
+        job.borrow_mut().stop_runs();
+        monoio::spawn(save::last(node.clone(), job, until));
+    }
+    while !node.jobs.open().is_empty() && BootClock.now() < until {
+        sleep(HAND_OVER_INTERVAL).await;
     }
 }
--- a/crates/tamarackdock_gateway/src/batch/job.rs
+++ b/crates/tamarackdock_gateway/src/batch/job.rs
@@ -6,8 +6,8 @@
 
 use tamarackdock_types::clock::Instant;
 
-use super::{Item, Listed, State, Submission, rows::Head};
-use crate::{deployment::Name, event::Event, signal::Signal};
+use super::{Item, Listed, State, Submission, progress::Progress, rows::Head};
+use crate::{deployment::Name, signal::Signal};
 
 /// First pause after a run that broke without any event. It doubles each time,
 /// since an item may be what breaks its targets.
@@ -19,47 +19,6 @@
 /// Output tokens in an event until the job has seen how long its texts are.
 const TOKENS_PER_EVENT: u64 = 50;
 
-/// The text of an item so far.
-#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub(crate) struct Progress {
-    /// Id of the last event.
-    pub(crate) last_event: Option<u64>,
-    /// Number of events.
-    pub(crate) events: u64,
-    /// Data of the events, separated by line feeds.
-    pub(crate) text: String,
-    /// Versions that made events, in order of their first use.
-    pub(crate) versions: Vec<u64>,
-}
-
-/// An event can't follow the text so far.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct OutOfOrder;
-
-impl Progress {
-    /// Appends an event that was made under a version.
-    pub(crate) fn append(&mut self, event: &Event, version: Option<u64>) -> Result<(), OutOfOrder> {
-        let id = event.id.ok_or(OutOfOrder)?;
-        let follows = match self.last_event {
-            Some(last) => id == last + 1,
-            None => id <= 1,
-        };
-        if !follows {
-            return Err(OutOfOrder);
-        }
-        if self.events > 0 {
-            self.text.push('\n');
-        }
-        self.text.push_str(&event.data);
-        self.events += 1;
-        self.last_event = Some(id);
-        if let Some(version) = version.filter(|version| !self.versions.contains(version)) {
-            self.versions.push(version);
-        }
-        Ok(())
-    }
-}
-
 /// What happens to an item.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -91,7 +50,7 @@
 impl Work {
     /// Returns the estimated output tokens that are left.
     pub(crate) fn left(&self) -> u64 {
-        let made = self.progress.events * TOKENS_PER_EVENT;
+        let made = self.progress.events() as u64 * TOKENS_PER_EVENT;
         // An item that passed its estimate is one of the long ones.
         self.item.expected().checked_sub(made).unwrap_or(made / 2).max(1)
     }
@@ -127,6 +86,8 @@
     pub(crate) listed: Vec<Rc<Listed>>,
     /// Results that are not committed yet.
     pub(crate) unlisted: VecDeque<Rc<Listed>>,
+    /// Whether no runs are to start, since the job is about to be handed over.
+    pub(crate) stopping: bool,
     /// Whether this node has stopped running the job.
     pub(crate) closed: bool,
     /// Raised when results are listed, when items can start, and at the end.
@@ -164,6 +125,7 @@
             submission,
             listed: Vec::new(),
             unlisted: VecDeque::new(),
+            stopping: false,
             closed: false,
             changed: Signal::default(),
             accepted,
@@ -180,7 +142,7 @@
             let members = self.works.iter_mut().filter(|other| other.item.group == group);
             members.for_each(|other| other.carried = true);
         }
-        let fits = progress.versions.iter().all(|version| *version >= least);
+        let fits = progress.versions().iter().all(|version| *version >= least);
         let work = self.works.iter_mut().find(|work| *work.item.id == *item);
         match work {
             Some(work) if fits && work.phase == Phase::Waiting => work.progress = progress,
@@ -190,7 +152,7 @@
 
     /// Returns the items that may start now.
     pub(crate) fn startable(&self, now: Instant) -> impl Iterator<Item = (usize, &Work)> {
-        let open = !self.closed;
+        let open = !self.closed && !self.stopping;
         let works = self.works.iter().enumerate();
         works
             .filter(move |(_, work)| open && work.phase == Phase::Waiting && now >= work.not_before)
@@ -264,8 +226,8 @@
         self.unlisted.push_back(Rc::new(Listed {
             id: work.item.id.as_ref().into(),
             state,
-            text: progress.text,
-            versions: progress.versions,
+            text: progress.text(),
+            versions: progress.versions(),
         }));
     }
 
@@ -294,6 +256,12 @@
         self.listed.len() == self.works.len()
     }
 
+    /// Ends all runs and starts none, so that the text stays as it is.
+    pub(crate) fn stop_runs(&mut self) {
+        self.stopping = true;
+        self.changed.raise();
+    }
+
     /// Stops running the job.
     pub(crate) fn close(&mut self) {
         self.closed = true;
--- a/crates/tamarackdock_gateway/src/batch/mod.rs
+++ b/crates/tamarackdock_gateway/src/batch/mod.rs
@@ -7,9 +7,11 @@
 pub(crate) mod index;
 pub(crate) mod job;
 pub(crate) mod place;
+pub(crate) mod progress;
 pub(crate) mod read;
 pub(crate) mod rows;
 pub(crate) mod run;
+pub(crate) mod save;
 pub(crate) mod schedule;
 pub(crate) mod submit;
 
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -5,7 +5,7 @@
 use monoio::time::timeout;
 use tamarackdock_types::clock::{BootClock, Clock};
 
-use super::job::{Ended, Job, Progress};
+use super::job::{Ended, Job};
 use crate::{
     call::{Attempt, judge},
     event::Splitter,
@@ -45,7 +45,7 @@
         let job = job.borrow();
         let work = &job.works[index];
         slog::info!(node.log, "item: run ended"; "job" => &*job.id, "item" => &*work.item.id,
-            "target" => &*target.id, "outcome" => outcome, "events" => work.progress.events,
+            "target" => &*target.id, "outcome" => outcome, "events" => work.progress.events(),
             "expected" => work.item.expected(), "ms" => now.since(began).as_millis());
     }
     match ended {
@@ -76,7 +76,7 @@
 async fn stopped(job: &Rc<RefCell<Job>>, changed: &Signal) {
     loop {
         let seen = changed.count();
-        if job.borrow().closed {
+        if job.borrow().closed || job.borrow().stopping {
             return;
         }
         changed.after(seen).await;
@@ -130,9 +130,11 @@
             let now = BootClock.now();
             let mut job = job.borrow_mut();
             let progress = &mut job.works[index].progress;
-            let changed = single && progress.versions.first().is_some_and(|v| Some(*v) != version);
-            if version.is_some_and(|version| version < min_version) || changed {
-                *progress = if changed { Progress::default() } else { std::mem::take(progress) };
+            if version.is_some_and(|version| version < min_version) {
+                return Ended::WrongVersion;
+            }
+            if single && progress.versions().first().is_some_and(|first| Some(*first) != version) {
+                progress.restart();
                 return Ended::WrongVersion;
             }
             if progress.append(&event, version).is_err() {
@@ -186,7 +188,7 @@
     if let Some(account) = &job.head.account {
         headers.push(fields.account, account.as_bytes());
     }
-    if let Some(last) = work.progress.last_event {
+    if let Some(last) = work.progress.last_event() {
         headers.push(fields.last_event, last.to_string());
     }
     headers.push("Content-Length", work.item.body.len().to_string());
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -13,7 +13,7 @@
     index::{Entry, Opening},
     job::Job,
     rows::{self, Head},
-    schedule,
+    save, schedule,
 };
 use crate::{call::Call, deployment::Name, node::Node, reply::Reply};
 
@@ -149,6 +149,7 @@
     let job = Job::new(id, head, revision, submission, accepted, attempts);
     let job = Rc::new(RefCell::new(job));
     monoio::spawn(commit::run(node.clone(), job.clone()));
+    monoio::spawn(save::run(node.clone(), job.clone()));
     monoio::spawn(schedule::expire(node.clone(), job.clone()));
     monoio::spawn(begin(node.clone(), job.clone(), opening));
     job
--- a/crates/tamarackdock_gateway/src/relay.rs
+++ b/crates/tamarackdock_gateway/src/relay.rs
@@ -10,7 +10,11 @@
     time::Duration,
 };
 
-use futures_util::FutureExt;
+use futures_util::{
+    FutureExt,
+    future::{Either, select},
+    pin_mut,
+};
 use monoio::time::sleep;
 use serde::{Deserialize, Serialize};
 use slog::Logger;
@@ -23,6 +27,7 @@
     batch::rows,
     members::{self, Members},
     peer::{self, PeerError, Question, Response},
+    signal::Signal,
 };
 
 /// Time between looks whether the direct way works again.
@@ -67,6 +72,8 @@
     /// Names of the tables that nodes follow.
     tables: [&'static str; 4],
     down: Cell<bool>,
+    /// Raised when the direct way is lost.
+    changed: Signal,
     /// Node that answered last.
     favourite: RefCell<Option<SocketAddr>>,
 }
@@ -80,7 +87,8 @@
     ) -> Self {
         let tables = [foreign[0], foreign[1], rows::HEADS, members::TABLE];
         let (down, favourite) = (Cell::new(false), RefCell::default());
-        Self { direct, members, log, tables, down, favourite }
+        let changed = Signal::default();
+        Self { direct, members, log, tables, down, changed, favourite }
     }
 
     /// Probes the direct way for ever while it does not work.
@@ -123,11 +131,28 @@
         }
     }
 
+    /// Calls directly. A feed that waits is given up when another call finds the
+    /// direct way lost, since its connection may be silent.
+    async fn call_while_up(&self, call: &StoreCall) -> Result<StoreAnswer, Error> {
+        let seen = self.changed.count();
+        let direct = self.call_directly(call);
+        if !matches!(call, StoreCall::Changes(..)) {
+            return direct.await;
+        }
+        let lost = self.changed.after(seen);
+        pin_mut!(direct, lost);
+        match select(direct, lost).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => Err(Error::Unreachable),
+        }
+    }
+
     async fn call(&self, call: StoreCall) -> Result<StoreAnswer, Error> {
         if !self.down.get() {
-            match self.call_directly(&call).await {
+            match self.call_while_up(&call).await {
                 Err(error @ (Error::Unreachable | Error::Unknown)) => {
                     if !self.down.replace(true) {
+                        self.changed.raise();
                         slog::warn!(self.log, "store: direct way lost"; "error" => %error);
                     }
                     // A commit that may have taken effect is not sent again.
--- a/crates/tamarackdock_gateway/src/stop.rs
+++ b/crates/tamarackdock_gateway/src/stop.rs
@@ -25,6 +25,8 @@
 /// Time for open calls after the balancer sends no more, as a share of the time
 /// until the process is killed.
 const STOP_SHARE: f64 = 0.8;
+/// Share of the time that is left which the hand-over of batch jobs may take.
+const HAND_OVER_SHARE: f64 = 0.7;
 /// Longest time to give up the lease.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time between looks whether all calls have ended.
@@ -84,7 +86,8 @@
     if let Err(error) = members::renew(node).await {
         node.store_failed("renew", &error);
     }
-    batch::end::hand_over(node).await;
+    let left = limit.saturating_sub(BootClock.now().since(began));
+    batch::end::hand_over(node, left.mul_f64(HAND_OVER_SHARE)).await;
     if let Err(error) = duty::usage::flush(node).await {
         node.store_failed("usage", &error);
     }
