--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -24,6 +24,8 @@
 /// Span over which starts on a target are counted for cold starts. A tenth
 /// more than the second of the bound, since the ways to the target differ.
 const START_SPAN: Duration = Duration::from_millis(1100);
+/// Longest time between events that counts for the pace of a target.
+const MAX_GAP: Duration = Duration::from_millis(450);
 /// Weight of a new sample in the mean pace of a target.
 const PACE_WEIGHT: f64 = 0.2;
 
@@ -89,11 +91,16 @@
         }
     }
 
-    /// Records the time between two events of a stream.
-    pub(crate) fn pace(&mut self, target: &str, millis: f64) {
-        if let Some(load) = self.0.get_mut(target) {
-            let mean = load.pace.unwrap_or(millis);
-            load.pace = Some(mean + PACE_WEIGHT * (millis - mean));
+    /// Records the time between two events of a stream. A load of weights stops
+    /// all streams of a target once, which says nothing of its pace.
+    pub(crate) fn pace(&mut self, target: &str, gap: Duration) {
+        let millis = gap.as_secs_f64() * 1000.0;
+        match self.0.get_mut(target) {
+            Some(load) if gap < MAX_GAP => {
+                let mean = load.pace.unwrap_or(millis);
+                load.pace = Some(mean + PACE_WEIGHT * (millis - mean));
+            }
+            _ => {}
         }
     }
 
--- a/crates/tamarackdock_gateway/src/batch/job.rs
+++ b/crates/tamarackdock_gateway/src/batch/job.rs
@@ -43,11 +43,18 @@
     failed: u32,
     /// Runs in a row that broke without an event.
     broken: u32,
+    /// Runs that were moved to another target.
+    pub(crate) moves: u32,
     /// Time before which the item is not started.
     pub(crate) not_before: Instant,
 }
 
 impl Work {
+    /// Returns the estimated number of events that are left.
+    pub(crate) fn left_events(&self) -> u64 {
+        self.left() / TOKENS_PER_EVENT
+    }
+
     /// Returns the estimated output tokens that are left.
     pub(crate) fn left(&self) -> u64 {
         let made = self.progress.events() as u64 * TOKENS_PER_EVENT;
@@ -71,6 +78,8 @@
     Broken,
     /// The target's weights do not fit the job.
     WrongVersion,
+    /// The target is slow and others are not.
+    Moved,
 }
 
 /// A batch job that this node runs.
@@ -115,6 +124,7 @@
             carried: false,
             failed: 0,
             broken: 0,
+            moves: 0,
             not_before: accepted,
         });
         Self {
@@ -188,6 +198,11 @@
                 work.not_before = now + REFUSED_PAUSE;
                 None
             }
+            Ended::Moved => {
+                work.moves += 1;
+                work.not_before = now;
+                None
+            }
             Ended::Broken => {
                 let doubled = FIRST_BACKOFF * 2_u32.saturating_pow(work.broken.min(10));
                 work.not_before = now + doubled.min(MAX_BACKOFF);
--- a/crates/tamarackdock_gateway/src/batch/mod.rs
+++ b/crates/tamarackdock_gateway/src/batch/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod end;
 pub(crate) mod index;
 pub(crate) mod job;
+pub(crate) mod migrate;
 pub(crate) mod place;
 pub(crate) mod progress;
 pub(crate) mod read;
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -5,7 +5,10 @@
 use monoio::time::timeout;
 use tamarackdock_types::clock::{BootClock, Clock};
 
-use super::job::{Ended, Job};
+use super::{
+    job::{Ended, Job},
+    migrate, schedule,
+};
 use crate::{
     call::{Attempt, judge},
     event::Splitter,
@@ -20,6 +23,8 @@
 const FIRST_EVENT: Duration = Duration::from_millis(2500);
 /// Longest silence between events. They come every few tens of milliseconds.
 const NEXT_EVENT: Duration = Duration::from_millis(1800);
+/// Time between looks whether a run should move.
+const MOVE_INTERVAL: Duration = Duration::from_millis(200);
 /// Largest answer that is not a stream.
 const MAX_ERROR: usize = 64 * 1024;
 
@@ -69,6 +74,7 @@
         Ended::Impossible => "impossible",
         Ended::Broken => "broken",
         Ended::WrongVersion => "wrong_version",
+        Ended::Moved => "moved",
     }
 }
 
@@ -109,7 +115,8 @@
     }
     let mut version: Option<u64> = head.headers.number(fields.weight_version);
     let mut events = Splitter::new(fields.weight_version);
-    let mut last = BootClock.now();
+    let mut last = None;
+    let mut looked = BootClock.now();
     let mut allowed = FIRST_EVENT;
     loop {
         let data = match timeout(allowed, exchange.next()).await {
@@ -141,10 +148,16 @@
                 return Ended::Broken;
             }
             job.advanced(index);
-            #[allow(clippy::cast_precision_loss)]
-            let millis = now.since(last).as_millis() as f64;
-            node.loads.borrow_mut().pace(&target.id, millis);
-            last = now;
+            if let Some(last) = last.replace(now) {
+                node.loads.borrow_mut().pace(&target.id, now.since(last));
+            }
+        }
+        let now = BootClock.now();
+        if now.since(looked) > MOVE_INTERVAL {
+            looked = now;
+            if is_slow(node, &job.borrow(), index, target) {
+                return Ended::Moved;
+            }
         }
     }
     // An answer that ends with its connection can be cut without a sign, so
@@ -158,6 +171,24 @@
     Ended::Whole
 }
 
+/// Returns whether the rest of an item is better made by another target.
+fn is_slow(node: &Node, job: &Job, index: usize, target: &Registration) -> bool {
+    let work = &job.works[index];
+    let loads = node.loads.borrow();
+    let Some(pace) = loads.get(&target.id).pace else { return false };
+    let targets = node.beliefs.targets.borrow();
+    let others = targets.iter().map(|other| &other.registration).filter(|other| {
+        let load = loads.get(&other.id);
+        other.service == target.service
+            && !other.draining
+            && load.running < other.slots
+            && schedule::fits(job, other, None)
+    });
+    let paces = others.filter_map(|other| loads.get(&other.id).pace).collect();
+    let due = |median| migrate::is_due(pace, median, work.left_events(), work.moves);
+    migrate::median(paces).is_some_and(due)
+}
+
 type Prepared = (String, String, Headers, bytes::Bytes, u64, bool);
 
 /// Makes the request of an item, or returns `None` if its route is gone.
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -128,7 +128,7 @@
 
 /// Returns whether a target's weights fit a job and its model is the one that
 /// the target is meant for.
-fn fits(job: &Job, entry: &Registration, assigned: Option<&Name>) -> bool {
+pub(crate) fn fits(job: &Job, entry: &Registration, assigned: Option<&Name>) -> bool {
     let Some(model) = &job.submission.model else { return true };
     let version = entry.versions.get(model).copied().unwrap_or_default();
     let meant = assigned.is_none_or(|assigned| assigned == model);
