--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -26,6 +26,11 @@
 const START_SPAN: Duration = Duration::from_millis(1100);
 /// Longest time between events that counts for the pace of a target.
 const MAX_GAP: Duration = Duration::from_millis(450);
+/// Part of a cold target's rate that calls may use. Items of batch jobs use
+/// [`ITEMS_SHARE`], and the bound on both together is 1.5 times the rate.
+const CALLS_SHARE: f64 = 0.4;
+/// Part of a cold target's rate that items of batch jobs may use.
+pub(crate) const ITEMS_SHARE: f64 = 0.9;
 /// Weight of a new sample in the mean pace of a target.
 const PACE_WEIGHT: f64 = 0.2;
 
@@ -109,30 +114,39 @@
         self.0.retain(|target, load| load.running > 0 || in_use(target));
     }
 
-    /// Returns whether a cold target bears one more request now. `senders` is
-    /// the number of nodes that may send to it.
+    /// Returns whether a target bears one more call now.
     pub(crate) fn bears(
         &self,
         target: &Target,
         service: &Service,
-        senders: usize,
+        place: impl FnOnce() -> Place,
         now: Instant,
     ) -> bool {
-        match now < target.cold_until && service.cold_rate > 0.0 {
-            true => {
-                let starts = self.get(&target.registration.id).recent_starts(now);
-                starts < cold_share(service.cold_rate, senders)
-            }
-            false => true,
+        if now >= target.cold_until || service.cold_rate <= 0.0 {
+            return true;
         }
+        let starts = self.get(&target.registration.id).recent_starts(now);
+        starts < cold_share(service.cold_rate * CALLS_SHARE, place())
     }
 }
 
-/// Returns the requests within about a second that one of several senders may
-/// start on a cold target, such that the sum stays within the rate.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, clippy::cast_precision_loss)]
-pub(crate) fn cold_share(rate: f64, senders: usize) -> usize {
-    (rate / senders.max(1) as f64).floor().max(1.0) as usize
+/// The place of a node among those that may send to a target. All nodes derive
+/// the same order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Place {
+    /// Number of nodes before this one.
+    pub(crate) rank: usize,
+    /// Number of all nodes.
+    pub(crate) of: usize,
+}
+
+/// Returns the requests within about a second that a node may start on a cold
+/// target, such that the sum over all nodes is at most the rate.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub(crate) fn cold_share(rate: f64, place: Place) -> usize {
+    let all = rate.max(0.0).floor() as usize;
+    let of = place.of.max(1);
+    all / of + usize::from(place.rank < all % of)
 }
 
 /// What a call needs of a target.
@@ -143,8 +157,8 @@
     pub(crate) data_centre: &'a str,
     /// Targets that the call was sent to before.
     pub(crate) tried: &'a [Name],
-    /// Number of nodes that may send to the target.
-    pub(crate) senders: usize,
+    /// Returns the place of the node among those that may call a target.
+    pub(crate) place: &'a dyn Fn(&str) -> Place,
 }
 
 /// Returns the target for a call: one of the node's own data centre that is not
@@ -163,7 +177,7 @@
             && !entry.draining
             && !need.tried.contains(&entry.id)
             && !is_out(&entry.data_centre)
-            && loads.bears(target, service, need.senders, now)
+            && loads.bears(target, service, || (need.place)(&entry.id), now)
     });
     usable.min_by_key(|target| {
         let entry = &target.registration;
--- a/crates/tamarackdock_gateway/src/batch/adopt.rs
+++ b/crates/tamarackdock_gateway/src/batch/adopt.rs
@@ -14,7 +14,7 @@
     rows::{self, Head},
     submit,
 };
-use crate::{call::fingerprint, deployment::Name, members::Run, node::Node};
+use crate::{balance::Place, call::fingerprint, deployment::Name, members::Run, node::Node};
 
 /// Time between looks for jobs without a node.
 const INTERVAL: Duration = Duration::from_millis(150);
@@ -36,6 +36,11 @@
     live.iter().filter(|run| run.host != own.host && weight(job, run) < mine).count()
 }
 
+/// Returns the place of a run among all live ones for what has a key.
+pub(crate) fn place(key: &str, own: &Run, live: &[Run]) -> Place {
+    Place { rank: rank(key, own, live), of: live.len().max(1) }
+}
+
 /// Returns the first candidate for what has a key. The jobs of a trainer have
 /// one key, so that one node runs them all, places their items with regard to
 /// each other, and keeps its connections to targets from step to step.
@@ -117,7 +122,9 @@
         let submission = Rc::new(submission);
         let job = submit::open(node, id.clone(), head.clone(), revision, submission, opening);
         let mut job = job.borrow_mut();
-        texts.into_iter().for_each(|(item, text)| job.restore(&item, text, false));
+        for (item, text) in texts {
+            job.restore(&item, text, false);
+        }
         job.adopt(listed);
         Ok::<usize, Error>(job.listed.len())
     };
@@ -146,7 +153,7 @@
             return Err(Error::Malformed);
         }
         next += chunks.len();
-        chunks.iter().for_each(|row| text.push_str(&row.value));
+        text.extend(chunks.iter().map(|row| row.value.as_str()));
     }
     node.dialect.submission(text.as_bytes()).map_err(|_| Error::Malformed)
 }
--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -15,7 +15,7 @@
     job::Job,
     rows::{self, Head},
 };
-use crate::{deployment::Name, node::Node, signal::Signal};
+use crate::{balance::Place, deployment::Name, members::Run, node::Node, signal::Signal};
 
 /// How long the feed waits for a change.
 const WAIT: Duration = Duration::from_secs(5);
@@ -113,14 +113,15 @@
         }
     }
 
-    /// Returns the number of different nodes that run jobs.
-    pub(crate) fn owners(&self) -> usize {
+    /// Returns the place of a node among those that run jobs.
+    pub(crate) fn place(&self, own: &Run) -> Place {
         let heads = self.heads.borrow();
         let open = heads.values().filter(|entry| !entry.head.ended);
         let mut owners: Vec<_> = open.filter_map(|entry| entry.head.owner.as_ref()).collect();
         owners.sort_unstable();
         owners.dedup();
-        owners.len().max(1)
+        let rank = owners.iter().filter(|owner| **owner < own).count();
+        Place { rank, of: owners.len().max(1) }
     }
 
     /// Returns the items of the newest job of each of some models.
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -104,9 +104,8 @@
         return Ended::Refused;
     };
     let sent = Exchange::begin(&mut connection, "POST", &path, &headers, &body);
-    let mut exchange = match timeout(FIRST_EVENT, sent).await {
-        Ok(Ok(exchange)) => exchange,
-        Ok(Err(_)) | Err(_) => return Ended::Broken,
+    let Ok(Ok(mut exchange)) = timeout(FIRST_EVENT, sent).await else {
+        return Ended::Broken;
     };
     let head = exchange.head().clone();
     let own = head.headers.get(fields.request_id) == Some(&*id);
--- a/crates/tamarackdock_gateway/src/batch/save.rs
+++ b/crates/tamarackdock_gateway/src/batch/save.rs
@@ -80,10 +80,7 @@
         }
         // The results are committed by the task that does so all along.
         let settled = job.borrow().unlisted.is_empty();
-        let result = match settled {
-            true => give_up(&node, &job).await,
-            false => Err(Error::Unreachable),
-        };
+        let result = if settled { give_up(&node, &job).await } else { Err(Error::Unreachable) };
         let late = BootClock.now() >= until;
         if result.is_ok() || late {
             slog::info!(node.log, "job: handed over"; "job" => &*id, "result" => ?result,
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -11,6 +11,7 @@
     run,
 };
 use crate::{
+    balance::{ITEMS_SHARE, Load, Place, cold_share},
     call::pick_service,
     deployment::{Name, Service},
     duty::loads,
@@ -89,7 +90,7 @@
     let evacuated = node.beliefs.evacuated.borrow();
     let assigned = loads::assignment(node);
     let loads = node.loads.borrow();
-    let owners = node.jobs.owners();
+    let place = node.jobs.place(&node.members.own);
     let services: Vec<Option<Name>> =
         jobs.iter().map(|job| service_of(node, &job.borrow())).collect();
     let mut engines = Vec::new();
@@ -111,7 +112,7 @@
             running: load.running,
             slots: entry.slots,
             pace: load.pace,
-            bears: bears(&load, target, service, owners, now),
+            bears: bears(&load, target, service, place, now),
             avoided: load.is_avoided(now),
             near: entry.data_centre == node.data_centre,
             fits: jobs.iter().enumerate().filter_map(fits).collect(),
@@ -135,16 +136,13 @@
     version >= job.submission.min_version && meant
 }
 
-fn bears(
-    load: &crate::balance::Load,
-    target: &Target,
-    service: &Service,
-    owners: usize,
-    now: Instant,
-) -> u32 {
+fn bears(load: &Load, target: &Target, service: &Service, place: Place, now: Instant) -> u32 {
     let cold = now < target.cold_until && service.cold_rate > 0.0;
     let limit = match cold {
-        true => u32::try_from(crate::balance::cold_share(service.cold_rate, owners)).unwrap_or(1),
+        true => {
+            let share = cold_share(service.cold_rate * ITEMS_SHARE, place);
+            u32::try_from(share).unwrap_or(u32::MAX)
+        }
         false if service.cold_rate > 0.0 => MAX_STARTS,
         false => return u32::MAX,
     };
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -69,9 +69,10 @@
 
 fn accepted_before(node: &Node, call: &Call, id: &Name, entry: &Entry) -> Reply {
     slog::info!(node.log, "job: submitted again"; "job" => &**id, "revision" => entry.revision);
-    match entry.head.account == call.account {
-        true => Reply::empty(202),
-        false => Reply::error(400, "the id belongs to a batch job of another client account"),
+    if entry.head.account == call.account {
+        Reply::empty(202)
+    } else {
+        Reply::error(400, "the id belongs to a batch job of another client account")
     }
 }
 
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/batch/tests/mod.rs
@@ -0,0 +1,59 @@
+//! Decisions on batch jobs, without a network.
+
+mod job;
+mod migrate;
+mod place;
+mod progress;
+mod rows;
+
+use std::rc::Rc;
+
+use tamarackdock_types::clock::Instant;
+
+use super::{Item, Submission, job::Job, rows::Head};
+use crate::{event::Event, http::Headers};
+
+pub(super) fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+pub(super) fn item(id: &str, group: &str, expected: u64) -> Item {
+    Item {
+        id: id.into(),
+        path: "/r/1".into(),
+        headers: Headers::default(),
+        body: bytes::Bytes::new(),
+        tokens: 4 * expected,
+        expected_tokens: Some(expected),
+        group: group.into(),
+    }
+}
+
+pub(super) fn head(items: usize) -> Head {
+    Head {
+        account: None,
+        host: "h".into(),
+        path: "/r/".into(),
+        model: Some("m".into()),
+        step: 1,
+        accepted_ms: 0,
+        items,
+        chunks: 1,
+        work: 0,
+        owner: None,
+        epoch: 1,
+        ended: false,
+    }
+}
+
+/// Makes a job with 3 attempts whose results need version 5.
+pub(super) fn job(items: Vec<Item>) -> Job {
+    let submission =
+        Submission { model: Some("m".into()), step: 1, min_version: 5, wanted_groups: 1, items };
+    let head = head(submission.items.len());
+    Job::new("j".into(), head, 1, Rc::new(submission), at(0), 3)
+}
+
+pub(super) fn event(id: u64, data: &str) -> Event {
+    Event { raw: bytes::Bytes::new(), id: Some(id), data: data.into(), version: None }
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/batch/tests/progress.rs
@@ -0,0 +1,113 @@
+use proptest::prelude::*;
+use tamarackdock_platform::table::Row;
+
+use super::event;
+use crate::batch::{
+    progress::{Progress, assemble},
+    rows,
+};
+
+fn text(data: &[(&str, u64)]) -> Progress {
+    let mut progress = Progress::default();
+    for (id, (data, version)) in (1..).zip(data) {
+        progress.append(&event(id, data), Some(*version)).unwrap();
+    }
+    progress
+}
+
+/// Stores what is not saved, as the owner with the number `epoch` does.
+fn save(progress: &mut Progress, store: &mut Vec<Row>, epoch: u64) {
+    let prefix = rows::progress("j", "i");
+    for write in progress.segments(&prefix, epoch) {
+        store.retain(|row| row.key != write.key);
+        let value = write.value.unwrap();
+        store.push(Row { key: write.key, revision: 1, value, operation: String::new() });
+    }
+    store.sort_by(|left, right| left.key.cmp(&right.key));
+    progress.saved(progress.events(), progress.generation());
+}
+
+fn read(store: &[Row]) -> Option<(String, Option<u64>, Vec<u64>)> {
+    let progress = assemble("j", store).remove("i")?;
+    Some((progress.text(), progress.last_event(), progress.versions()))
+}
+
+/// Guards against joined pieces of two runs and against lost or doubled events.
+#[test]
+fn events_must_follow_each_other() {
+    let mut progress = text(&[("a", 5)]);
+    assert!(progress.append(&event(3, "c"), None).is_err());
+    assert!(progress.append(&event(1, "a"), None).is_err());
+    assert!(progress.append(&event(2, "b"), Some(6)).is_ok());
+    assert_eq!((progress.text(), progress.versions()), ("a\nb".into(), vec![5, 6]));
+    assert!(Progress::default().append(&event(2, "b"), None).is_err());
+}
+
+#[test]
+fn saved_segments_join() {
+    let mut store = Vec::new();
+    let mut progress = text(&[("a", 5), ("b", 5)]);
+    save(&mut progress, &mut store, 1);
+    progress.append(&event(3, "c"), Some(6)).unwrap();
+    save(&mut progress, &mut store, 1);
+    assert_eq!(read(&store), Some(("a\nb\nc".into(), Some(3), vec![5, 6])));
+}
+
+/// Guards against text of an earlier beginning behind that of a later one: both
+/// have a segment that begins at the same event.
+#[test]
+fn a_text_that_began_anew_does_not_join_the_old_one() {
+    let mut store = Vec::new();
+    let mut progress = text(&[("a", 5), ("b", 5)]);
+    save(&mut progress, &mut store, 1);
+    progress.append(&event(3, "old"), Some(5)).unwrap();
+    save(&mut progress, &mut store, 1);
+    progress.restart();
+    progress.append(&event(1, "A"), Some(6)).unwrap();
+    progress.append(&event(2, "B"), Some(6)).unwrap();
+    save(&mut progress, &mut store, 1);
+    assert_eq!(read(&store), Some(("A\nB".into(), Some(2), vec![6])));
+}
+
+/// Guards against versions of text that a later owner has not read.
+#[test]
+fn a_lost_segment_ends_the_text() {
+    let mut store = Vec::new();
+    let mut progress = text(&[("a", 5)]);
+    save(&mut progress, &mut store, 1);
+    progress.append(&event(2, "b"), Some(6)).unwrap();
+    save(&mut progress, &mut store, 1);
+    progress.append(&event(3, "c"), Some(7)).unwrap();
+    save(&mut progress, &mut store, 1);
+    store.remove(1);
+    assert_eq!(read(&store), Some(("a".into(), Some(1), vec![5])));
+}
+
+proptest! {
+    /// Guards against a take-over that changes the text: owners take turns, each
+    /// goes on with what it reads, and some begin anew.
+    #[test]
+    fn owners_go_on_with_what_was_saved(
+        turns in prop::collection::vec((1_u64..5, 0_u64..3, any::<bool>()), 1..8),
+    ) {
+        let mut store = Vec::new();
+        let mut expected = Progress::default();
+        for (epoch, (saved, unsaved, anew)) in (1..).zip(turns) {
+            let mut own = assemble("j", &store).remove("i").unwrap_or_default();
+            prop_assert_eq!(own.text(), expected.text());
+            if anew {
+                own.restart();
+            }
+            let append = |own: &mut Progress, count| {
+                for _ in 0..count {
+                    let id = own.last_event().map_or(1, |last| last + 1);
+                    own.append(&event(id, &format!("{epoch}.{id}")), Some(epoch)).unwrap();
+                }
+            };
+            append(&mut own, saved);
+            save(&mut own, &mut store, epoch);
+            expected = own.clone();
+            append(&mut own, unsaved);
+        }
+    }
+}
--- a/crates/tamarackdock_gateway/src/beliefs.rs
+++ b/crates/tamarackdock_gateway/src/beliefs.rs
@@ -24,7 +24,7 @@
 
 /// How long the feed of orders waits for a change. Each answer renews the proof
 /// of freshness, whose age is at most this time and the way to the store.
-const ORDERS_WAIT: Duration = Duration::from_millis(1000);
+const ORDERS_WAIT: Duration = Duration::from_secs(1);
 /// How long the feed of targets waits for a change.
 const TARGETS_WAIT: Duration = Duration::from_secs(5);
 /// Pause between questions to the feed of targets. Targets write about once a
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     balance::{self, Need},
+    batch::adopt,
     deployment::{Name, Repeat, Route},
     http::{Answer, Exchange, Failure, Headers},
     node::Node,
@@ -117,11 +118,12 @@
         let service = deployment.services.get(&name)?;
         let targets = node.beliefs.targets.borrow();
         let evacuated = node.beliefs.evacuated.borrow();
+        let live = node.members.live();
         let need = Need {
             service: &name,
             data_centre: &node.data_centre,
             tried,
-            senders: node.members.live_count(),
+            place: &|target| adopt::place(target, &node.members.own, &live),
         };
         let loads = node.loads.borrow();
         let is_out = |data_centre: &str| evacuated.contains(data_centre);
@@ -224,10 +226,10 @@
     let outcome = exchange(node, call, &target).await;
     drop(guard);
     let now = BootClock.now();
-    let name = match &outcome {
-        Attempt::Answered(_) => "answered",
-        Attempt::NotRun(_) => "not_run",
-        Attempt::Unknown(_) => "unknown",
+    let (name, failure) = match &outcome {
+        Attempt::Answered(_) => ("answered", None),
+        Attempt::NotRun(_) => ("not_run", None),
+        Attempt::Unknown(failure) => ("unknown", Some(failure.to_string())),
     };
     match &outcome {
         Attempt::NotRun(_) => node.loads.borrow_mut().full(&target.id, now),
@@ -239,7 +241,7 @@
     }
     node.metrics.attempts.with_label_values(&[name]).inc();
     slog::info!(node.log, "call: attempt"; "id" => &call.id, "target" => &*target.id,
-        "outcome" => name, "ms" => now.since(began).as_millis());
+        "outcome" => name, "failure" => failure, "ms" => now.since(began).as_millis());
     outcome
 }
 
--- a/crates/tamarackdock_gateway/src/duty/scale.rs
+++ b/crates/tamarackdock_gateway/src/duty/scale.rs
@@ -26,7 +26,7 @@
 /// Pause after an order that was refused or got no answer.
 const RETRY_PAUSE: Duration = Duration::from_secs(3);
 /// How long the demand must be lower before targets are given back.
-const SHRINK_AFTER: Duration = Duration::from_secs(60);
+const SHRINK_AFTER: Duration = Duration::from_mins(1);
 
 /// Returns the number of targets by data centre for a number of items that
 /// run at once. Cheaper data centres get the remainder.
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/duty/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Decisions of the holder of the duties, without a network.
+
+mod plan;
+mod scale;
+mod usage;
--- a/crates/tamarackdock_gateway/src/event.rs
+++ b/crates/tamarackdock_gateway/src/event.rs
@@ -48,10 +48,7 @@
     /// Takes the next whole event.
     pub(crate) fn next(&mut self) -> Result<Option<Event>, NotEvents> {
         let Some(length) = block_length(&self.buffer) else {
-            return match self.buffer.len() > MAX_EVENT {
-                true => Err(NotEvents),
-                false => Ok(None),
-            };
+            return if self.buffer.len() > MAX_EVENT { Err(NotEvents) } else { Ok(None) };
         };
         let raw = self.buffer.split_to(length).freeze();
         let text = std::str::from_utf8(&raw).map_err(|_| NotEvents)?;
--- a/crates/tamarackdock_gateway/src/http/body.rs
+++ b/crates/tamarackdock_gateway/src/http/body.rs
@@ -125,9 +125,8 @@
         loop {
             match self.0 {
                 State::Done => return Ok(None),
-                State::UntilClose if buffer.is_empty() => return Ok(None),
+                State::UntilClose | State::Data { .. } if buffer.is_empty() => return Ok(None),
                 State::UntilClose => return Ok(Some(buffer.split().freeze())),
-                State::Data { .. } if buffer.is_empty() => return Ok(None),
                 State::Data { left, chunked } => {
                     let size =
                         usize::try_from(left).map_or(buffer.len(), |left| left.min(buffer.len()));
@@ -194,8 +193,9 @@
     let digits = line.split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
     let text = std::str::from_utf8(digits).map_err(|_| FramingError::Chunk)?;
     let valid = (1..=15).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_hexdigit());
-    match valid {
-        true => u64::from_str_radix(text, 16).map_err(|_| FramingError::Chunk),
-        false => Err(FramingError::Chunk),
+    if valid {
+        u64::from_str_radix(text, 16).map_err(|_| FramingError::Chunk)
+    } else {
+        Err(FramingError::Chunk)
     }
 }
--- a/crates/tamarackdock_gateway/src/http/connection.rs
+++ b/crates/tamarackdock_gateway/src/http/connection.rs
@@ -60,9 +60,10 @@
     pub(crate) async fn fill(&mut self) -> io::Result<bool> {
         let (result, bytes) = self.half.read(BytesMut::with_capacity(READ_SIZE)).await;
         let count = result?;
-        match self.buffer.is_empty() {
-            true => self.buffer = bytes,
-            false => self.buffer.extend_from_slice(&bytes),
+        if self.buffer.is_empty() {
+            self.buffer = bytes
+        } else {
+            self.buffer.extend_from_slice(&bytes)
         }
         Ok(count > 0)
     }
--- a/crates/tamarackdock_gateway/src/http/head.rs
+++ b/crates/tamarackdock_gateway/src/http/head.rs
@@ -180,9 +180,10 @@
 }
 
 fn keep_alive(headers: &Headers, http_1_1: bool) -> bool {
-    match http_1_1 {
-        true => !headers.lists("connection", "close"),
-        false => headers.lists("connection", "keep-alive"),
+    if http_1_1 {
+        !headers.lists("connection", "close")
+    } else {
+        headers.lists("connection", "keep-alive")
     }
 }
 
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/http/tests/bodies.rs
@@ -0,0 +1,73 @@
+use bytes::BytesMut;
+use proptest::prelude::*;
+
+use crate::http::{Body, Framing, FramingError};
+
+/// Decodes a body whose bytes arrive in pieces, and returns it with what is left.
+fn decode(framing: Framing, pieces: &[&[u8]]) -> Result<(Vec<u8>, Vec<u8>, bool), FramingError> {
+    let mut body = Body::new(framing);
+    let mut buffer = BytesMut::new();
+    let mut whole = Vec::new();
+    for piece in pieces {
+        buffer.extend_from_slice(piece);
+        while let Some(data) = body.take(&mut buffer)? {
+            whole.extend_from_slice(&data);
+        }
+    }
+    Ok((whole, buffer.to_vec(), body.is_done()))
+}
+
+#[test]
+fn chunks_with_extensions_and_trailers() {
+    let bytes = b"4;a=b\r\nabcd\r\nA\r\n0123456789\r\n0\r\nX: y\r\n\r\nrest";
+    let (whole, rest, done) = decode(Framing::Chunked, &[bytes]).unwrap();
+    assert_eq!((&whole[..], &rest[..], done), (&b"abcd0123456789"[..], &b"rest"[..], true));
+}
+
+/// Guards against a broken stream that passes as a whole answer.
+#[test]
+fn malformed_chunks_are_refused() {
+    let bodies: [&[u8]; 5] =
+        [b"\r\n", b"x\r\n", b"-1\r\n", b"3\r\nabcd\r\n", b"10000000000000000\r\n"];
+    for bytes in bodies {
+        assert_eq!(decode(Framing::Chunked, &[bytes]), Err(FramingError::Chunk), "{bytes:?}");
+    }
+}
+
+#[test]
+fn a_body_that_ends_early_is_truncated() {
+    for framing in [Framing::Length(5), Framing::Chunked] {
+        assert_eq!(Body::new(framing).end_of_stream(), Err(FramingError::Truncated));
+    }
+    assert_eq!(Body::new(Framing::UntilClose).end_of_stream(), Ok(()));
+}
+
+proptest! {
+    /// Guards against decoding that depends on how the bytes arrive.
+    #[test]
+    fn pieces_do_not_matter(
+        chunks in prop::collection::vec(prop::collection::vec(any::<u8>(), 1..40), 0..6),
+        size in 1_usize..9,
+    ) {
+        let mut encoded = Vec::new();
+        for chunk in &chunks {
+            encoded.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+            encoded.extend_from_slice(chunk);
+            encoded.extend_from_slice(b"\r\n");
+        }
+        encoded.extend_from_slice(b"0\r\n\r\nnext");
+        let pieces: Vec<&[u8]> = encoded.chunks(size).collect();
+        let (whole, rest, done) = decode(Framing::Chunked, &pieces).unwrap();
+        prop_assert_eq!(whole, chunks.concat());
+        prop_assert_eq!(rest, b"next".to_vec());
+        prop_assert!(done);
+    }
+
+    /// Guards against panics on any bytes.
+    #[test]
+    fn any_bytes_are_refused_or_decoded(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        for framing in [Framing::Length(9), Framing::Chunked, Framing::UntilClose] {
+            let _ = decode(framing, &[&bytes]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/http/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Raw bytes from clients and targets.
+
+mod bodies;
+mod heads;
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -32,3 +32,6 @@
 mod stream;
 
 pub use node::{Node, StartError};
+
+#[cfg(test)]
+mod tests;
--- a/crates/tamarackdock_gateway/src/members.rs
+++ b/crates/tamarackdock_gateway/src/members.rs
@@ -18,7 +18,7 @@
 const GONE_AFTER: Duration = Duration::from_millis(1800);
 /// Pause between reads after which the ages of rows start anew, as the other
 /// nodes may not have reached the store either.
-const BLIND_AFTER: Duration = Duration::from_millis(2000);
+const BLIND_AFTER: Duration = Duration::from_secs(2);
 
 /// A run of a node.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -118,11 +118,6 @@
         Self { own, seeds, known: RefCell::default() }
     }
 
-    /// Returns the number of live nodes, this one included.
-    pub(crate) fn live_count(&self) -> usize {
-        self.known.borrow().live().len().max(1)
-    }
-
     /// Returns the live nodes that stay.
     pub(crate) fn live(&self) -> Vec<Run> {
         self.known.borrow().live()
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -266,14 +266,16 @@
     /// Waits until connections that are idle are to be closed. Does not end for
     /// others.
     pub(crate) async fn closing(&self, idle: bool) {
-        while idle {
+        if !idle {
+            return pending().await;
+        }
+        loop {
             let seen = self.stop.count();
             if self.closing.get() {
                 return;
             }
             self.stop.after(seen).await;
         }
-        pending().await
     }
 
     /// Handles a request of a listener.
--- a/crates/tamarackdock_gateway/src/peer.rs
+++ b/crates/tamarackdock_gateway/src/peer.rs
@@ -1,4 +1,4 @@
-//! Questions between nodes: MessagePack over HTTP on the peers' address.
+//! Questions between nodes: `MessagePack` over HTTP on the peers' address.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
--- a/crates/tamarackdock_gateway/src/relay.rs
+++ b/crates/tamarackdock_gateway/src/relay.rs
@@ -33,7 +33,7 @@
 /// Time between looks whether the direct way works again.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Time that another node may need to ask the store.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(1000);
+const RELAY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Nodes that are asked for one call.
 const TRIES: usize = 2;
 /// Row that a probe reads. It need not exist.
@@ -104,10 +104,7 @@
 
     /// Answers another node's call, by the direct way only.
     pub(crate) async fn serve(&self, call: StoreCall) -> Result<StoreAnswer, Error> {
-        match self.down.get() {
-            true => Err(Error::Unreachable),
-            false => self.call_directly(&call).await,
-        }
+        if self.down.get() { Err(Error::Unreachable) } else { self.call_directly(&call).await }
     }
 
     async fn call_directly(&self, call: &StoreCall) -> Result<StoreAnswer, Error> {
--- a/crates/tamarackdock_gateway/src/server.rs
+++ b/crates/tamarackdock_gateway/src/server.rs
@@ -123,12 +123,13 @@
 /// Waits until the client closes the connection.
 async fn closed(reader: &mut Reader) {
     loop {
-        match reader.buffer.len() < MAX_PIPELINED {
-            false => pending().await,
-            true => match reader.fill().await {
+        if reader.buffer.len() >= MAX_PIPELINED {
+            pending().await
+        } else {
+            match reader.fill().await {
                 Ok(true) => {}
                 Ok(false) | Err(_) => return,
-            },
+            }
         }
     }
 }
@@ -167,9 +168,10 @@
         }
         let now = BootClock.now();
         let idle = reader.buffer.is_empty();
-        let left = match idle {
-            true => limits.idle_time,
-            false => limits.head_time.saturating_sub(now.since(*began.get_or_insert(now))),
+        let left = if idle {
+            limits.idle_time
+        } else {
+            limits.head_time.saturating_sub(now.since(*began.get_or_insert(now)))
         };
         let filling = timeout(left, reader.fill());
         let closing = node.closing(idle);
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -109,9 +109,8 @@
     let head = &call.request.head;
     let sent =
         Exchange::begin(&mut connection, &head.method, &head.target, &headers, &call.request.body);
-    let mut exchange = match until(call.until, sent).await {
-        Some(Ok(exchange)) => exchange,
-        Some(Err(_)) | None => return Ended::Broken,
+    let Some(Ok(mut exchange)) = until(call.until, sent).await else {
+        return Ended::Broken;
     };
     let stream = exchange
         .head()
--- a/crates/tamarackdock_gateway/src/target.rs
+++ b/crates/tamarackdock_gateway/src/target.rs
@@ -82,7 +82,9 @@
     pub fn retain(&mut self, ids: &[&str], lenient: bool, now: Instant) {
         let gone: Vec<Name> =
             self.targets.keys().filter(|id| !ids.contains(&&***id)).cloned().collect();
-        gone.iter().for_each(|id| self.remove(id, lenient, now));
+        for id in gone {
+            self.remove(&id, lenient, now);
+        }
     }
 
     /// Returns a target.
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -36,7 +36,6 @@
     }
 
     /// Makes the root logger, whose lines are JSON.
-    #[must_use]
     pub fn logger(&self) -> Logger {
         let json = slog_json::Json::new(self.clone()).add_default_keys().build();
         Logger::root(Mutex::new(json).ignore_res(), o!())
@@ -79,9 +78,10 @@
 impl io::Write for Output {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         let mut backlog = self.backlog();
-        match backlog.bytes.len() + bytes.len() <= MAX_BACKLOG {
-            true => backlog.bytes.extend_from_slice(bytes),
-            false => backlog.dropped += u64::from(bytes.ends_with(b"\n")),
+        if backlog.bytes.len() + bytes.len() <= MAX_BACKLOG {
+            backlog.bytes.extend_from_slice(bytes)
+        } else {
+            backlog.dropped += u64::from(bytes.ends_with(b"\n"))
         }
         Ok(bytes.len())
     }
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/tests/deployment.rs
@@ -0,0 +1,67 @@
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+
+use crate::deployment::{Deployment, Repeat, Route, Verdict};
+
+fn route(name: &str, host: &str, prefix: &str, public: bool) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        services: vec![("a".into(), 90), ("b".into(), 10)],
+        attempts: 2,
+        item_lifetime: Duration::ZERO,
+        due: Duration::ZERO,
+        single_version: false,
+        public,
+    }
+}
+
+fn deployment() -> Deployment {
+    let mut deployment = Deployment { keyed: true, ..Deployment::default() };
+    deployment.add_route(route("short", "H.example", "/a/", false));
+    deployment.add_route(route("long", "h.example", "/a/b/", false));
+    deployment.add_route(route("open", "h.example", "/open/", true));
+    deployment.accounts.insert("key".into(), "account".into());
+    deployment
+}
+
+fn chosen(host: &str, path: &str) -> Option<String> {
+    deployment().route(host, path).map(|route| route.name.to_string())
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    assert_eq!(chosen("h.example", "/a/x").as_deref(), Some("short"));
+    assert_eq!(chosen("h.EXAMPLE:80", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(chosen("h.example", "/a"), None);
+    assert_eq!(chosen("other", "/a/"), None);
+}
+
+/// Guards against a call that runs without the key of a client account.
+#[test]
+fn keys_are_needed_except_on_open_routes() {
+    let judge = |path, key| deployment().judge("h.example", path, key);
+    assert_matches!(judge("/a/", Some("key")), Verdict::Allowed { account: Some(account), .. }
+        if &*account == "account");
+    assert_eq!(judge("/a/", Some("Key")), Verdict::UnknownKey);
+    assert_eq!(judge("/a/", None), Verdict::UnknownKey);
+    assert_matches!(judge("/open/", None), Verdict::Allowed { account: None, .. });
+    assert_eq!(judge("/none/", Some("key")), Verdict::NoRoute);
+}
+
+/// Guards against weights that starve a service or send a repeated call to two.
+#[test]
+fn services_get_calls_by_weight() {
+    let route = route("r", "h", "/", false);
+    let to_b = (0..10_000)
+        .filter(|id| &*crate::call::pick_service(&route, &format!("call-{id}")) == "b")
+        .count();
+    assert!((800..1200).contains(&to_b), "{to_b} of 10000 calls, by weight 1000");
+    let again = crate::call::pick_service(&route, "call-7");
+    assert_eq!(again, crate::call::pick_service(&route, "call-7"));
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/tests/event.rs
@@ -0,0 +1,50 @@
+use proptest::prelude::*;
+
+use crate::event::{Event, Splitter};
+
+fn split(pieces: &[&[u8]]) -> (Vec<Event>, bool) {
+    let mut splitter = Splitter::new("X-Version");
+    let mut events = Vec::new();
+    for piece in pieces {
+        splitter.push(piece);
+        while let Ok(Some(event)) = splitter.next() {
+            events.push(event);
+        }
+    }
+    (events, splitter.has_rest())
+}
+
+#[test]
+fn events_with_versions_and_several_lines() {
+    let text = "x-version: 7\nid: 1\ndata: a\ndata:  b\n\nid: 2\r\ndata: c\r\n\r\nid: 3\ndata: cut";
+    let (events, rest) = split(&[text.as_bytes()]);
+    let seen: Vec<_> =
+        events.iter().map(|event| (event.id, event.data.as_str(), event.version)).collect();
+    assert_eq!(seen, [(Some(1), "a\n b", Some(7)), (Some(2), "c", None)]);
+    assert!(rest, "an event without its end must not pass as whole");
+}
+
+proptest! {
+    /// Guards against events that depend on how the bytes arrive.
+    #[test]
+    fn pieces_do_not_matter(data in prop::collection::vec("[a-z ]{0,12}", 0..6), size in 1_usize..7) {
+        let text: String = data
+            .iter()
+            .enumerate()
+            .map(|(id, data)| format!("id: {id}\ndata: {data}\n\n"))
+            .collect();
+        let pieces: Vec<&[u8]> = text.as_bytes().chunks(size).collect();
+        let (events, rest) = split(&pieces);
+        let read: Vec<String> = events.iter().map(|event| event.data.clone()).collect();
+        prop_assert_eq!(read, data);
+        prop_assert!(!rest);
+        let raw: Vec<u8> = events.iter().flat_map(|event| event.raw.to_vec()).collect();
+        prop_assert_eq!(raw, text.into_bytes());
+    }
+
+    /// Guards against panics on any bytes.
+    #[test]
+    fn any_bytes_are_split_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        split(&[&bytes]);
+    }
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/tests/freshness.rs
@@ -0,0 +1,49 @@
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+use super::at;
+use crate::freshness::Freshness;
+
+const BOUND: Duration = Duration::from_secs(5);
+
+#[test]
+fn no_proof_allows_nothing() {
+    assert!(!Freshness::new(Some(BOUND)).allows_keys(at(0)));
+    assert!(!Freshness::new(None).allows_keys(at(0)));
+}
+
+#[test]
+fn an_old_proof_is_enough_without_a_bound() {
+    let mut freshness = Freshness::new(None);
+    freshness.prove(at(10));
+    assert!(freshness.allows_keys(at(1_000_000)));
+}
+
+proptest! {
+    /// Guards against a withdrawn key that works after the bound: a key that was
+    /// withdrawn after the last question was sent, and a request that comes the
+    /// bound later, in any order of answers.
+    #[test]
+    fn withdrawn_keys_end_within_the_bound(
+        questions in prop::collection::vec(0_u64..20_000, 1..8),
+        request in 0_u64..40_000,
+    ) {
+        let mut freshness = Freshness::new(Some(BOUND));
+        questions.iter().for_each(|asked| freshness.prove(at(*asked)));
+        let last = *questions.iter().max().unwrap();
+        let withdrawn = last + 1;
+        let late = request >= withdrawn + 5_000;
+        prop_assert!(!(late && freshness.allows_keys(at(request))));
+    }
+}
+
+#[test]
+fn the_balancer_is_told_before_calls_are_refused() {
+    let mut freshness = Freshness::new(Some(BOUND));
+    freshness.prove(at(0));
+    let states: Vec<_> = [0, 2_000, 3_000, 4_000, 4_600]
+        .map(|now| (now, freshness.is_ready(at(now)), freshness.allows_keys(at(now))))
+        .into();
+    insta::assert_debug_snapshot!(states);
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/tests/members.rs
@@ -0,0 +1,102 @@
+use tamarackdock_platform::table::{Batch, Change};
+
+use super::at;
+use crate::{
+    batch::adopt,
+    members::{Known, Row, Run},
+};
+
+fn row(host: &str, number: u64, revision: u64, wall_offset_ms: i64) -> Change {
+    let row = Row {
+        number,
+        peers: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "x".into(),
+        wall_offset_ms,
+        leaving: false,
+    };
+    Change { key: host.into(), revision, value: serde_json::to_string(&row).ok() }
+}
+
+fn batch(rows: impl IntoIterator<Item = Change>) -> Batch {
+    Batch { changes: rows.into_iter().collect(), revision: 0 }
+}
+
+fn run(host: &str, number: u64) -> Run {
+    Run { host: host.into(), number }
+}
+
+/// Reads rows each 400 ms and returns when `a` counts as gone.
+fn gone_at(revision_at: impl Fn(u64) -> u64) -> Option<u64> {
+    let mut known = Known::default();
+    (0..20).map(|read| read * 400).find(|now| {
+        known.update(&batch([row("a", 1, revision_at(*now), 0)]), at(*now));
+        known.address(&run("a", 1)).is_none()
+    })
+}
+
+#[test]
+fn a_node_that_stops_renewing_is_gone() {
+    assert_eq!(gone_at(|_| 1), Some(2_000));
+    assert_eq!(gone_at(|now| now / 800), None);
+}
+
+/// Guards against a restarted process that passes for its former run.
+#[test]
+fn another_run_of_a_host_is_another_node() {
+    let mut known = Known::default();
+    known.update(&batch([row("a", 2, 1, 0)]), at(0));
+    assert!(known.address(&run("a", 1)).is_none());
+    assert!(known.address(&run("a", 2)).is_some());
+}
+
+/// Guards against taking over all jobs after an outage in which no node could
+/// renew its row.
+#[test]
+fn an_outage_of_the_store_makes_no_node_gone() {
+    let mut known = Known::default();
+    known.update(&batch([row("a", 1, 1, 0)]), at(0));
+    known.update(&batch([row("a", 1, 1, 0)]), at(9_000));
+    assert!(known.address(&run("a", 1)).is_some());
+}
+
+/// Guards against usage windows that follow a host whose clock has jumped.
+#[test]
+fn a_minority_of_wrong_clocks_is_ignored() {
+    let mut known = Known::default();
+    let offsets = [100, 101, 99, 5_000, -7_000];
+    let rows = offsets.iter().zip(1_u64..).map(|(offset, n)| row(&format!("h{n}"), n, n, *offset));
+    known.update(&batch(rows), at(0));
+    assert_eq!(known.wall_offset(), Some(100));
+}
+
+/// Guards against rows of other writers that end the reading of all.
+#[test]
+fn a_row_that_can_not_be_read_is_left_out() {
+    let mut known = Known::default();
+    let broken = Change { key: "b".into(), revision: 1, value: Some("{".into()) };
+    known.update(&batch([broken, row("a", 1, 1, 0)]), at(0));
+    assert_eq!(known.live(), [run("a", 1)]);
+}
+
+/// Guards against jobs that no node, or several nodes, take at once.
+#[test]
+fn ranks_are_a_permutation() {
+    let live: Vec<Run> = (0..40).map(|n| run(&format!("edge-north-{n}"), n)).collect();
+    for job in ["a", "b", "c"] {
+        let mut ranks: Vec<_> = live.iter().map(|own| adopt::rank(job, own, &live)).collect();
+        ranks.sort_unstable();
+        assert_eq!(ranks, (0..40).collect::<Vec<_>>());
+    }
+}
+
+/// Guards against a hash by which hosts with similar names get all jobs.
+#[test]
+fn trainers_are_spread_over_hosts() {
+    let live: Vec<Run> = (0..9).map(|n| run(&format!("edge-hobart-{n}"), n)).collect();
+    let mut counts = [0; 9];
+    for key in 0..900 {
+        let first = adopt::first(&format!("trainer-{key}"), &live).unwrap();
+        counts[usize::try_from(first.number).unwrap()] += 1;
+    }
+    assert!(counts.iter().all(|count| (60..150).contains(count)), "{counts:?}");
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/tests/mod.rs
@@ -0,0 +1,39 @@
+//! Decisions on calls, targets, keys and nodes, without a network.
+
+mod balance;
+mod deployment;
+mod event;
+mod freshness;
+mod members;
+mod target;
+
+use std::time::Duration;
+
+use tamarackdock_types::clock::Instant;
+
+use crate::target::{List, Registration};
+
+pub(crate) fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+pub(crate) fn registration(id: &str, data_centre: &str) -> Registration {
+    Registration {
+        id: id.into(),
+        service: "app".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: data_centre.into(),
+        slots: 4,
+        draining: false,
+        cold_left: Duration::ZERO,
+        versions: [("m".into(), 3)].into(),
+        started: None,
+        reclaimable: false,
+    }
+}
+
+pub(crate) fn list(registrations: impl IntoIterator<Item = Registration>) -> List {
+    let mut list = List::default();
+    registrations.into_iter().for_each(|entry| list.register(entry, at(0)));
+    list
+}
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/tests/target.rs
@@ -0,0 +1,42 @@
+use super::{at, list, registration};
+
+/// Guards against sending to a target whose entry is gone while the store is well.
+#[test]
+fn a_removed_entry_is_dropped_at_once() {
+    let mut list = list([registration("a", "x")]);
+    list.remove("a", false, at(0));
+    assert!(list.get("a").is_none());
+}
+
+/// Guards against refusing all calls after an outage of the store in which all
+/// entries lapsed, and against keeping entries that do not come back.
+#[test]
+fn entries_that_lapsed_in_an_outage_stay_for_a_while() {
+    let mut list = list([registration("a", "x"), registration("b", "x")]);
+    list.retain(&[], true, at(1_000));
+    assert_eq!(list.iter().count(), 2);
+    list.register(registration("a", "x"), at(2_000));
+    list.expire(at(3_000));
+    assert!(list.get("a").is_some(), "registered again");
+    assert!(list.get("b").is_none(), "gone");
+}
+
+/// Guards against a grace that begins anew with each answer of the store.
+#[test]
+fn the_grace_is_not_prolonged() {
+    let mut list = list([registration("a", "x")]);
+    list.retain(&[], true, at(1_000));
+    list.retain(&[], true, at(2_500));
+    list.expire(at(2_800));
+    assert!(list.get("a").is_none());
+}
+
+/// Guards against keeping a target that is known to leave.
+#[test]
+fn a_draining_target_has_no_grace() {
+    let mut entry = registration("a", "x");
+    entry.draining = true;
+    let mut list = list([entry]);
+    list.remove("a", true, at(0));
+    assert!(list.get("a").is_none());
+}
--- /dev/null
+++ b/crates/tamarackdock_node/tests/gateway/calm.rs
@@ -0,0 +1,151 @@
+//! The whole path without faults, and single faults in a known order.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use platform_standin::{Client, Way};
+
+use crate::world::{Faults, KEY, OLD_KEY, Stop, Trainer, WITHDRAWN_KEY, World, call_until};
+
+fn trainer(world: &World, faults: &Faults) -> Trainer {
+    Trainer::new("t", world.addresses(), world.store.clone(), faults.clone())
+}
+
+fn assert_none(faults: &Faults) {
+    assert_eq!(faults.all(), Vec::<String>::new());
+}
+
+#[test]
+fn a_calm_day_is_served() {
+    let world = World::start("calm", 3, 0);
+    let faults = Faults::default();
+    let mut trainer = trainer(&world, &faults);
+    for number in 0..3 {
+        let mut step = trainer.submit(number, 12);
+        trainer.finish(&mut step);
+        trainer.end(&step);
+        trainer.read_again(&step);
+    }
+    world.check_runs(&faults);
+    assert_none(&faults);
+    let newest = world.engines.iter().map(platform_standin::Engine::version).max();
+    assert!(newest >= Some(2), "no engine has loaded a published version");
+}
+
+#[test]
+fn calls_that_are_not_allowed_are_refused() {
+    let world = World::start("refused", 1, 0);
+    let node = world.addresses()[0];
+    let mut client = Client::new(KEY, Duration::from_secs(1));
+    let mut stranger = Client::new("no key", Duration::from_secs(1));
+    let statuses = [
+        client.call(node, "/none/", "x1").status(),
+        stranger.call(node, "/app/", "x2").status(),
+        client.results(node, "never", 0).status(),
+        stranger.results(node, "never", 0).status(),
+        client.submit(node, "bad id!", 0, 0, &[]).status(),
+        client.end(node, "never").status(),
+    ];
+    assert_eq!(statuses, [404, 401, 404, 401, 400, 404]);
+    let runs = world.runs();
+    assert!(!runs.contains_key("x1") && !runs.contains_key("x2"), "{runs:?}");
+}
+
+/// Guards against an acknowledged job that dies with the machines: all nodes are
+/// killed right after the acceptance.
+#[test]
+fn a_job_survives_the_loss_of_all_nodes() {
+    let mut world = World::start("loss", 3, 0);
+    let faults = Faults::default();
+    let mut trainer = trainer(&world, &faults);
+    let mut step = trainer.submit(0, 12);
+    world.nodes.iter_mut().for_each(platform_standin::Node::kill);
+    world.nodes.iter_mut().for_each(platform_standin::Node::restart);
+    trainer.finish(&mut step);
+    trainer.end(&step);
+    trainer.read_again(&step);
+    assert_none(&faults);
+}
+
+/// Guards against a step that stalls while the node that runs it can't reach the
+/// store: it goes on by way of another node, without a take-over.
+#[test]
+fn a_step_goes_on_while_single_nodes_lose_the_store() {
+    let world = World::start("relay", 3, 0);
+    let faults = Faults::default();
+    let mut trainer = trainer(&world, &faults);
+    for (number, way) in [(0, Way::Closed), (1, Way::Silent), (2, Way::OneWay)] {
+        for lost in 0..3 {
+            world.proxies[lost].set(way);
+            let mut step = trainer.submit(number * 3 + lost as u64, 8);
+            trainer.finish(&mut step);
+            world.proxies[lost].set(Way::Open);
+            trainer.end(&step);
+        }
+    }
+    assert_none(&faults);
+}
+
+/// Guards against a key that works after its withdrawal on nodes that the
+/// withdrawal can't reach.
+#[test]
+fn a_withdrawn_key_ends_where_the_store_is_lost() {
+    let mut world = World::start("keys", 2, 0);
+    let (faults, stop) = (Faults::default(), Stop::default());
+    let nodes = world.addresses();
+    let caller = {
+        let (stop, faults) = (stop.clone(), faults.clone());
+        thread::spawn(move || call_until(&stop, &nodes, OLD_KEY, "/app/", "old", &faults))
+    };
+    thread::sleep(Duration::from_millis(300));
+    world.proxies.iter().for_each(|proxy| proxy.set(Way::Silent));
+    world.configure(false);
+    let withdrawn = Instant::now();
+    thread::sleep(WITHDRAWN_KEY + Duration::from_secs(1));
+    stop.raise();
+    let calls = caller.join().unwrap();
+    let runs = world.runs();
+    let late: Vec<&str> = calls
+        .iter()
+        .filter(|call| call.at > withdrawn + WITHDRAWN_KEY && runs.contains_key(&call.id))
+        .map(|call| call.id.as_str())
+        .collect();
+    assert_eq!(late, Vec::<&str>::new());
+    assert!(calls.iter().any(|call| call.status == 200), "no call was served before");
+    assert_none(&faults);
+}
+
+/// Guards against a planned stop that cuts calls, loses a step or takes too long.
+#[test]
+fn a_planned_stop_cuts_no_call() {
+    let mut world = World::start("stop", 3, 0);
+    let (faults, stop) = (Faults::default(), Stop::default());
+    // The balancer sends no new connections to a node that is about to stop.
+    let staying = world.addresses()[1..].to_vec();
+    let leaving = vec![world.addresses()[0]];
+    let caller = |nodes: Vec<_>, name: &'static str| {
+        let (stop, faults) = (stop.clone(), faults.clone());
+        thread::spawn(move || call_until(&stop, &nodes, KEY, "/once/", name, &faults))
+    };
+    let at_leaving = Stop::default();
+    let first = {
+        let (stop, faults) = (at_leaving.clone(), faults.clone());
+        thread::spawn(move || call_until(&stop, &leaving, KEY, "/once/", "leaving", &faults))
+    };
+    let others = caller(staying, "staying");
+    let mut trainer = trainer(&world, &faults);
+    let mut step = trainer.submit(0, 12);
+    world.nodes[0].terminate();
+    thread::sleep(Duration::from_millis(1500));
+    at_leaving.raise();
+    let calls = first.join().unwrap();
+    assert!(world.nodes[0].wait(Duration::from_secs(6)).unwrap(), "the stop was not orderly");
+    trainer.finish(&mut step);
+    stop.raise();
+    let cut =
+        |calls: &[crate::world::Called]| calls.iter().filter(|call| call.status != 200).count();
+    assert_eq!((cut(&calls), cut(&others.join().unwrap())), (0, 0));
+    assert_none(&faults);
+}
--- /dev/null
+++ b/crates/tamarackdock_node/tests/gateway/soak.rs
@@ -0,0 +1,177 @@
+//! Random faults from outside, in series and overlapping, while clients check
+//! the promises. `docs/operators/soak.md` says how to run many seeds.
+
+use std::{
+    env,
+    thread::{self, sleep},
+    time::{Duration, Instant},
+};
+
+use platform_standin::{Engine, Way};
+use rand::Rng as _;
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
+
+use crate::world::{Called, Faults, KEY, OLD_KEY, Stop, Trainer, WITHDRAWN_KEY, World, call_until};
+
+const NODES: usize = 4;
+const ITEMS: usize = 12;
+/// Time for which faults come in a run of CI.
+const SECONDS: u64 = 6;
+/// Seeds of CI. A seed that ever failed stays, with a line on its cause.
+const SEEDS: [u64; 2] = [1, 2];
+/// Longest time for a planned stop.
+const STOP_TIME: Duration = Duration::from_secs(8);
+
+/// Runs the seeds of `SOAK_SEEDS`, as `FROM..TO`, or those of CI.
+#[test]
+fn promises_hold_under_random_faults() {
+    let seeds = env::var("SOAK_SEEDS").ok().and_then(|range| {
+        let (from, to) = range.split_once("..")?;
+        Some((from.parse().ok()?..to.parse().ok()?).collect::<Vec<u64>>())
+    });
+    let seconds = env::var("SOAK_SECONDS").ok().and_then(|seconds| seconds.parse().ok());
+    let mut failed = Vec::new();
+    for seed in seeds.unwrap_or_else(|| SEEDS.to_vec()) {
+        let faults = soak(seed, Duration::from_secs(seconds.unwrap_or(SECONDS)));
+        println!("seed {seed}: {} broken promises", faults.len());
+        if !faults.is_empty() {
+            failed.push((seed, faults));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+fn soak(seed: u64, time: Duration) -> Vec<String> {
+    let mut world = World::start(&format!("soak-{seed}"), NODES, seed);
+    let (faults, stop) = (Faults::default(), Stop::default());
+    let caller = |key: &'static str, path: &'static str, name: &'static str| {
+        let (stop, faults, nodes) = (stop.clone(), faults.clone(), world.addresses());
+        thread::spawn(move || call_until(&stop, &nodes, key, path, name, &faults))
+    };
+    let idempotent = caller(KEY, "/app/", "app");
+    let once = caller(KEY, "/once/", "once");
+    let old = caller(OLD_KEY, "/app/", "old");
+    let trainer = {
+        let (stop, faults) = (stop.clone(), faults.clone());
+        let (nodes, store) = (world.addresses(), world.store.clone());
+        thread::spawn(move || train(&stop, nodes, store, faults))
+    };
+    let withdrawn = inject(&mut world, seed, time, &faults);
+    sleep(Duration::from_millis(500));
+    stop.raise();
+    let calls = (idempotent.join().unwrap(), once.join().unwrap(), old.join().unwrap());
+    let (mut trainer, mut steps) = trainer.join().unwrap();
+    world.engines.iter().chain(&world.services).for_each(Engine::calm);
+    for step in &mut steps {
+        if step.results.len() < step.items.len() {
+            trainer.finish(step);
+        }
+        trainer.read_again(step);
+    }
+    world.check_runs(&faults);
+    check_calls(&world, &calls.1, &calls.2, withdrawn, &faults);
+    if !calls.0.iter().any(|call| call.status == 200) {
+        faults.add("no call was served".into());
+    }
+    faults.all()
+}
+
+/// Asks for one step after the other, and returns all of them.
+fn train(
+    stop: &Stop,
+    nodes: Vec<std::net::SocketAddr>,
+    store: platform_standin::Store,
+    faults: Faults,
+) -> (Trainer, Vec<crate::world::Step>) {
+    let mut trainer = Trainer::new("t", nodes, store, faults);
+    let mut steps = Vec::new();
+    while !stop.is_raised() {
+        let mut step = trainer.submit(steps.len() as u64, ITEMS);
+        while step.results.len() < ITEMS && !stop.is_raised() {
+            trainer.read(&mut step, ITEMS, Instant::now() + Duration::from_millis(500));
+        }
+        if step.results.len() == ITEMS {
+            trainer.end(&step);
+        }
+        steps.push(step);
+    }
+    (trainer, steps)
+}
+
+/// Injects faults, ends them all, and returns when the old key was withdrawn.
+fn inject(world: &mut World, seed: u64, time: Duration, faults: &Faults) -> Instant {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let until = Instant::now() + time;
+    let half = Instant::now() + time / 2;
+    let mut withdrawn = None;
+    let mut paused = None;
+    while Instant::now() < until {
+        if withdrawn.is_none() && Instant::now() > half {
+            world.configure(false);
+            withdrawn = Some(Instant::now());
+        }
+        let node = rng.random_range(0..NODES);
+        match rng.random_range(0..11) {
+            0 => world.nodes[node].kill(),
+            1 | 2 => world.nodes[node].restart(),
+            3 if paused.is_none() => {
+                world.nodes[node].pause();
+                paused = Some(node);
+            }
+            3 | 4 => {
+                if let Some(node) = paused.take() {
+                    world.nodes[node].resume();
+                }
+            }
+            5 if paused != Some(node) => {
+                world.nodes[node].terminate();
+                match world.nodes[node].wait(STOP_TIME) {
+                    Ok(true) => {}
+                    outcome => faults.add(format!("stop of node {node}: {outcome:?}")),
+                }
+            }
+            6 => world.nodes[node].reload(),
+            7 => {
+                let ways = [Way::Slow, Way::OneWay, Way::Silent, Way::Closed];
+                world.proxies[node].set(ways[rng.random_range(0..ways.len())]);
+            }
+            8 => world.proxies[node].set(Way::Open),
+            9 => world.proxies.iter().for_each(|proxy| proxy.set(Way::Closed)),
+            _ => {
+                world.store.forget_history();
+                world.proxies.iter().for_each(|proxy| proxy.set(Way::Open));
+            }
+        }
+        sleep(Duration::from_millis(rng.random_range(50..500)));
+    }
+    if let Some(node) = paused {
+        world.nodes[node].resume();
+    }
+    world.proxies.iter().for_each(|proxy| proxy.set(Way::Open));
+    world.nodes.iter_mut().for_each(platform_standin::Node::restart);
+    withdrawn.unwrap_or(until)
+}
+
+/// Checks what targets ran against what callers were told.
+fn check_calls(
+    world: &World,
+    once: &[Called],
+    old: &[Called],
+    withdrawn: Instant,
+    faults: &Faults,
+) {
+    let runs = world.runs();
+    for call in once {
+        match (call.status, runs.get(&call.id).copied().unwrap_or(0)) {
+            (_, 2..) => faults.add(format!("call `{}` ran more than once", call.id)),
+            (429 | 503, 1) => faults.add(format!("call `{}` was refused and ran", call.id)),
+            (200, 0) => faults.add(format!("call `{}` was answered and did not run", call.id)),
+            _ => {}
+        }
+    }
+    for call in old.iter().filter(|call| call.at > withdrawn + WITHDRAWN_KEY) {
+        if runs.contains_key(&call.id) {
+            faults.add(format!("call `{}` ran with a withdrawn key", call.id));
+        }
+    }
+}
