Open a job once, and take targets of a returned data centre for cold

Ruled out: the order of segments (property test) and carried text. The test a_job_runs_once_where_the_answer_of_the_store_is_late failed before: all 12 items ran twice.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -122,7 +122,7 @@
         place: impl FnOnce() -> Place,
         now: Instant,
     ) -> bool {
-        if now >= target.cold_until || service.cold_rate <= 0.0 {
+        if !target.is_cold(now) || service.cold_rate <= 0.0 {
             return true;
         }
         let starts = self.get(&target.registration.id).recent_starts(now);
--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -203,7 +203,8 @@
             }
             let entry = Entry { head, revision: change.revision };
             let given = entry.head.owner.as_ref() == Some(&node.members.own);
-            if fresh && given && entry.head.epoch == 1 && !entry.head.ended {
+            let known_here = node.jobs.is_opening(&job) || node.jobs.own(&job).is_some();
+            if fresh && given && !known_here && entry.head.epoch == 1 && !entry.head.ended {
                 monoio::spawn(adopt::receive(node.clone(), job.clone(), entry.clone()));
             }
             node.jobs.record(&job, entry);
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -137,7 +137,7 @@
 }
 
 fn bears(load: &Load, target: &Target, service: &Service, place: Place, now: Instant) -> u32 {
-    let cold = now < target.cold_until && service.cold_rate > 0.0;
+    let cold = target.is_cold(now) && service.cold_rate > 0.0;
     let limit = match cold {
         true => {
             let share = cold_share(service.cold_rate * ITEMS_SHARE, place);
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -41,6 +41,8 @@
     };
     let chunks = rows::pieces(text, node.row_bytes());
     let head = head(node, call, &submission, chunks.len());
+    // The feed may show the job before the store's answer arrives.
+    let opening = node.jobs.begin_opening(&id);
     match write(node, &id, &head, &chunks).await {
         Ok(revision) => {
             slog::info!(node.log, "job: accepted"; "job" => &*id, "items" => head.items,
@@ -48,7 +50,6 @@
                 "work" => head.work, "revision" => revision);
             node.jobs.record(&id, Entry { head: head.clone(), revision });
             if head.owner.as_ref() == Some(&node.members.own) {
-                let opening = node.jobs.begin_opening(&id);
                 open(node, id, head, revision, Rc::new(submission), opening);
             }
             Reply::empty(202)
--- a/crates/tamarackdock_gateway/src/beliefs.rs
+++ b/crates/tamarackdock_gateway/src/beliefs.rs
@@ -198,6 +198,11 @@
         if let Some(name) = self.dialect.removed(key) {
             slog::info!(self.log, "orders: withdrawn"; "name" => &*name);
             self.beliefs.evacuated.borrow_mut().remove(&name);
+            // Targets that got no work may have turned cold meanwhile.
+            let deployment = self.beliefs.deployment();
+            let longest = deployment.services.values().map(|service| service.cold_start).max();
+            let until = BootClock.now() + longest.unwrap_or_default();
+            self.beliefs.targets.borrow_mut().presume_cold(&name, until);
         }
     }
 
--- a/crates/tamarackdock_gateway/src/http/connection.rs
+++ b/crates/tamarackdock_gateway/src/http/connection.rs
@@ -61,9 +61,9 @@
         let (result, bytes) = self.half.read(BytesMut::with_capacity(READ_SIZE)).await;
         let count = result?;
         if self.buffer.is_empty() {
-            self.buffer = bytes
+            self.buffer = bytes;
         } else {
-            self.buffer.extend_from_slice(&bytes)
+            self.buffer.extend_from_slice(&bytes);
         }
         Ok(count > 0)
     }
--- a/crates/tamarackdock_gateway/src/target.rs
+++ b/crates/tamarackdock_gateway/src/target.rs
@@ -38,10 +38,20 @@
     pub registration: Registration,
     /// Time until which the target is cold.
     pub cold_until: Instant,
+    /// Time until which the target counts as cold whatever its entry says.
+    pub presumed_cold_until: Instant,
     /// Time at which the entry is dropped, after it has lapsed.
     pub lapses: Option<Instant>,
 }
 
+impl Target {
+    /// Returns whether the target bears few requests.
+    #[must_use]
+    pub fn is_cold(&self, now: Instant) -> bool {
+        now < self.cold_until || now < self.presumed_cold_until
+    }
+}
+
 /// How long a target whose entry lapsed is still used if the store was away.
 /// Less than the time that a leaving target goes on serving, which is 2 s at least.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(1700);
@@ -56,10 +66,22 @@
     /// Replaces or adds an entry.
     pub fn register(&mut self, registration: Registration, now: Instant) {
         let cold_until = now + registration.cold_left;
-        let target = Target { cold_until, lapses: None, registration };
+        let known = self.targets.get(&registration.id);
+        let presumed_cold_until =
+            known.map_or(Instant::default(), |known| known.presumed_cold_until);
+        let target = Target { cold_until, presumed_cold_until, lapses: None, registration };
         self.targets.insert(target.registration.id.clone(), target);
     }
 
+    /// Takes the targets of a data centre for cold until a time, since their
+    /// entries may be older than a change that no entry shows yet.
+    pub fn presume_cold(&mut self, data_centre: &str, until: Instant) {
+        let targets = self.targets.values_mut();
+        targets
+            .filter(|target| *target.registration.data_centre == *data_centre)
+            .for_each(|target| target.presumed_cold_until = until);
+    }
+
     /// Drops an entry; after an outage of the store, `lenient`, it stays in use
     /// for a while, as it may be registered again at once.
     pub fn remove(&mut self, id: &str, lenient: bool, now: Instant) {
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -79,7 +79,7 @@
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         let mut backlog = self.backlog();
         if backlog.bytes.len() + bytes.len() <= MAX_BACKLOG {
-            backlog.bytes.extend_from_slice(bytes)
+            backlog.bytes.extend_from_slice(bytes);
         } else {
             backlog.dropped += u64::from(bytes.ends_with(b"\n"))
         }
--- a/crates/tamarackdock_gateway/src/tests/target.rs
+++ b/crates/tamarackdock_gateway/src/tests/target.rs
@@ -40,3 +40,15 @@
     list.remove("a", true, at(0));
     assert!(list.get("a").is_none());
 }
+
+/// Guards against a burst on targets that turned cold while their data centre
+/// was out: entries written before its return still call them warm.
+#[test]
+fn targets_of_a_returned_data_centre_count_as_cold() {
+    let mut list = list([registration("a", "x"), registration("b", "y")]);
+    list.presume_cold("x", at(4_000));
+    list.register(registration("a", "x"), at(1_000));
+    let cold: Vec<bool> = list.iter().map(|target| target.is_cold(at(3_999))).collect();
+    assert_eq!(cold, [true, false]);
+    assert!(!list.get("a").unwrap().is_cold(at(4_000)));
+}
--- a/crates/tamarackdock_node/tests/gateway/calm.rs
+++ b/crates/tamarackdock_node/tests/gateway/calm.rs
@@ -34,6 +34,22 @@
     assert!(newest >= Some(2), "no engine has loaded a published version");
 }
 
+/// Guards against two copies of a job at its node, whose saved text would mix:
+/// the feed shows a job before the answer to its submission arrives.
+#[test]
+fn a_job_runs_once_where_the_answer_of_the_store_is_late() {
+    let world = World::start("late", 1, 0);
+    world.store.delay_answers(Duration::from_millis(150));
+    let faults = Faults::default();
+    let mut trainer = trainer(&world, &faults);
+    let mut step = trainer.submit(0, 12);
+    trainer.finish(&mut step);
+    let runs = world.runs();
+    let again: Vec<_> = step.items.iter().filter(|(id, _)| runs.get(id) != Some(&1)).collect();
+    assert_eq!(again, Vec::<&(String, String)>::new(), "items that did not run once");
+    assert_none(&faults);
+}
+
 #[test]
 fn calls_that_are_not_allowed_are_refused() {
     let world = World::start("refused", 1, 0);
--- a/crates/tamarackdock_node/tests/gateway/soak.rs
+++ b/crates/tamarackdock_node/tests/gateway/soak.rs
@@ -18,7 +18,10 @@
 /// Time for which faults come in a run of CI.
 const SECONDS: u64 = 6;
 /// Seeds of CI. A seed that ever failed stays, with a line on its cause.
-const SEEDS: [u64; 2] = [1, 2];
+///
+/// 124: beside other runs, another program took the port of a stopped node and
+/// answered in its place. Nodes have loopback addresses of their own since.
+const SEEDS: [u64; 3] = [1, 2, 124];
 /// Longest time for a planned stop.
 const STOP_TIME: Duration = Duration::from_secs(8);
 
--- a/crates/tamarackdock_node/tests/gateway/world.rs
+++ b/crates/tamarackdock_node/tests/gateway/world.rs
@@ -14,7 +14,7 @@
 };
 
 use platform_standin::{Client, Engine, Node, Outcome, Proxy, Store, text_of};
-use serde_json::{Value, json};
+use serde_json::Value;
 
 /// Time after which a withdrawn key must not work.
 pub(crate) const WITHDRAWN_KEY: Duration = Duration::from_secs(3);
@@ -72,32 +72,8 @@
     /// Writes the next configuration, with or without the old key.
     pub(crate) fn configure(&mut self, old_key: bool) {
         self.version += 1;
-        let route = |prefix: &str, kind: &str, service: &str| {
-            json!({
-                "name": prefix, "host": "a.example", "prefix": prefix, "kind": kind,
-                "service": service, "timeoutMs": 2000, "targetLatencyMs": 200, "attempts": 3,
-                "itemTtlS": 120, "targetFinishMs": 5000, "public": false,
-            })
-        };
-        let keys = if old_key { vec![KEY, OLD_KEY] } else { vec![KEY] };
-        self.store.put(
-            "op",
-            "config",
-            &json!({
-                "version": self.version,
-                "routes": [route("/rollout/", "rollout", "llm"), route("/app/", "idempotent", "app"),
-                           route("/once/", "non_idempotent", "app")],
-                "services": [{"name": "llm", "engine": {"models": [{"name": "m0"}]}}, {"name": "app"}],
-                "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1_000_000,
-                           "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-                "tenants": [{"name": "tenant", "apiKeys": keys}],
-            }),
-        );
-    }
-
-    /// Publishes a version of the weights.
-    pub(crate) fn publish(store: &Store, version: u64) {
-        store.put("op", "version/m0", &json!({"model": "m0", "version": version}));
+        let keys = if old_key { &[KEY, OLD_KEY][..] } else { &[KEY] };
+        self.store.configure(self.version, keys);
     }
 
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
@@ -194,7 +170,7 @@
     /// Submits a step until it is accepted.
     pub(crate) fn submit(&mut self, number: u64, items: usize) -> Step {
         let min_version = (number / 2).max(1);
-        World::publish(&self.store, min_version + 1);
+        self.store.publish(min_version + 1);
         let job = format!("{}-{number}", self.name);
         let items: Vec<(String, String)> =
             (0..items).map(|item| (format!("{job}-{item}"), format!("g{}", item / 4))).collect();
