Try the write of a job's head again while its outcome is unknown

Another try under the same condition with the same content is safe. A single lost answer no longer counts as the loss of the way.

--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
+use monoio::time::sleep;
 use tamarackdock_platform::{
     Error,
     table::{Commit, Condition, Write},
@@ -17,6 +18,10 @@
 };
 use crate::{call::Call, deployment::Name, node::Node, reply::Reply};
 
+/// Tries to write a head while the outcome is not known.
+const TRIES: usize = 8;
+/// Pause between such tries.
+const RETRY_PAUSE: Duration = Duration::from_millis(120);
 /// When a client should come back after the store refused a job.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -114,20 +119,38 @@
         node.store.commit(commit).await.map_err(|_| Error::Unreachable)?;
     }
     last.push(Write { key: key.clone(), value: Some(head.encode()) });
-    let operation = node.operation();
-    let conditions = vec![Condition { key: key.clone(), revision: 0 }];
-    let commit = Commit { operation: operation.clone(), conditions, writes: last };
-    match node.store.commit(commit).await {
-        Err(Error::Unknown) => {
-            let mut found = node.store.read(vec![key.clone()]).await.map_err(|_| Error::Unknown)?;
-            match found.remove(&key) {
-                Some(row) if row.operation == operation => Ok(row.revision),
-                Some(_) => Err(Error::Conflict { key }),
-                // The write can still take effect.
-                None => Err(Error::Unknown),
-            }
+    let conditions = vec![Condition { key, revision: 0 }];
+    let commit = Commit { operation: node.operation(), conditions, writes: last };
+    let mut result = commit_head(node, &commit).await;
+    for _ in 1..TRIES {
+        // Whichever of several tries takes effect has the same content, and the
+        // condition lets one do so only.
+        if result != Err(Error::Unknown) {
+            break;
         }
-        result => result,
+        sleep(RETRY_PAUSE).await;
+        result = match commit_head(node, &commit).await {
+            // An earlier try may still take effect.
+            Err(Error::Unreachable) => Err(Error::Unknown),
+            result => result,
+        };
+    }
+    result
+}
+
+/// Writes a head, and reads it back if the answer is lost or another writer was
+/// first, which may be this node's own earlier try.
+async fn commit_head(node: &Node, commit: &Commit) -> Result<u64, Error> {
+    let key = &commit.conditions[0].key;
+    let error = match node.store.commit(commit.clone()).await {
+        Err(error @ (Error::Unknown | Error::Conflict { .. })) => error,
+        result => return result,
+    };
+    let found = node.store.read(vec![key.clone()]).await.map_err(|_| Error::Unknown)?;
+    match found.get(key) {
+        Some(row) if row.operation == commit.operation => Ok(row.revision),
+        Some(_) => Err(Error::Conflict { key: key.clone() }),
+        None => Err(error),
     }
 }
 
--- a/crates/tamarackdock_gateway/src/relay.rs
+++ b/crates/tamarackdock_gateway/src/relay.rs
@@ -37,6 +37,9 @@
 const RELAY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Nodes that are asked for one call.
 const TRIES: usize = 2;
+/// Lost answers in a row after which the direct way counts as lost. A single one
+/// can be that of one connection.
+const MAX_LOST: u32 = 3;
 /// Row that a probe reads. It need not exist.
 const PROBE_KEY: &str = "probe/direct";
 
@@ -73,6 +76,8 @@
     /// Names of the tables that nodes follow.
     tables: [&'static str; 5],
     down: Cell<bool>,
+    /// Answers lost in a row.
+    lost: Cell<u32>,
     /// Raised when the direct way is lost.
     changed: Signal,
     /// Node that answered last.
@@ -87,9 +92,9 @@
         log: Logger,
     ) -> Self {
         let tables = [foreign[0], foreign[1], rows::HEADS, members::TABLE, crash::TABLE];
-        let (down, favourite) = (Cell::new(false), RefCell::default());
+        let (down, lost, favourite) = (Cell::new(false), Cell::new(0), RefCell::default());
         let changed = Signal::default();
-        Self { direct, members, log, tables, down, changed, favourite }
+        Self { direct, members, log, tables, down, lost, changed, favourite }
     }
 
     /// Probes the direct way for ever while it does not work.
@@ -99,6 +104,7 @@
             if self.down.get() && self.direct.read(vec![PROBE_KEY.into()]).await.is_ok() {
                 slog::info!(self.log, "store: direct way regained");
                 self.down.set(false);
+                self.lost.set(0);
             }
         }
     }
@@ -149,7 +155,9 @@
         if !self.down.get() {
             match self.call_while_up(&call).await {
                 Err(error @ (Error::Unreachable | Error::Unknown)) => {
-                    if !self.down.replace(true) {
+                    self.lost.set(self.lost.get() + 1);
+                    let is_down = error == Error::Unreachable || self.lost.get() >= MAX_LOST;
+                    if is_down && !self.down.replace(true) {
                         self.changed.raise();
                         slog::warn!(self.log, "store: direct way lost"; "error" => %error);
                     }
@@ -158,7 +166,10 @@
                         return Err(error);
                     }
                 }
-                result => return result,
+                result => {
+                    self.lost.set(0);
+                    return result;
+                }
             }
         }
         self.call_by_peer(call).await
--- a/crates/tamarackdock_node/tests/gateway/calm.rs
+++ b/crates/tamarackdock_node/tests/gateway/calm.rs
@@ -69,6 +69,18 @@
     assert!(!runs.contains_key("x1") && !runs.contains_key("x2"), "{runs:?}");
 }
 
+/// Guards against a trainer that is sent away for a write that one more try on
+/// another connection could have made: the store resets writes and serves reads.
+#[test]
+fn a_submission_is_tried_again_when_its_write_is_cut() {
+    let world = World::start("cuts", 1, 0);
+    world.store.cut_job_writes(3);
+    let mut client = Client::new(KEY, Duration::from_secs(3));
+    let items = [("cuts-1".to_owned(), "g".to_owned())];
+    let outcome = client.submit(world.addresses()[0], "cuts", 0, 0, &items);
+    assert_eq!(outcome.status(), 202);
+}
+
 /// Guards against a request that takes down one target after the other by way
 /// of different nodes: what one node learns reaches the others.
 #[test]
