--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -130,14 +130,15 @@
         let foreign = [dialect.orders_table(), dialect.targets_table()];
         let log = output.logger();
         let relay = Rc::new(Relay::new(store, members.clone(), foreign, log.clone()));
+        let metrics = Metrics::new()?;
         Ok(Rc::new(Self {
+            pool: Pool::new(metrics.connections.clone()),
             data_centre: settings.data_centre.clone(),
             dialect,
             store: relay.clone(),
             relay,
             store_clock,
             beliefs: Rc::new(Beliefs::new(Freshness::new(bound))),
-            pool: Pool::default(),
             loads: RefCell::default(),
             members,
             jobs: Index::default(),
@@ -145,7 +146,7 @@
             loads_ordered: RefCell::default(),
             usage: RefCell::default(),
             suspects: Rc::default(),
-            metrics: Metrics::new()?,
+            metrics,
             log,
             output,
             connections: Cell::new(0),
--- a/crates/tamarackdock_gateway/src/pool.rs
+++ b/crates/tamarackdock_gateway/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, collections::BTreeMap, io, time::Duration};
 
+use prometheus::IntCounterVec;
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
@@ -24,21 +25,31 @@
 }
 
 /// Idle connections by target.
-#[derive(Default)]
-pub(crate) struct Pool(RefCell<BTreeMap<Name, Vec<Idle>>>);
+pub(crate) struct Pool {
+    idle: RefCell<BTreeMap<Name, Vec<Idle>>>,
+    opened: IntCounterVec,
+}
 
 impl Pool {
+    /// Makes an empty pool that counts the connections it opens by service.
+    pub(crate) fn new(opened: IntCounterVec) -> Self {
+        Self { idle: RefCell::default(), opened }
+    }
+
     /// Returns an idle connection or opens one.
     pub(crate) async fn connect(&self, target: &Registration) -> io::Result<Connection> {
         match self.take(&target.id) {
             Some(connection) => Ok(connection),
-            None => Connection::open(target.address, CONNECT_TIMEOUT).await,
+            None => {
+                self.opened.with_label_values(&[&*target.service]).inc();
+                Connection::open(target.address, CONNECT_TIMEOUT).await
+            }
         }
     }
 
     fn take(&self, target: &str) -> Option<Connection> {
         let now = BootClock.now();
-        let mut idle = self.0.borrow_mut();
+        let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(target)?;
         while let Some(Idle { mut connection, until }) = connections.pop() {
             if now < until && connection.is_quiet() {
@@ -51,13 +62,13 @@
     /// Keeps a connection after a whole response whose header fields are given.
     pub(crate) fn put(&self, target: &Name, connection: Connection, headers: &Headers) {
         let until = BootClock.now() + idle_time(headers);
-        self.0.borrow_mut().entry(target.clone()).or_default().push(Idle { connection, until });
+        self.idle.borrow_mut().entry(target.clone()).or_default().push(Idle { connection, until });
     }
 
     /// Closes connections that are too old and those to targets that are not in use.
     pub(crate) fn sweep(&self, in_use: impl Fn(&str) -> bool) {
         let now = BootClock.now();
-        self.0.borrow_mut().retain(|target, connections| {
+        self.idle.borrow_mut().retain(|target, connections| {
             connections.retain(|idle| now < idle.until);
             in_use(target) && !connections.is_empty()
         });
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -100,6 +100,8 @@
     pub(crate) call_seconds: Histogram,
     /// Attempts on targets by outcome.
     pub(crate) attempts: IntCounterVec,
+    /// Connections opened to targets by service.
+    pub(crate) connections: IntCounterVec,
     /// Runs of batch items by outcome.
     pub(crate) runs: IntCounterVec,
     /// Time from the acceptance of a batch job to a listed result.
@@ -123,6 +125,12 @@
             calls: vec(&registry, "calls", "Answered calls.", &["kind", "status"])?,
             call_seconds: histogram(&registry, "call_seconds", "Time to answer a call.")?,
             attempts: vec(&registry, "attempts", "Attempts on targets.", &["outcome"])?,
+            connections: vec(
+                &registry,
+                "connections",
+                "Connections opened to targets.",
+                &["service"],
+            )?,
             runs: vec(&registry, "item_runs", "Runs of batch items.", &["outcome"])?,
             result_seconds: histogram(&registry, "result_seconds", "Age of a job at a result.")?,
             store_failures: vec(&registry, "store_failures", "Failed store calls.", &["call"])?,
