Order targets until items use 0.8 of the slots

Cause: a run's pace hardly depends on how many others its target has, so targets beyond the slots that a step needs only cost: seconds, loads and connections.

--- a/crates/tamarackdock_gateway/src/duty/scale.rs
+++ b/crates/tamarackdock_gateway/src/duty/scale.rs
@@ -20,7 +20,7 @@
 };
 
 /// Share of a target's slots that the items of the open steps should use.
-const SLOT_SHARE: f64 = 0.35;
+const SLOT_SHARE: f64 = 0.8;
 /// Time between looks.
 const INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after an order that was refused or got no answer.
--- a/crates/tamarackdock_gateway/src/duty/usage.rs
+++ b/crates/tamarackdock_gateway/src/duty/usage.rs
@@ -20,7 +20,7 @@
 /// Time between writes of a node's counts.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(700);
 /// Time between looks for windows that can be reported.
-const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+const REPORT_INTERVAL: Duration = Duration::from_millis(150);
 /// Time after the end of a window at which its counts are all written: one
 /// interval and the way to the store, several times over.
 const SEAL_AFTER_MS: i64 = 3_500;
