Split the node's dispatch and the store's messages, and send messages in one way

From reading the change as a newcomer: `node.rs` held start and dispatch, the store's client its messages, loads and usage each their own exchange, and a run's request was a tuple of six.

--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -11,7 +11,7 @@
 };
 use crate::{
     call::{Attempt, judge},
-    event::Splitter,
+    event::{Event, Splitter},
     http::{Exchange, Headers},
     node::Node,
     signal::Signal,
@@ -99,18 +99,18 @@
     let Ok(mut connection) = node.pool.connect(target).await else {
         return Ended::Broken;
     };
-    let Some((id, path, headers, body, min_version, single)) = prepare(node, job, index, target)
-    else {
+    let Some(request) = prepare(node, job, index, target) else {
         return Ended::Refused;
     };
-    let sent = Exchange::begin(&mut connection, "POST", &path, &headers, &body);
+    let Prepared { path, headers, body, .. } = &request;
+    let sent = Exchange::begin(&mut connection, "POST", path, headers, body);
     let Ok(Ok(mut exchange)) = timeout(FIRST_EVENT, sent).await else {
         return Ended::Broken;
     };
     let head = exchange.head().clone();
-    let own = head.headers.get(fields.request_id) == Some(&*id);
+    let own = head.headers.get(fields.request_id) == Some(&*request.id);
     if head.status != 200 || !own {
-        return refused(node, exchange, &id, target).await;
+        return refused(node, exchange, &request.id, target).await;
     }
     let mut version: Option<u64> = head.headers.number(fields.weight_version);
     let mut events = Splitter::new(fields.weight_version);
@@ -134,19 +134,9 @@
             };
             version = event.version.or(version);
             let now = BootClock.now();
-            let mut job = job.borrow_mut();
-            let progress = &mut job.works[index].progress;
-            if version.is_some_and(|version| version < min_version) {
-                return Ended::WrongVersion;
+            if let Err(ended) = take(&mut job.borrow_mut(), index, &event, version, &request) {
+                return ended;
             }
-            if single && progress.versions().first().is_some_and(|first| Some(*first) != version) {
-                progress.restart();
-                return Ended::WrongVersion;
-            }
-            if progress.append(&event, version).is_err() {
-                return Ended::Broken;
-            }
-            job.advanced(index);
             if let Some(last) = last.replace(now) {
                 node.loads.borrow_mut().pace(&target.id, now.since(last));
             }
@@ -188,7 +178,39 @@
     migrate::median(paces).is_some_and(due)
 }
 
-type Prepared = (String, String, Headers, bytes::Bytes, u64, bool);
+/// The request of an item and what its answer must keep to.
+struct Prepared {
+    id: String,
+    path: String,
+    headers: Headers,
+    body: bytes::Bytes,
+    /// Oldest version of the weights that may make the text.
+    min_version: u64,
+    /// Whether one version must make the whole text.
+    single_version: bool,
+}
+
+/// Adds an event to the text of an item, or says why the run must end.
+fn take(
+    job: &mut Job,
+    index: usize,
+    event: &Event,
+    version: Option<u64>,
+    request: &Prepared,
+) -> Result<(), Ended> {
+    let progress = &mut job.works[index].progress;
+    if version.is_some_and(|version| version < request.min_version) {
+        return Err(Ended::WrongVersion);
+    }
+    let first = progress.versions().first().copied();
+    if request.single_version && first.is_some() && first != version {
+        progress.restart();
+        return Err(Ended::WrongVersion);
+    }
+    progress.append(event, version).map_err(|_| Ended::Broken)?;
+    job.advanced(index);
+    Ok(())
+}
 
 /// Makes the request of an item, or returns `None` if its route is gone.
 fn prepare(
@@ -222,14 +244,14 @@
         headers.push(fields.last_event, last.to_string());
     }
     headers.push("Content-Length", work.item.body.len().to_string());
-    Some((
-        work.item.id.as_ref().into(),
-        work.item.path.clone(),
+    Some(Prepared {
+        id: work.item.id.as_ref().into(),
+        path: work.item.path.clone(),
         headers,
-        work.item.body.clone(),
-        job.submission.min_version,
-        route.single_version,
-    ))
+        body: work.item.body.clone(),
+        min_version: job.submission.min_version,
+        single_version: route.single_version,
+    })
 }
 
 /// Decides what an answer means that is not a stream of the item.
--- a/crates/tamarackdock_gateway/src/duty/loads.rs
+++ b/crates/tamarackdock_gateway/src/duty/loads.rs
@@ -8,8 +8,8 @@
 use super::plan::{self, Due, Engine};
 use crate::{
     deployment::Name,
-    dialect::{Load, TargetReport},
-    http::{Answer, Exchange},
+    dialect::{Load, Outgoing, TargetReport},
+    http::{Answer, send_message},
     node::Node,
     target::Registration,
 };
@@ -177,25 +177,13 @@
     }
 }
 
-async fn ask(
-    node: &Rc<Node>,
-    target: &Registration,
-    message: &crate::dialect::Outgoing,
-) -> Option<Answer> {
+async fn ask(node: &Rc<Node>, target: &Registration, message: &Outgoing) -> Option<Answer> {
+    let mut message = message.clone();
+    message.headers.push(node.dialect.fields().expected_target, target.id.as_bytes());
     let exchange = async {
         let mut connection = node.pool.connect(target).await.ok()?;
-        let mut headers = message.headers.clone();
-        headers.push("Host", target.address.to_string());
-        headers.push(node.dialect.fields().expected_target, target.id.as_bytes());
-        headers.push("Content-Length", message.body.len().to_string());
-        let exchange = Exchange::begin(
-            &mut connection,
-            message.method,
-            &message.path,
-            &headers,
-            &message.body,
-        );
-        let (answer, reusable) = exchange.await.ok()?.collect(MAX_REPORT).await.ok()?;
+        let sent = send_message(&mut connection, &message, target.address, MAX_REPORT).await;
+        let (answer, reusable) = sent.ok()?;
         if reusable {
             node.pool.put(&target.id, connection, &answer.head.headers);
         }
--- a/crates/tamarackdock_gateway/src/duty/usage.rs
+++ b/crates/tamarackdock_gateway/src/duty/usage.rs
@@ -3,7 +3,7 @@
 //! seals a window's sums in the store before it sends them, and only ever sends
 //! sealed sums, so that no window is reported with two figures.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use monoio::time::{sleep, timeout};
 use tamarackdock_platform::{
@@ -13,7 +13,8 @@
 
 use crate::{
     deployment::Name,
-    http::{Connection, Exchange},
+    dialect::Outgoing,
+    http::{Connection, send_message},
     node::Node,
 };
 
@@ -28,6 +29,8 @@
 const FORGET_AFTER_MS: i64 = 40_000;
 /// Time for the answer to a report.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Largest answer in bytes.
+const MAX_ANSWER: usize = 64 * 1024;
 /// Part of the rows.
 const PART: &str = "u";
 
@@ -192,27 +195,13 @@
 }
 
 /// Sends a report or an order of targets and returns the status of the answer.
-pub(crate) async fn send(
-    node: &Node,
-    address: std::net::SocketAddr,
-    message: &crate::dialect::Outgoing,
-) -> Option<u16> {
+pub(crate) async fn send(node: &Node, address: SocketAddr, message: &Outgoing) -> Option<u16> {
     let exchange = async {
         let mut connection = Connection::open(address, ANSWER_TIMEOUT).await.ok()?;
-        let mut headers = message.headers.clone();
-        headers.push("Host", address.to_string());
-        headers.push("Content-Length", message.body.len().to_string());
         // The lease may have ended while the connection was made.
         node.duties.permit()?;
-        let exchange = Exchange::begin(
-            &mut connection,
-            message.method,
-            &message.path,
-            &headers,
-            &message.body,
-        );
-        let (answer, _) = exchange.await.ok()?.collect(64 * 1024).await.ok()?;
-        Some(answer.head.status)
+        let sent = send_message(&mut connection, message, address, MAX_ANSWER).await;
+        Some(sent.ok()?.0.head.status)
     };
     timeout(ANSWER_TIMEOUT, exchange).await.ok().flatten()
 }
--- a/crates/tamarackdock_gateway/src/http/exchange.rs
+++ b/crates/tamarackdock_gateway/src/http/exchange.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use futures_util::{
@@ -6,6 +8,7 @@
 };
 
 use super::{Body, Connection, Headers, ResponseHead, head};
+use crate::dialect::Outgoing;
 
 /// Largest head of a response, in bytes. Heads of targets are far smaller.
 const MAX_RESPONSE_HEAD: usize = 32 * 1024;
@@ -37,6 +40,26 @@
     pub body: Bytes,
 }
 
+/// Sends a message and reads its whole response. Returns whether the connection
+/// can carry a next request.
+///
+/// # Errors
+///
+/// Returns the [`Failure`]; the connection must not be used again.
+pub(crate) async fn send_message(
+    connection: &mut Connection,
+    message: &Outgoing,
+    host: SocketAddr,
+    limit: usize,
+) -> Result<(Answer, bool), Failure> {
+    let mut headers = message.headers.clone();
+    headers.push("Host", host.to_string());
+    headers.push("Content-Length", message.body.len().to_string());
+    let exchange =
+        Exchange::begin(connection, message.method, &message.path, &headers, &message.body);
+    exchange.await?.collect(limit).await
+}
+
 /// One request and its response on a connection.
 pub struct Exchange<'a> {
     connection: &'a mut Connection,
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod beliefs;
 mod call;
 mod crash;
+mod dispatch;
 mod dump;
 mod duty;
 mod event;
--- a/crates/tamarackdock_gateway/src/pool.rs
+++ b/crates/tamarackdock_gateway/src/pool.rs
@@ -38,13 +38,11 @@
 
     /// Returns an idle connection or opens one.
     pub(crate) async fn connect(&self, target: &Registration) -> io::Result<Connection> {
-        match self.take(&target.id) {
-            Some(connection) => Ok(connection),
-            None => {
-                self.opened.with_label_values(&[&*target.service]).inc();
-                Connection::open(target.address, CONNECT_TIMEOUT).await
-            }
+        if let Some(connection) = self.take(&target.id) {
+            return Ok(connection);
         }
+        self.opened.with_label_values(&[&*target.service]).inc();
+        Connection::open(target.address, CONNECT_TIMEOUT).await
     }
 
     fn take(&self, target: &str) -> Option<Connection> {
