Forward response fields in one way and drop a signal that nothing waited for

From reading the change again: `stream` had its own copy of the filter of response fields in `call`, and the pause of a refusal as a literal. `Beliefs::changed` was raised and never waited for. The gauge of jobs was set at each start of a job and each second. No change of behaviour but for the last, which now follows each second.

--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -185,5 +185,4 @@
     adopt::carry_over(&node, &job).await;
     node.jobs.insert(job);
     drop(opening);
-    node.metrics.jobs.set(i64::try_from(node.jobs.open().len()).unwrap_or(i64::MAX));
 }
--- a/crates/tamarackdock_gateway/src/beliefs.rs
+++ b/crates/tamarackdock_gateway/src/beliefs.rs
@@ -18,7 +18,6 @@
     deployment::{Deployment, Name},
     dialect::{Dialect, Order},
     freshness::Freshness,
-    signal::Signal,
     target,
 };
 
@@ -48,8 +47,6 @@
     pub(crate) freshness: RefCell<Freshness>,
     /// Last time at which a question to the feed of targets failed.
     outage: Cell<Option<Instant>>,
-    /// Raised by each change.
-    pub(crate) changed: Signal,
 }
 
 impl Beliefs {
@@ -61,7 +58,6 @@
             targets: RefCell::default(),
             freshness: RefCell::new(freshness),
             outage: Cell::new(None),
-            changed: Signal::default(),
         }
     }
 
@@ -188,9 +184,6 @@
                 },
             }
         }
-        if !batch.changes.is_empty() {
-            self.beliefs.changed.raise();
-        }
         understood
     }
 
@@ -243,9 +236,6 @@
             self.beliefs.targets.borrow_mut().retain(&ids, lenient, now);
         }
         batch.changes.iter().for_each(|change| self.apply_target(change, lenient, now));
-        if !batch.changes.is_empty() {
-            self.beliefs.changed.raise();
-        }
     }
 
     fn apply_target(&self, change: &Change, lenient: bool, now: Instant) {
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -11,7 +11,7 @@
     batch::adopt,
     crash,
     deployment::{Name, Repeat, Route},
-    http::{Answer, Exchange, Failure, Headers},
+    http::{Answer, Exchange, Failure, Headers, ResponseHead},
     node::Node,
     reply::Reply,
     server::Request,
@@ -27,7 +27,7 @@
 /// Least time before a second attempt, so that it doesn't follow normal answers.
 const MIN_HEDGE: Duration = Duration::from_millis(20);
 /// When to come back after a refusal where no target names a time.
-const RETRY_AFTER: Duration = Duration::from_millis(250);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Fields that concern one connection, and the framing of the body.
 const HOP_BY_HOP: [&str; 10] = [
     "connection",
@@ -298,16 +298,21 @@
 }
 
 /// Returns a target's answer as it is.
-fn forward(answer: Answer) -> Reply {
-    let source = &answer.head.headers;
-    let mut headers = Headers::default();
-    source
-        .iter()
-        .filter(|(name, _)| !is_hop_by_hop(source, name))
-        .for_each(|(name, value)| headers.push(name, value));
+pub(crate) fn forward(answer: Answer) -> Reply {
+    let headers = forwarded(&answer.head);
     Reply { status: answer.head.status, headers, body: answer.body, close: false }
 }
 
+/// Returns the header fields of a response that are for the caller.
+pub(crate) fn forwarded(head: &ResponseHead) -> Headers {
+    let mut headers = Headers::default();
+    let own = head.headers.iter().filter(|(name, _)| !is_hop_by_hop(&head.headers, name));
+    for (name, value) in own {
+        headers.push(name, value);
+    }
+    headers
+}
+
 /// Waits for a future until a time.
 pub(crate) async fn until<T>(at: Instant, future: impl Future<Output = T>) -> Option<T> {
     let expired = sleep(at.since(BootClock.now()));
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -5,10 +5,10 @@
 use tamarackdock_types::clock::{BootClock, Clock};
 
 use crate::{
-    call::{Attempt, Call, is_hop_by_hop, judge, until},
+    call::{Attempt, Call, RETRY_AFTER, forward, forwarded, judge, until},
     deployment::{Name, Repeat},
     event::Splitter,
-    http::{Exchange, Headers, ResponseHead, Writer, response_head},
+    http::{Exchange, Writer, response_head},
     node::Node,
     reply::Reply,
     server::Outcome,
@@ -78,13 +78,9 @@
     }
     match last {
         _ if progress.began => Outcome::Streamed { whole: false },
-        Attempt::Answered(answer) => {
-            let headers = forwarded(&answer.head);
-            let (status, body) = (answer.head.status, answer.body);
-            Outcome::Reply(Reply { status, headers, body, close: false })
-        }
+        Attempt::Answered(answer) => Outcome::Reply(forward(answer)),
         Attempt::NotRun(after) if tried.is_empty() || after.is_some() => {
-            let after = after.unwrap_or(std::time::Duration::from_millis(250));
+            let after = after.unwrap_or(RETRY_AFTER);
             Outcome::Reply(Reply::not_run("no target can take the request now", after))
         }
         _ => Outcome::Reply(Reply::error(502, "the stream broke before its first event")),
@@ -160,12 +156,3 @@
         Err(_) => Ended::CallerGone,
     }
 }
-
-fn forwarded(head: &ResponseHead) -> Headers {
-    let mut headers = Headers::default();
-    head.headers
-        .iter()
-        .filter(|(name, _)| !is_hop_by_hop(&head.headers, name))
-        .for_each(|(name, value)| headers.push(name, value));
-    headers
-}
