Say that a stream may have run when an attempt of it broke

Cause: `stream::serve` decided on its last attempt alone, so that a stream that one target had begun to run and broken before its first event, and that the next one refused, was answered 503 with "not run". Plain calls already kept that in mind; both use `call::conclude` now. A refusal by all targets without a time to come back is 503 instead of 502, as nothing ran. Reading an error's body now ends with the call's time.

--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -27,7 +27,7 @@
 /// Least time before a second attempt, so that it doesn't follow normal answers.
 const MIN_HEDGE: Duration = Duration::from_millis(20);
 /// When to come back after a refusal where no target names a time.
-pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(250);
+const RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Fields that concern one connection, and the framing of the body.
 const HOP_BY_HOP: [&str; 10] = [
     "connection",
@@ -208,9 +208,15 @@
             Err(_) => {}
         }
     }
+    conclude(last, unknown)
+}
+
+/// Returns the answer to a caller after the last attempt. `may_have_run` says
+/// whether any attempt may have run, which a later refusal doesn't undo.
+pub(crate) fn conclude(last: Attempt, may_have_run: bool) -> Reply {
     match last {
         Attempt::Answered(answer) => forward(answer),
-        Attempt::NotRun(after) if !unknown => Reply::not_run(
+        Attempt::NotRun(after) if !may_have_run => Reply::not_run(
             "no target can take the request now; it has not run",
             after.unwrap_or(RETRY_AFTER),
         ),
@@ -298,7 +304,7 @@
 }
 
 /// Returns a target's answer as it is.
-pub(crate) fn forward(answer: Answer) -> Reply {
+fn forward(answer: Answer) -> Reply {
     let headers = forwarded(&answer.head);
     Reply { status: answer.head.status, headers, body: answer.body, close: false }
 }
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -5,12 +5,11 @@
 use tamarackdock_types::clock::{BootClock, Clock};
 
 use crate::{
-    call::{Attempt, Call, RETRY_AFTER, forward, forwarded, judge, until},
+    call::{Attempt, Call, conclude, forwarded, judge, until},
     deployment::{Name, Repeat},
     event::Splitter,
     http::{Exchange, Writer, response_head},
     node::Node,
-    reply::Reply,
     server::Outcome,
 };
 
@@ -43,6 +42,7 @@
     let mut progress = Progress::default();
     let mut tried: Vec<Name> = Vec::new();
     let mut last = Attempt::NotRun(None);
+    let mut may_have_run = false;
     while tried.len() < call.route.attempts.max(1) as usize && BootClock.now() < call.until {
         let Some(target) = call.choose(node, &tried) else { break };
         tried.push(target.id.clone());
@@ -67,6 +67,7 @@
                 break;
             }
             Ended::Broken => {
+                may_have_run = true;
                 node.loads.borrow_mut().suspect(&target.id, BootClock.now());
                 slog::info!(node.log, "stream: broken"; "id" => &call.id,
                     "target" => &*target.id, "last_event" => progress.last_event);
@@ -76,15 +77,10 @@
             }
         }
     }
-    match last {
-        _ if progress.began => Outcome::Streamed { whole: false },
-        Attempt::Answered(answer) => Outcome::Reply(forward(answer)),
-        Attempt::NotRun(after) if tried.is_empty() || after.is_some() => {
-            let after = after.unwrap_or(RETRY_AFTER);
-            Outcome::Reply(Reply::not_run("no target can take the request now", after))
-        }
-        _ => Outcome::Reply(Reply::error(502, "the stream broke before its first event")),
+    if progress.began {
+        return Outcome::Streamed { whole: false };
     }
+    Outcome::Reply(conclude(last, may_have_run))
 }
 
 async fn run(
@@ -115,9 +111,9 @@
         .is_some_and(|value| value.starts_with("text/event-stream"));
     let own = exchange.head().headers.get(fields.request_id) == Some(call.id.as_str());
     if !stream || !own || exchange.head().status != 200 {
-        return match exchange.collect(MAX_ERROR).await {
-            Ok((answer, _)) => Ended::Answer(judge(&fields, &call.id, answer)),
-            Err(_) => Ended::Broken,
+        return match until(call.until, exchange.collect(MAX_ERROR)).await {
+            Some(Ok((answer, _))) => Ended::Answer(judge(&fields, &call.id, answer)),
+            Some(Err(_)) | None => Ended::Broken,
         };
     }
     if !std::mem::replace(&mut progress.began, true) {
--- a/crates/tamarackdock_node/tests/gateway/calm.rs
+++ b/crates/tamarackdock_node/tests/gateway/calm.rs
@@ -100,6 +100,16 @@
     assert_eq!(client.call(nodes[0], "/app/other", "other").status(), 200);
 }
 
+/// Guards against an untrue refusal: a stream that one target began to run and
+/// broke, and that the next ones refused, may have run.
+#[test]
+fn a_stream_that_broke_is_not_refused_as_not_run() {
+    let world = World::start("stream", 1, 0);
+    let mut client = Client::new(KEY, Duration::from_secs(1));
+    let status = client.call(world.addresses()[0], "/stream/", "broken").status();
+    assert_eq!((status, world.runs().get("broken")), (502, Some(&1)));
+}
+
 /// Guards against an acknowledged job that dies with the machines: all nodes are
 /// killed right after the acceptance.
 #[test]
