Count reports at once when all listed hosts are live

Cause: `Reachability::set_live` waits for `SETTLE_FOR` (2 s) whenever a host appears, since others behind the same link may follow. A host that joins during an outage of the store caused the same wait, longer than the rest of the proof (0.6 s at worst), so that keyed calls were refused for about 1.3 s.

Ruled out: more frequent proofs (more than 5 KB/s a node at 420 nodes); no settling for hosts that were never seen (a node that started behind a cut link has seen none of the hosts on the other side).

Change: when all listed hosts are live, none can follow, and reports count at once. A host that is down for other reasons still causes the wait.

--- a/crates/tamarackdock_config/src/reachability/state.rs
+++ b/crates/tamarackdock_config/src/reachability/state.rs
@@ -75,14 +75,19 @@
     /// A change alters which reports are needed, so earlier ones no longer count:
     /// a host that left may have withdrawn a key that the others had not heard of.
     /// When a host returns, others behind the same link may follow, so reports
-    /// count only after [`SETTLE_FOR`].
+    /// count only after [`SETTLE_FOR`]. Once all listed hosts are live, as when a
+    /// new host has joined, none can follow and reports count at once.
     pub fn set_live(&mut self, now: Instant, live: impl IntoIterator<Item = HostName>) {
         let live: BTreeSet<_> = live.into_iter().collect();
         if live == self.live {
             return;
         }
         self.reports.clear();
-        if !live.is_subset(&self.live) {
+        let appeared = !live.is_subset(&self.live);
+        let complete = self.hosts.keys().all(|name| live.contains(name));
+        if complete {
+            self.not_before = now;
+        } else if appeared {
             self.not_before = now + SETTLE_FOR;
         }
         self.live = live;
