Bound the load of all nodes on the store

Each node renewed its row every 0.45 s, 667 writes a second in one part of a table that takes 200, and read the rows of all nodes, the lease and the feeds as often as at 12 nodes, 2,500 to 4,000 reads a second of 2,000.

Change: each periodic call has a rate that all nodes together keep to (`pace::Pace`). A row announces its next renewal, so that nodes that run jobs renew every 0.45 s and the others seldom. Eight nodes look at the lease. The owner of a job is chosen among candidates that answer, and is told of its head directly; the feed makes up for lost messages. Usage is sealed one interval later. Rows of nodes and of crashes that can't be read are logged.

--- a/crates/tamarackdock_gateway/src/batch/adopt.rs
+++ b/crates/tamarackdock_gateway/src/batch/adopt.rs
@@ -14,12 +14,21 @@
     rows::{self, Head},
     submit,
 };
-use crate::{balance::Place, call::fingerprint, deployment::Name, members::Run, node::Node};
+use crate::{
+    balance::Place,
+    call::fingerprint,
+    deployment::Name,
+    members::Run,
+    node::Node,
+    peer::{self, PeerError, Question, Response},
+};
 
 /// Time between looks for jobs without a node.
 const INTERVAL: Duration = Duration::from_millis(150);
 /// Time that each candidate leaves to the one before it.
 const RANK_PAUSE: Duration = Duration::from_millis(700);
+/// Candidates that are asked whether they can run a new job.
+const ASKED: usize = 2;
 /// Jobs of a trainer whose text may be continued.
 const CARRIED_JOBS: usize = 2;
 /// Longest time for which the start of a job waits for such text.
@@ -51,11 +60,33 @@
     Place { rank: rank(key, own, live), of: live.len().max(1) }
 }
 
-/// Returns the first candidate for what has a key. The jobs of a trainer have
+/// Returns the first candidates for what has a key. The jobs of a trainer have
 /// one key, so that one node runs them all, places their items with regard to
 /// each other, and keeps its connections to targets from step to step.
-pub(crate) fn first(key: &str, live: &[Run]) -> Option<Run> {
-    live.iter().min_by_key(|run| weight(key, run)).cloned()
+pub(crate) fn first(key: &str, live: &[Run]) -> Vec<Run> {
+    let mut live: Vec<_> = live.iter().collect();
+    live.sort_by_cached_key(|run| weight(key, run));
+    live.into_iter().take(ASKED).cloned().collect()
+}
+
+/// Returns the node that shall run a new job: the first candidate that answers,
+/// since the rows show the end of one among many late. Before the other nodes are
+/// known this one runs the job. While it is about to stop it leaves the job to the
+/// others.
+pub(crate) async fn owner(node: &Node, key: &str) -> Option<Run> {
+    for run in first(key, &node.members.live()) {
+        if run == node.members.own {
+            return Some(run);
+        }
+        let Some(address) = node.members.address(&run) else { continue };
+        match peer::ask(address, &Question::Alive, Duration::ZERO).await {
+            // A node of an earlier release does not know the question.
+            Ok(Response::Alive(true)) | Err(PeerError::Malformed) => return Some(run),
+            answer => slog::info!(node.log, "job: candidate left out";
+                "host" => &*run.host, "error" => answer.err().map(|error| error.to_string())),
+        }
+    }
+    (!node.is_leaving()).then(|| node.members.own.clone())
 }
 
 /// Takes over jobs without a node for ever.
--- a/crates/tamarackdock_gateway/src/batch/end.rs
+++ b/crates/tamarackdock_gateway/src/batch/end.rs
@@ -10,7 +10,7 @@
 use tamarackdock_types::clock::{BootClock, Clock};
 
 use super::{
-    index::Entry,
+    index::{self, Entry},
     job::Job,
     rows::{self, Head},
     save,
@@ -88,7 +88,9 @@
         let head = Head { ended: true, ..entry.head.clone() };
         match write_head(node, id, &head, entry.revision).await {
             Ok(revision) => {
-                node.jobs.record(id, Entry { head, revision });
+                let entry = Entry { head, revision };
+                index::tell_owner(node, id, &entry);
+                node.jobs.record(id, entry);
                 check(node, id);
                 return Ok(());
             }
--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -15,7 +15,15 @@
     job::Job,
     rows::{self, Head},
 };
-use crate::{balance::Place, deployment::Name, members::Run, node::Node, signal::Signal};
+use crate::{
+    balance::Place,
+    deployment::Name,
+    members::Run,
+    node::Node,
+    pace,
+    peer::{self, Question},
+    signal::Signal,
+};
 
 /// How long the feed waits for a change.
 const WAIT: Duration = Duration::from_secs(5);
@@ -86,6 +94,12 @@
         Opening { all: self.opening.clone(), job: job.clone() }
     }
 
+    /// Returns whether this node runs jobs or is about to.
+    pub(crate) fn is_busy(&self) -> bool {
+        let open = |job: &Rc<RefCell<Job>>| !job.borrow().closed;
+        !self.opening.borrow().is_empty() || self.own.borrow().values().any(open)
+    }
+
     pub(crate) fn is_opening(&self, job: &str) -> bool {
         self.opening.borrow().contains(job)
     }
@@ -168,6 +182,7 @@
             Ok(News::Changes(batch)) => {
                 batch.changes.iter().for_each(|change| apply(&node, change));
                 revision = Some(batch.revision);
+                monoio::time::sleep(node.members.interval(pace::JOBS)).await;
             }
             Err(error) => {
                 node.store_failed("jobs", &error);
@@ -193,26 +208,48 @@
     let job: Name = change.key.as_str().into();
     match change.value.as_deref().map(serde_json::from_str::<Head>) {
         None => node.jobs.forget(&job),
-        Some(Ok(head)) => {
-            let known = node.jobs.head(&job);
-            let fresh = known.is_none();
-            if known.is_none_or(|known| known.revision < change.revision) {
-                slog::info!(node.log, "jobs: head"; "job" => &*job, "revision" => change.revision,
-                    "owner" => head.owner.as_ref().map(|run| run.host.to_string()),
-                    "epoch" => head.epoch, "ended" => head.ended);
-            }
-            let entry = Entry { head, revision: change.revision };
-            let given = entry.head.owner.as_ref() == Some(&node.members.own);
-            let known_here = node.jobs.is_opening(&job) || node.jobs.own(&job).is_some();
-            if fresh && given && !known_here && entry.head.epoch == 1 && !entry.head.ended {
-                monoio::spawn(adopt::receive(node.clone(), job.clone(), entry.clone()));
-            }
-            node.jobs.record(&job, entry);
-            end::check(node, &job);
-        }
+        Some(Ok(head)) => learn(node, &job, Entry { head, revision: change.revision }),
         Some(Err(error)) => {
             slog::error!(node.log, "jobs: head left out"; "job" => &*job, "error" => %error);
         }
     }
     node.jobs.changed.raise();
 }
+
+/// Takes in a head that the feed or another node told, and opens the job if it is
+/// given to this node.
+pub(crate) fn learn(node: &Rc<Node>, job: &Name, entry: Entry) {
+    let Entry { head, revision } = &entry;
+    let known = node.jobs.head(job);
+    let fresh = known.is_none();
+    if known.is_none_or(|known| known.revision < *revision) {
+        slog::info!(node.log, "jobs: head"; "job" => &**job, "revision" => revision,
+            "owner" => head.owner.as_ref().map(|run| run.host.to_string()),
+            "epoch" => head.epoch, "ended" => head.ended);
+    }
+    let given = head.owner.as_ref() == Some(&node.members.own);
+    let known_here = node.jobs.is_opening(job) || node.jobs.own(job).is_some();
+    if fresh && given && !known_here && head.epoch == 1 && !head.ended {
+        monoio::spawn(adopt::receive(node.clone(), job.clone(), entry.clone()));
+    }
+    node.jobs.record(job, entry);
+    end::check(node, job);
+}
+
+/// Tells the owner of a job of its head, which the feed would tell it later. The
+/// feed makes up for a message that is lost.
+pub(crate) fn tell_owner(node: &Rc<Node>, job: &Name, entry: &Entry) {
+    let owner = entry.head.owner.as_ref().filter(|owner| **owner != node.members.own);
+    let Some(address) = owner.and_then(|owner| node.members.address(owner)) else { return };
+    let question = Question::Head {
+        job: job.clone(),
+        revision: entry.revision,
+        head: Box::new(entry.head.clone()),
+    };
+    let (log, job) = (node.log.clone(), job.clone());
+    monoio::spawn(async move {
+        if let Err(error) = peer::ask(address, &question, Duration::ZERO).await {
+            slog::info!(log, "job: owner not told"; "job" => &*job, "error" => %error);
+        }
+    });
+}
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Submission, adopt, commit, end,
-    index::{Entry, Opening},
+    index::{self, Entry, Opening},
     job::Job,
     rows::{self, Head},
     save, schedule,
@@ -45,7 +45,7 @@
         return Reply::error(400, "a batch job is JSON text");
     };
     let chunks = rows::pieces(text, node.row_bytes());
-    let head = head(node, call, &submission, chunks.len());
+    let head = head(node, call, &submission, chunks.len()).await;
     // The feed may show the job before the store's answer arrives.
     let opening = node.jobs.begin_opening(&id);
     match write(node, &id, &head, &chunks).await {
@@ -53,7 +53,9 @@
             slog::info!(node.log, "job: accepted"; "job" => &*id, "items" => head.items,
                 "step" => head.step, "model" => head.model.as_deref(),
                 "work" => head.work, "revision" => revision);
-            node.jobs.record(&id, Entry { head: head.clone(), revision });
+            let entry = Entry { head: head.clone(), revision };
+            index::tell_owner(node, &id, &entry);
+            node.jobs.record(&id, entry);
             if head.owner.as_ref() == Some(&node.members.own) {
                 open(node, id, head, revision, Rc::new(submission), opening);
             }
@@ -82,12 +84,9 @@
     }
 }
 
-fn head(node: &Node, call: &Call, submission: &Submission, chunks: usize) -> Head {
+async fn head(node: &Node, call: &Call, submission: &Submission, chunks: usize) -> Head {
     let key = format!("{:?}/{:?}", call.account, submission.model);
-    let owner = adopt::first(&key, &node.members.live());
-    // Before the other nodes are known this one runs the job. While it is about
-    // to stop it leaves the job to the others.
-    let owner = owner.or_else(|| (!node.is_leaving()).then(|| node.members.own.clone()));
+    let owner = adopt::owner(node, &key).await;
     Head {
         account: call.account.clone(),
         host: call.request.head.headers.get("host").unwrap_or_default().into(),
--- a/crates/tamarackdock_gateway/src/beliefs.rs
+++ b/crates/tamarackdock_gateway/src/beliefs.rs
@@ -18,7 +18,8 @@
     deployment::{Deployment, Name},
     dialect::{Dialect, Order},
     freshness::Freshness,
-    target,
+    members::Members,
+    pace, target,
 };
 
 /// How long the feed of orders waits for a change. Each answer renews the proof
@@ -26,9 +27,6 @@
 const ORDERS_WAIT: Duration = Duration::from_secs(1);
 /// How long the feed of targets waits for a change.
 const TARGETS_WAIT: Duration = Duration::from_secs(5);
-/// Pause between questions to the feed of targets. Targets write about once a
-/// second each, and the pause lets one answer carry several of these writes.
-const TARGETS_PAUSE: Duration = Duration::from_millis(150);
 /// Pause after a failed question.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 /// How long after an outage of the store lapsed entries are treated leniently.
@@ -76,6 +74,7 @@
     pub(crate) beliefs: Rc<Beliefs>,
     pub(crate) store: Rc<dyn Watch>,
     pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) members: Rc<Members>,
     pub(crate) log: Logger,
 }
 
@@ -131,7 +130,7 @@
                 Ok(News::Changes(batch)) => {
                     self.apply_targets(&batch, revision.is_none());
                     revision = Some(batch.revision);
-                    monoio::time::sleep(TARGETS_PAUSE).await;
+                    monoio::time::sleep(self.members.interval(pace::TARGETS)).await;
                 }
                 Err(error) => {
                     let now = BootClock.now();
--- a/crates/tamarackdock_gateway/src/crash.rs
+++ b/crates/tamarackdock_gateway/src/crash.rs
@@ -10,6 +10,7 @@
 
 use monoio::time::sleep;
 use serde::{Deserialize, Serialize};
+use slog::Logger;
 use tamarackdock_platform::{
     Error,
     table::{Batch, Commit, Condition, Write},
@@ -19,6 +20,7 @@
 use crate::{
     call::{Call, fingerprint},
     node::Node,
+    pace,
 };
 
 /// Table of the rows.
@@ -30,8 +32,6 @@
 const CRASHES: usize = 3;
 /// How long a request is refused after its last crash.
 const REFUSE_FOR: Duration = Duration::from_secs(45);
-/// Time between reads of the rows. Nodes must know of a crash within 3 s.
-const READ_INTERVAL: Duration = Duration::from_millis(900);
 /// Tries to add a crash to its row beside other writers.
 const TRIES: usize = 4;
 
@@ -54,12 +54,18 @@
 
 impl Suspects {
     /// Takes in all rows, as read at `now`.
-    pub(crate) fn update(&mut self, batch: &Batch, now: Instant) {
+    pub(crate) fn update(&mut self, batch: &Batch, now: Instant, log: &Logger) {
         let mut known = BTreeMap::new();
         for change in &batch.changes {
-            let row =
-                change.value.as_deref().and_then(|text| serde_json::from_str::<Row>(text).ok());
-            let Some(row) = row else { continue };
+            let text = change.value.as_deref().unwrap_or_default();
+            let row: Row = match serde_json::from_str(text) {
+                Ok(row) => row,
+                Err(error) => {
+                    slog::warn!(log, "crashes: row left out";
+                        "key" => &change.key, "error" => %error);
+                    continue;
+                }
+            };
             let earlier = self.0.get(&change.key).filter(|seen| seen.revision == change.revision);
             let changed = earlier.map_or(now, |seen| seen.changed);
             let seen = Seen { crashes: row.targets.len(), revision: change.revision, changed };
@@ -121,10 +127,10 @@
 /// Reads the rows for ever, and removes old ones while this node holds the duties.
 pub(crate) async fn run(node: Rc<Node>, suspects: Rc<RefCell<Suspects>>) {
     loop {
-        sleep(READ_INTERVAL).await;
+        sleep(node.members.interval(pace::CRASHES)).await;
         let now = BootClock.now();
         match node.store.snapshot(TABLE, PART.into()).await {
-            Ok(batch) => suspects.borrow_mut().update(&batch, now),
+            Ok(batch) => suspects.borrow_mut().update(&batch, now, &node.log),
             Err(error) => node.store_failed("crashes", &error),
         }
         let old = suspects.borrow().old(now);
--- a/crates/tamarackdock_gateway/src/duty/holder.rs
+++ b/crates/tamarackdock_gateway/src/duty/holder.rs
@@ -1,17 +1,22 @@
 //! The lease of the duties. See `docs/design.md`, section 4.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
-use slog::Logger;
 use tamarackdock_lease::{Action, Input, Lease, Operations, Terms};
-use tamarackdock_platform::table::Watch;
 use tamarackdock_types::{
     HostName,
     clock::{BootClock, Clock, Instant},
 };
 
-use crate::{deployment::Name, dialect::Sender};
+use crate::{batch::adopt, deployment::Name, dialect::Sender, members::Run, node::Node};
 
+/// Nodes that look at the lease. All of them are lost at once only with a good
+/// part of the deployment, and others take their place when their rows lapse.
+const CANDIDATES: usize = 8;
 /// Name of the lease.
 const LEASE: &str = "duties";
 /// Time beyond the bound on turns of holders until a lease can be taken.
@@ -29,6 +34,8 @@
 pub(crate) struct Holder {
     lease: RefCell<Lease>,
     host: Name,
+    /// Whether the lease was given up for good.
+    released: Cell<bool>,
 }
 
 impl Holder {
@@ -42,7 +49,8 @@
             delivery: DELIVERY,
         };
         let operations = Operations::new(host.as_str(), run);
-        Self { lease: RefCell::new(Lease::new(LEASE, host, terms, operations)), host: name }
+        let lease = RefCell::new(Lease::new(LEASE, host, terms, operations));
+        Self { lease, host: name, released: Cell::new(false) }
     }
 
     /// Returns under whose name an order may be sent right now. To be asked
@@ -58,6 +66,7 @@
     /// Gives the lease up and waits until the store knows, or for a while.
     pub(crate) async fn release(&self, within: Duration) {
         let until = BootClock.now() + within;
+        self.released.set(true);
         self.lease.borrow_mut().step(BootClock.now(), Input::Release);
         while !self.lease.borrow().is_idle() && BootClock.now() < until {
             monoio::time::sleep(POLL / 10).await;
@@ -65,11 +74,26 @@
     }
 }
 
+/// Returns whether a node that can't be the holder soon should look at the lease.
+/// Few of many nodes do, so that the store is not asked by all of them.
+pub(crate) fn is_candidate(own: &Run, live: &[Run]) -> bool {
+    adopt::rank(LEASE, own, live) < CANDIDATES
+}
+
 /// Drives the lease for ever.
-pub(crate) async fn run(holder: Rc<Holder>, store: Rc<dyn Watch>, log: Logger) {
-    let mut inputs = vec![Input::Want];
+pub(crate) async fn run(node: Rc<Node>) {
+    let (holder, store, log) = (&node.duties, &node.store, &node.log);
+    let mut inputs = Vec::new();
     let mut wake = Instant::default();
+    let mut wanted = false;
     loop {
+        // A holder stays one when nodes come that rank before it.
+        let holds = holder.lease.borrow().held().is_some();
+        let wants = holds || is_candidate(&node.members.own, &node.members.live());
+        if wants != wanted && !holder.released.get() {
+            wanted = wants;
+            inputs.push(if wants { Input::Want } else { Input::Release });
+        }
         let Some(input) = inputs.pop() else {
             let pause = wake.since(BootClock.now()).min(POLL / 3);
             monoio::time::sleep(pause.max(Duration::from_millis(5))).await;
--- a/crates/tamarackdock_gateway/src/duty/usage.rs
+++ b/crates/tamarackdock_gateway/src/duty/usage.rs
@@ -16,15 +16,14 @@
     dialect::Outgoing,
     http::{Connection, send_message},
     node::Node,
+    pace,
 };
 
-/// Time between writes of a node's counts.
-const FLUSH_INTERVAL: Duration = Duration::from_millis(700);
 /// Time between looks for windows that can be reported.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
-/// Time after the end of a window at which its counts are all written: one
-/// interval and the way to the store, several times over.
-const SEAL_AFTER_MS: i64 = 3_500;
+/// Time after the end of a window at which its counts are all written, beyond the
+/// interval of the writes: the way to the store, several times over.
+const SEAL_AFTER: Duration = Duration::from_millis(2800);
 /// Age of a window at which it is not looked at any more.
 const FORGET_AFTER_MS: i64 = 40_000;
 /// Time for the answer to a report.
@@ -110,7 +109,7 @@
 /// Writes this node's counts for ever.
 pub(crate) async fn run_flush(node: Rc<Node>) {
     loop {
-        sleep(FLUSH_INTERVAL).await;
+        sleep(node.members.interval(pace::USAGE)).await;
         if let Err(error) = flush(&node).await {
             node.store_failed("usage", &error);
         }
@@ -132,9 +131,11 @@
         let now = node.true_millis();
         let oldest = window_at(now - FORGET_AFTER_MS, window);
         let newest = window_at(now, window);
+        let written = (SEAL_AFTER + node.members.interval(pace::USAGE)).as_millis();
+        let written = i64::try_from(written).unwrap_or(i64::MAX);
         done.retain(|number| *number >= oldest);
         for number in oldest..newest {
-            let ripe = now >= window_end_ms(number, window) + SEAL_AFTER_MS;
+            let ripe = now >= window_end_ms(number, window).saturating_add(written);
             if !ripe || done.contains(&number) {
                 continue;
             }
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod event;
 mod members;
 mod node;
+mod pace;
 mod peer;
 mod pool;
 mod relay;
--- a/crates/tamarackdock_gateway/src/members.rs
+++ b/crates/tamarackdock_gateway/src/members.rs
@@ -3,19 +3,28 @@
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use slog::Logger;
 use tamarackdock_platform::table::{Batch, Commit, Write};
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
-use crate::{clock, deployment::Name, node::Node};
+use crate::{
+    clock,
+    deployment::Name,
+    node::Node,
+    pace::{self, Pace},
+};
 
 /// Table of the rows.
 pub(crate) const TABLE: &str = "member";
 /// Part of the rows, apart from those that operators write.
 pub(crate) const PART: &str = "m";
-/// Time between renewals of a row, and between reads of all rows.
-const HEARTBEAT: Duration = Duration::from_millis(450);
-/// Age of a row at which its node counts as gone: three renewals were missed.
-const GONE_AFTER: Duration = Duration::from_millis(1800);
+/// Time between looks whether this node's row is to be renewed.
+const RENEWAL_TICK: Duration = Duration::from_millis(50);
+/// Renewals of a row that are missing when its node counts as gone.
+const MISSED_RENEWALS: u32 = 3;
+/// Time from a renewal until it is read: the shortest interval of reads.
+const READ_TIME: Duration = pace::MEMBERS.shortest;
 /// Pause between reads after which the ages of rows start anew, as the other
 /// nodes may not have reached the store either.
 const BLIND_AFTER: Duration = Duration::from_secs(2);
@@ -30,6 +39,7 @@
 }
 
 /// What a node tells the others.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Row {
     /// Random number of the process.
@@ -42,6 +52,15 @@
     pub(crate) wall_offset_ms: i64,
     /// Whether the process is about to stop.
     pub(crate) leaving: bool,
+    /// Time until the next renewal. Nodes that run batch jobs renew often, so that
+    /// others notice their end soon; the others seldom where there are many.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "renewal_ms", default = "shortest_renewal")]
+    pub(crate) renewal: Duration,
+}
+
+fn shortest_renewal() -> Duration {
+    pace::RENEWALS.shortest
 }
 
 #[derive(Debug, Clone)]
@@ -60,15 +79,19 @@
 
 impl Known {
     /// Takes in all rows, as read at `now`.
-    pub(crate) fn update(&mut self, batch: &Batch, now: Instant) {
+    pub(crate) fn update(&mut self, batch: &Batch, now: Instant, log: &Logger) {
         let blind = self.read.is_none_or(|read| now.since(read) > BLIND_AFTER);
         self.read = Some(now);
         let mut nodes = BTreeMap::new();
         for change in &batch.changes {
-            let Some(row) =
-                change.value.as_deref().and_then(|text| serde_json::from_str(text).ok())
-            else {
-                continue;
+            let text = change.value.as_deref().unwrap_or_default();
+            let row: Row = match serde_json::from_str(text) {
+                Ok(row) => row,
+                Err(error) => {
+                    slog::warn!(log, "members: row left out";
+                        "key" => &change.key, "error" => %error);
+                    continue;
+                }
             };
             let name: Name = change.key.as_str().into();
             let earlier = self.nodes.get(&name).filter(|seen| seen.revision == change.revision);
@@ -79,7 +102,8 @@
     }
 
     fn is_fresh(&self, seen: &Seen) -> bool {
-        self.read.is_some_and(|read| read.since(seen.changed) < GONE_AFTER)
+        let gone_after = seen.row.renewal * MISSED_RENEWALS + READ_TIME;
+        self.read.is_some_and(|read| read.since(seen.changed) < gone_after)
     }
 
     /// Returns the peer address of a run that is alive.
@@ -94,6 +118,11 @@
         live.map(|(host, seen)| Run { host: host.clone(), number: seen.row.number }).collect()
     }
 
+    /// Returns the number of nodes that are alive.
+    pub(crate) fn count(&self) -> usize {
+        self.nodes.values().filter(|seen| self.is_fresh(seen)).count()
+    }
+
     /// Returns the median difference between the Unix time of hosts and the
     /// store's time, which a minority of wrong clocks does not move.
     pub(crate) fn wall_offset(&self) -> Option<i64> {
@@ -123,6 +152,11 @@
         self.known.borrow().live()
     }
 
+    /// Returns the time between calls to the store at a pace.
+    pub(crate) fn interval(&self, pace: Pace) -> Duration {
+        pace.interval(self.known.borrow().count())
+    }
+
     /// Returns the peer address of a run that is alive.
     pub(crate) fn address(&self, run: &Run) -> Option<SocketAddr> {
         self.known.borrow().address(run)
@@ -149,8 +183,11 @@
     }
 }
 
-/// Renews the row of this node.
-pub(crate) async fn renew(node: &Node) -> Result<(), tamarackdock_platform::Error> {
+/// Renews the row of this node, and announces the next renewal.
+pub(crate) async fn renew(
+    node: &Node,
+    renewal: Duration,
+) -> Result<(), tamarackdock_platform::Error> {
     let now = BootClock.now();
     let store = node.store_clock.millis(now).unwrap_or_default();
     let row = Row {
@@ -159,6 +196,7 @@
         data_centre: node.data_centre.clone(),
         wall_offset_ms: clock::wall_millis() - store,
         leaving: node.is_leaving(),
+        renewal,
     };
     let key = format!("{TABLE}@{PART}/{}", node.members.own.host);
     let value = serde_json::to_string(&row).ok();
@@ -169,11 +207,24 @@
 
 /// Renews this node's row for ever.
 pub(crate) async fn run_renew(node: Rc<Node>) {
+    let mut announced = Duration::ZERO;
+    let mut renewed = BootClock.now();
     loop {
-        if let Err(error) = renew(&node).await {
+        let now = BootClock.now();
+        let busy = node.jobs.is_busy();
+        let due = announced.min(if busy { shortest_renewal() } else { Duration::MAX });
+        if now.since(renewed) < due {
+            monoio::time::sleep(RENEWAL_TICK).await;
+            continue;
+        }
+        (renewed, announced) = (now, shortest_renewal());
+        if !busy {
+            announced = node.members.interval(pace::RENEWALS);
+        }
+        if let Err(error) = renew(&node, announced).await {
             node.store_failed("renew", &error);
+            announced = shortest_renewal();
         }
-        monoio::time::sleep(HEARTBEAT).await;
     }
 }
 
@@ -184,7 +235,7 @@
             Ok(batch) => {
                 let now = BootClock.now();
                 let before = node.members.live();
-                node.members.known.borrow_mut().update(&batch, now);
+                node.members.known.borrow_mut().update(&batch, now, &node.log);
                 let after = node.members.live();
                 if before != after {
                     let hosts: Vec<&str> = after.iter().map(|run| &*run.host).collect();
@@ -193,6 +244,6 @@
             }
             Err(error) => node.store_failed("members", &error),
         }
-        monoio::time::sleep(HEARTBEAT).await;
+        monoio::time::sleep(node.members.interval(pace::MEMBERS)).await;
     }
 }
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -171,6 +171,7 @@
             beliefs: self.beliefs.clone(),
             store: self.store.clone(),
             dialect: self.dialect.clone(),
+            members: self.members.clone(),
             log: self.log.clone(),
         });
         monoio::spawn(self.output.clone().run(self.metrics.log_dropped.clone()));
@@ -183,7 +184,7 @@
         monoio::spawn(batch::index::follow(self.clone()));
         monoio::spawn(batch::schedule::run(self.clone()));
         monoio::spawn(batch::adopt::run(self.clone()));
-        monoio::spawn(duty::holder::run(self.duties.clone(), self.store.clone(), self.log.clone()));
+        monoio::spawn(duty::holder::run(self.clone()));
         monoio::spawn(duty::loads::run(self.clone()));
         monoio::spawn(duty::usage::run_flush(self.clone()));
         monoio::spawn(duty::usage::run_report(self.clone()));
--- a/crates/tamarackdock_gateway/src/peer.rs
+++ b/crates/tamarackdock_gateway/src/peer.rs
@@ -8,7 +8,7 @@
 use tamarackdock_types::clock::{BootClock, Clock};
 
 use crate::{
-    batch::{self, Page},
+    batch::{self, Page, index::Entry, rows::Head},
     deployment::Name,
     http::{Connection, Exchange, Headers},
     node::Node,
@@ -39,6 +39,17 @@
         /// Milliseconds to wait for a result.
         wait_ms: u64,
     },
+    /// The head of a batch job that concerns the other node.
+    Head {
+        /// Id of the job.
+        job: Name,
+        /// Revision of the head in the store.
+        revision: u64,
+        /// The head.
+        head: Box<Head>,
+    },
+    /// Whether the other node answers and takes new jobs.
+    Alive,
     /// A call to the store by a node that can't reach it.
     Store(StoreCall),
 }
@@ -48,6 +59,10 @@
 pub(crate) enum Response {
     /// A page, or `None` if the node does not run the job.
     Results(Option<Page>),
+    /// The question was understood.
+    Done,
+    /// Whether the node takes new jobs.
+    Alive(bool),
     /// What the store answered.
     Store(Result<StoreAnswer, tamarackdock_platform::Error>),
 }
@@ -103,6 +118,12 @@
             let page = batch::read::own_results(node, &job, after, wait_until).await;
             Response::Results(page)
         }
+        Ok(Question::Head { job, revision, head }) => {
+            batch::index::learn(node, &job, Entry { head: *head, revision });
+            node.jobs.changed.raise();
+            Response::Done
+        }
+        Ok(Question::Alive) => Response::Alive(!node.is_leaving()),
         Ok(Question::Store(call)) => Response::Store(node.relay.serve(call).await),
         Err(error) => {
             slog::warn!(node.log, "peer: question not readable"; "error" => %error);
--- a/crates/tamarackdock_gateway/src/stop.rs
+++ b/crates/tamarackdock_gateway/src/stop.rs
@@ -13,7 +13,7 @@
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use tamarackdock_types::clock::{BootClock, Clock};
 
-use crate::{batch, duty, members, node::Node, settings::Settings};
+use crate::{batch, duty, members, node::Node, pace, settings::Settings};
 
 /// Time between looks for signals.
 const SIGNAL_INTERVAL: Duration = Duration::from_millis(50);
@@ -83,7 +83,7 @@
         "jobs" => node.jobs.open().len());
     node.leave();
     node.duties.release(RELEASE_TIMEOUT).await;
-    if let Err(error) = members::renew(node).await {
+    if let Err(error) = members::renew(node, pace::RENEWALS.shortest).await {
         node.store_failed("renew", &error);
     }
     let left = limit.saturating_sub(BootClock.now().since(began));
--- a/crates/tamarackdock_gateway/src/tests/crash.rs
+++ b/crates/tamarackdock_gateway/src/tests/crash.rs
@@ -1,3 +1,4 @@
+use slog::{Discard, Logger, o};
 use tamarackdock_platform::table::{Batch, Change};
 
 use super::at;
@@ -9,7 +10,7 @@
 }
 
 fn seen(rows: Vec<Change>, now: u64, suspects: &mut Suspects) {
-    suspects.update(&Batch { changes: rows, revision: 0 }, at(now));
+    suspects.update(&Batch { changes: rows, revision: 0 }, at(now), &Logger::root(Discard, o!()));
 }
 
 /// Guards against a request that takes down one target after the other, and
--- a/crates/tamarackdock_gateway/src/tests/members.rs
+++ b/crates/tamarackdock_gateway/src/tests/members.rs
@@ -1,22 +1,35 @@
+use std::time::Duration;
+
+use slog::{Discard, Logger, o};
 use tamarackdock_platform::table::{Batch, Change};
 
 use super::at;
 use crate::{
     batch::adopt,
+    duty::holder,
     members::{Known, Row, Run},
 };
 
 fn row(host: &str, number: u64, revision: u64, wall_offset_ms: i64) -> Change {
+    renewed(host, number, revision, wall_offset_ms, 450)
+}
+
+fn renewed(host: &str, number: u64, revision: u64, wall_offset_ms: i64, renewal: u64) -> Change {
     let row = Row {
         number,
         peers: "127.0.0.1:1".parse().unwrap(),
         data_centre: "x".into(),
         wall_offset_ms,
         leaving: false,
+        renewal: Duration::from_millis(renewal),
     };
     Change { key: host.into(), revision, value: serde_json::to_string(&row).ok() }
 }
 
+fn log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
 fn batch(rows: impl IntoIterator<Item = Change>) -> Batch {
     Batch { changes: rows.into_iter().collect(), revision: 0 }
 }
@@ -29,7 +42,7 @@
 fn gone_at(revision_at: impl Fn(u64) -> u64) -> Option<u64> {
     let mut known = Known::default();
     (0..20).map(|read| read * 400).find(|now| {
-        known.update(&batch([row("a", 1, revision_at(*now), 0)]), at(*now));
+        known.update(&batch([row("a", 1, revision_at(*now), 0)]), at(*now), &log());
         known.address(&run("a", 1)).is_none()
     })
 }
@@ -40,11 +53,44 @@
     assert_eq!(gone_at(|now| now / 800), None);
 }
 
+/// Guards against nodes that count as gone while they keep to the renewals that
+/// they announced, which are rare among many nodes, and against an owner of jobs
+/// whose end is noticed as late as that of the others.
+#[test]
+fn a_node_is_gone_by_the_renewals_that_it_announced() {
+    let gone_at = [450, 3_000].map(|renewal| {
+        let mut known = Known::default();
+        (0..40).map(|read| read * 400).find(|now| {
+            known.update(&batch([renewed("a", 1, 1, 0, renewal)]), at(*now), &log());
+            known.address(&run("a", 1)).is_none()
+        })
+    });
+    assert_eq!(gone_at, [Some(2_000), Some(9_600)]);
+}
+
+/// Guards against rows of an earlier release that can't be read.
+#[test]
+fn a_row_without_renewal_is_renewed_often() {
+    let text = r#"{"number":1,"peers":"127.0.0.1:1","data_centre":"x","wall_offset_ms":0,
+        "leaving":false}"#;
+    let row: Row = serde_json::from_str(text).unwrap();
+    assert_eq!(row.renewal, Duration::from_millis(450));
+}
+
+/// Guards against a store that all nodes ask for the lease.
+#[test]
+fn few_nodes_look_at_the_lease() {
+    let live: Vec<Run> = (0..300).map(|n| run(&format!("edge-north-{n}"), n)).collect();
+    let candidates = live.iter().filter(|own| holder::is_candidate(own, &live)).count();
+    assert_eq!(candidates, 8);
+    assert!(holder::is_candidate(&live[0], &[]), "a node that knows no other one");
+}
+
 /// Guards against a restarted process that passes for its former run.
 #[test]
 fn another_run_of_a_host_is_another_node() {
     let mut known = Known::default();
-    known.update(&batch([row("a", 2, 1, 0)]), at(0));
+    known.update(&batch([row("a", 2, 1, 0)]), at(0), &log());
     assert!(known.address(&run("a", 1)).is_none());
     assert!(known.address(&run("a", 2)).is_some());
 }
@@ -54,8 +100,8 @@
 #[test]
 fn an_outage_of_the_store_makes_no_node_gone() {
     let mut known = Known::default();
-    known.update(&batch([row("a", 1, 1, 0)]), at(0));
-    known.update(&batch([row("a", 1, 1, 0)]), at(9_000));
+    known.update(&batch([row("a", 1, 1, 0)]), at(0), &log());
+    known.update(&batch([row("a", 1, 1, 0)]), at(9_000), &log());
     assert!(known.address(&run("a", 1)).is_some());
 }
 
@@ -65,7 +111,7 @@
     let mut known = Known::default();
     let offsets = [100, 101, 99, 5_000, -7_000];
     let rows = offsets.iter().zip(1_u64..).map(|(offset, n)| row(&format!("h{n}"), n, n, *offset));
-    known.update(&batch(rows), at(0));
+    known.update(&batch(rows), at(0), &log());
     assert_eq!(known.wall_offset(), Some(100));
 }
 
@@ -74,7 +120,7 @@
 fn a_row_that_can_not_be_read_is_left_out() {
     let mut known = Known::default();
     let broken = Change { key: "b".into(), revision: 1, value: Some("{".into()) };
-    known.update(&batch([broken, row("a", 1, 1, 0)]), at(0));
+    known.update(&batch([broken, row("a", 1, 1, 0)]), at(0), &log());
     assert_eq!(known.live(), [run("a", 1)]);
 }
 
@@ -109,8 +155,8 @@
     let live: Vec<Run> = (0..9).map(|n| run(&format!("edge-hobart-{n}"), n)).collect();
     let mut counts = [0; 9];
     for key in 0..900 {
-        let first = adopt::first(&format!("trainer-{key}"), &live).unwrap();
-        counts[usize::try_from(first.number).unwrap()] += 1;
+        let first = adopt::first(&format!("trainer-{key}"), &live);
+        counts[usize::try_from(first[0].number).unwrap()] += 1;
     }
     assert!(counts.iter().all(|count| (60..150).contains(count)), "{counts:?}");
 }
--- a/crates/tamarackdock_gateway/src/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/tests/mod.rs
@@ -6,6 +6,7 @@
 mod event;
 mod freshness;
 mod members;
+mod pace;
 mod target;
 
 use std::time::Duration;
