--- a/crates/tamarackdock_node/tests/gateway/soak.rs
+++ b/crates/tamarackdock_node/tests/gateway/soak.rs
@@ -13,6 +13,7 @@
 
 use crate::world::{Called, Faults, KEY, OLD_KEY, Stop, Trainer, WITHDRAWN_KEY, World, call_until};
 
+/// Nodes of a run unless `SOAK_NODES` says otherwise.
 const NODES: usize = 4;
 const ITEMS: usize = 12;
 /// Time for which faults come in a run of CI.
@@ -22,9 +23,18 @@
 /// 124: beside other runs, another program took the port of a stopped node and
 /// answered in its place. Nodes have loopback addresses of their own since.
 const SEEDS: [u64; 3] = [1, 2, 124];
+/// Longest time by which the store's answers come late: some of them come after
+/// the node has given the call up.
+const MAX_DELAY_MS: u64 = 1500;
+/// Largest number of writes on batch jobs that are cut in a row.
+const MAX_CUTS: u64 = 4;
 /// Longest time for a planned stop.
 const STOP_TIME: Duration = Duration::from_secs(8);
 
+fn number(variable: &str) -> Option<u64> {
+    env::var(variable).ok().and_then(|text| text.parse().ok())
+}
+
 /// Runs the seeds of `SOAK_SEEDS`, as `FROM..TO`, or those of CI.
 #[test]
 fn promises_hold_under_random_faults() {
@@ -32,10 +42,11 @@
         let (from, to) = range.split_once("..")?;
         Some((from.parse().ok()?..to.parse().ok()?).collect::<Vec<u64>>())
     });
-    let seconds = env::var("SOAK_SECONDS").ok().and_then(|seconds| seconds.parse().ok());
+    let seconds = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(SECONDS));
+    let nodes = number("SOAK_NODES").and_then(|nodes| nodes.try_into().ok()).unwrap_or(NODES);
     let mut failed = Vec::new();
     for seed in seeds.unwrap_or_else(|| SEEDS.to_vec()) {
-        let faults = soak(seed, Duration::from_secs(seconds.unwrap_or(SECONDS)));
+        let faults = soak(seed, nodes, seconds);
         println!("seed {seed}: {} broken promises", faults.len());
         if !faults.is_empty() {
             failed.push((seed, faults));
@@ -44,8 +55,8 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
-fn soak(seed: u64, time: Duration) -> Vec<String> {
-    let mut world = World::start(&format!("soak-{seed}"), NODES, seed);
+fn soak(seed: u64, nodes: usize, time: Duration) -> Vec<String> {
+    let mut world = World::start(&format!("soak-{seed}"), nodes, seed);
     let (faults, stop) = (Faults::default(), Stop::default());
     let caller = |key: &'static str, path: &'static str, name: &'static str| {
         let (stop, faults, nodes) = (stop.clone(), faults.clone(), world.addresses());
@@ -113,8 +124,8 @@
             world.configure(false);
             withdrawn = Some(Instant::now());
         }
-        let node = rng.random_range(0..NODES);
-        match rng.random_range(0..11) {
+        let node = rng.random_range(0..world.nodes.len());
+        match rng.random_range(0..13) {
             0 => world.nodes[node].kill(),
             1 | 2 => world.nodes[node].restart(),
             3 if paused.is_none() => {
@@ -139,9 +150,14 @@
                 world.proxies[node].set(ways[rng.random_range(0..ways.len())]);
             }
             8 => world.proxies[node].set(Way::Open),
-            9 => world.proxies.iter().for_each(|proxy| proxy.set(Way::Closed)),
+            9 => {
+                world.store.delay_answers(Duration::from_millis(rng.random_range(0..MAX_DELAY_MS)));
+            }
+            10 => world.store.cut_job_writes(rng.random_range(1..=MAX_CUTS)),
+            11 => world.proxies.iter().for_each(|proxy| proxy.set(Way::Closed)),
             _ => {
                 world.store.forget_history();
+                world.store.delay_answers(Duration::ZERO);
                 world.proxies.iter().for_each(|proxy| proxy.set(Way::Open));
             }
         }
@@ -150,6 +166,8 @@
     if let Some(node) = paused {
         world.nodes[node].resume();
     }
+    world.store.delay_answers(Duration::ZERO);
+    world.store.cut_job_writes(0);
     world.proxies.iter().for_each(|proxy| proxy.set(Way::Open));
     world.nodes.iter_mut().for_each(platform_standin::Node::restart);
     withdrawn.unwrap_or(until)
