--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     io,
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -44,8 +45,15 @@
 #[derive(Debug, Display, Error, From)]
 pub enum StartError {
     /// A listener can't be bound.
-    #[display("an address of `listen` can't be bound: {_0}")]
-    Listen(io::Error),
+    #[display("`listen`: `{address}` can't be bound: {error}")]
+    #[from(skip)]
+    Listen {
+        /// Address of the settings.
+        address: SocketAddr,
+        /// Reason.
+        #[error(source)]
+        error: io::Error,
+    },
     /// The name of the host is not usable.
     #[display("`host`: {_0}")]
     Host(NameError),
--- a/crates/tamarackdock_gateway/src/server.rs
+++ b/crates/tamarackdock_gateway/src/server.rs
@@ -13,7 +13,7 @@
 use crate::{
     deployment::Limits,
     http::{Body, Connection, HeadError, Reader, RequestHead, Writer, response_head},
-    node::Node,
+    node::{Node, StartError},
     reply::Reply,
 };
 
@@ -59,8 +59,9 @@
 }
 
 /// Binds a listener and serves it for ever.
-pub(crate) fn listen(node: Rc<Node>, address: SocketAddr, port: Port) -> io::Result<()> {
-    let listener = TcpListener::bind(address)?;
+pub(crate) fn listen(node: Rc<Node>, address: SocketAddr, port: Port) -> Result<(), StartError> {
+    let bound = TcpListener::bind(address);
+    let listener = bound.map_err(|error| StartError::Listen { address, error })?;
     monoio::spawn(async move {
         loop {
             match listener.accept().await {
--- a/crates/tamarackdock_node/tests/gateway/calm.rs
+++ b/crates/tamarackdock_node/tests/gateway/calm.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::{Client, Way};
+use platform_standin::{Client, Engine, Outcome, Way, stream_of};
 
 use crate::world::{Faults, KEY, OLD_KEY, Stop, Trainer, WITHDRAWN_KEY, World, call_until};
 
@@ -110,6 +110,48 @@
     assert_eq!((status, world.runs().get("broken")), (502, Some(&1)));
 }
 
+/// Guards against a stream that ends, repeats or loses events for its caller when
+/// its target breaks off in the middle of one.
+#[test]
+fn a_stream_goes_on_at_another_target() {
+    let world = World::start("resumed", 1, 0);
+    let mut client = Client::new(KEY, Duration::from_secs(1));
+    let outcome = client.call(world.addresses()[0], "/stream/resumed", "s4");
+    let runs = world.runs().get("s4").copied();
+    let Outcome::Answer { status, body, .. } = outcome else { panic!("{outcome:?}, {runs:?}") };
+    assert_eq!((status, runs), (200, Some(2)));
+    assert_eq!(String::from_utf8(body), String::from_utf8(stream_of("s4")));
+}
+
+/// Guards against calls that go to a data centre which was taken out, and against
+/// one that is not used again.
+#[test]
+fn a_data_centre_that_was_taken_out_gets_no_calls() {
+    let world = World::start("evacuated", 2, 0);
+    let south = Engine::start("app-south", "app", "south", 0);
+    south.keep_registered(&world.store);
+    let (faults, stop) = (Faults::default(), Stop::default());
+    let caller = {
+        let (stop, faults, nodes) = (stop.clone(), faults.clone(), world.addresses());
+        thread::spawn(move || call_until(&stop, &nodes, KEY, "/app/", "app", &faults))
+    };
+    let in_north = || world.services.iter().map(|service| service.runs().len()).sum::<usize>();
+    thread::sleep(Duration::from_millis(500));
+    world.store.evacuate("north", true);
+    thread::sleep(Duration::from_secs(1));
+    let (north_before, south_before) = (in_north(), south.runs().len());
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(in_north(), north_before, "calls went to the data centre");
+    assert!(south.runs().len() > south_before, "no calls went to the other data centre");
+    world.store.evacuate("north", false);
+    thread::sleep(Duration::from_secs(2));
+    assert!(in_north() > north_before, "the data centre is not used again");
+    stop.raise();
+    let failed = caller.join().unwrap().iter().filter(|call| call.status != 200).count();
+    assert_eq!(failed, 0);
+    assert_none(&faults);
+}
+
 /// Guards against an acknowledged job that dies with the machines: all nodes are
 /// killed right after the acceptance.
 #[test]
