Keep renewals paced while the store is too busy to take them

A renewal that failed came again after 0.45 s, and the pace counted only nodes whose rows were fresh, so that the fewer rows the store took, the more often all nodes wrote.

Change: a renewal that failed waits like one of all known nodes, and all rows count for the pace, also old ones.

--- a/crates/tamarackdock_gateway/src/members.rs
+++ b/crates/tamarackdock_gateway/src/members.rs
@@ -118,9 +118,10 @@
         live.map(|(host, seen)| Run { host: host.clone(), number: seen.row.number }).collect()
     }
 
-    /// Returns the number of nodes that are alive.
+    /// Returns the number of nodes with a row, also of those that seem to be gone:
+    /// their rows may be old because the store is too busy to take new ones.
     pub(crate) fn count(&self) -> usize {
-        self.nodes.values().filter(|seen| self.is_fresh(seen)).count()
+        self.nodes.len()
     }
 
     /// Returns the median difference between the Unix time of hosts and the
@@ -158,11 +159,16 @@
         pace.interval(self.known.borrow().count(), self.rates)
     }
 
-    /// Returns the pause after a call to the store that failed, the given number of
-    /// times in a row.
+    /// Returns the pause after a feed that failed, the given number of times in a row.
     pub(crate) fn retry_pause(&self, failures: u32) -> Duration {
         let nodes = self.known.borrow().count();
-        pace::retry_pause(failures, nodes, self.rates, rand::random())
+        pace::RETRIES.retry_pause(failures, nodes, self.rates, rand::random())
+    }
+
+    /// Returns the pause after a renewal that failed, the given number of times in a row.
+    fn renewal_pause(&self, failures: u32) -> Duration {
+        let nodes = self.known.borrow().count();
+        pace::RENEWALS.retry_pause(failures, nodes, self.rates, rand::random())
     }
 
     /// Returns the peer address of a run that is alive.
@@ -217,10 +223,12 @@
 pub(crate) async fn run_renew(node: Rc<Node>) {
     let mut announced = Duration::ZERO;
     let mut renewed = BootClock.now();
+    let mut failures = 0;
     loop {
         let now = BootClock.now();
         let busy = node.jobs.is_busy();
-        let due = announced.min(if busy { shortest_renewal() } else { Duration::MAX });
+        let soon = busy && failures == 0;
+        let due = announced.min(if soon { shortest_renewal() } else { Duration::MAX });
         if now.since(renewed) < due {
             monoio::time::sleep(RENEWAL_TICK).await;
             continue;
@@ -229,9 +237,15 @@
         if !busy {
             announced = node.members.interval(pace::RENEWALS);
         }
-        if let Err(error) = renew(&node, announced).await {
-            node.store_failed("renew", &error);
-            announced = shortest_renewal();
+        failures = match renew(&node, announced).await {
+            Ok(()) => 0,
+            Err(error) => {
+                node.store_failed("renew", &error);
+                failures + 1
+            }
+        };
+        if failures > 0 {
+            announced = node.members.renewal_pause(failures);
         }
     }
 }
--- a/crates/tamarackdock_gateway/src/pace.rs
+++ b/crates/tamarackdock_gateway/src/pace.rs
@@ -86,15 +86,21 @@
         let all = (rate * self.percent / 100).max(1);
         self.shortest.max(Duration::from_secs(1).saturating_mul(nodes) / all)
     }
-}
 
-/// Returns the pause after a try that failed, the given number of times in a row.
-/// `random` from 0 to 1 spreads nodes that failed at the same time, as they do when
-/// all of them start at once.
-pub(crate) fn retry_pause(failures: u32, nodes: usize, rates: Rates, random: f64) -> Duration {
-    let mean = match nodes {
-        0 => RETRIES.shortest * 2_u32.pow(failures.saturating_sub(1).min(MAX_DOUBLINGS)),
-        nodes => RETRIES.interval(nodes, rates),
-    };
-    mean.mul_f64(0.5 + random)
+    /// Returns the pause after a call that failed, the given number of times in a
+    /// row. `random` from 0 to 1 spreads nodes that failed at the same time, as they
+    /// do when all of them start at once.
+    pub(crate) fn retry_pause(
+        self,
+        failures: u32,
+        nodes: usize,
+        rates: Rates,
+        random: f64,
+    ) -> Duration {
+        let mean = match nodes {
+            0 => self.shortest * 2_u32.pow(failures.saturating_sub(1).min(MAX_DOUBLINGS)),
+            nodes => self.interval(nodes, rates),
+        };
+        mean.mul_f64(0.5 + random)
+    }
 }
--- a/crates/tamarackdock_gateway/src/tests/members.rs
+++ b/crates/tamarackdock_gateway/src/tests/members.rs
@@ -68,6 +68,17 @@
     assert_eq!(gone_at, [Some(2_000), Some(9_600)]);
 }
 
+/// Guards against nodes that renew ever more often while the store is too busy to
+/// take their rows, since each takes the others for gone.
+#[test]
+fn nodes_that_seem_gone_count_for_the_pace() {
+    let mut known = Known::default();
+    for read in 0..20 {
+        known.update(&batch([row("a", 1, 1, 0), row("b", 1, 1, 0)]), at(read * 400), &log());
+    }
+    assert_eq!((known.live(), known.count()), (Vec::new(), 2));
+}
+
 /// Guards against rows of an earlier release that can't be read.
 #[test]
 fn a_row_without_renewal_is_renewed_often() {
--- a/crates/tamarackdock_gateway/src/tests/pace.rs
+++ b/crates/tamarackdock_gateway/src/tests/pace.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use crate::pace::{
-    CRASHES, JOBS, MEMBERS, PROBES, Pace, RENEWALS, RETRIES, Rates, TARGETS, USAGE, retry_pause,
-};
+use crate::pace::{CRASHES, JOBS, MEMBERS, PROBES, Pace, RENEWALS, RETRIES, Rates, TARGETS, USAGE};
 
 /// Rates of stores, with the smaller ones first.
 const STORES: [Rates; 2] = [
@@ -42,9 +40,10 @@
         let feeds = 3 * rate(RETRIES, nodes, rates) + rate(PROBES, nodes, rates);
         assert!(feeds <= u128::from(rates.reads_per_s) / 2, "{nodes} nodes: {feeds} tries");
     }
-    let pauses = (1..7).map(|failures| retry_pause(failures, 0, STORES[0], 0.5).as_millis());
+    let pauses =
+        (1..7).map(|failures| RETRIES.retry_pause(failures, 0, STORES[0], 0.5).as_millis());
     assert_eq!(pauses.collect::<Vec<_>>(), [120, 240, 480, 960, 960, 960]);
-    assert_eq!(retry_pause(1, 12, STORES[0], 0.0), Duration::from_millis(60));
+    assert_eq!(RETRIES.retry_pause(1, 12, STORES[0], 0.0), Duration::from_millis(60));
 }
 
 /// Guards against slower detection on deployments that are small enough.
