--- a/crates/tamarackdock_gateway/src/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/tests/mod.rs
@@ -7,6 +7,7 @@
 mod freshness;
 mod members;
 mod pace;
+mod relay;
 mod target;
 
 use std::time::Duration;
