--- a/crates/tamarackdock_gateway/src/batch/end.rs
+++ b/crates/tamarackdock_gateway/src/batch/end.rs
@@ -89,7 +89,7 @@
         match write_head(node, id, &head, entry.revision).await {
             Ok(revision) => {
                 let entry = Entry { head, revision };
-                index::tell_owner(node, id, &entry);
+                index::notify_owner(node, id, &entry);
                 node.jobs.record(id, entry);
                 check(node, id);
                 return Ok(());
--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -230,8 +230,8 @@
     node.jobs.changed.raise();
 }
 
-/// Takes in a head that the feed or another node told, and opens the job if it is
-/// given to this node.
+/// Records a head from the feed or from another node, and opens the job if this node
+/// is its owner.
 pub(crate) fn learn(node: &Rc<Node>, job: &Name, entry: Entry) {
     let Entry { head, revision } = &entry;
     let known = node.jobs.head(job);
@@ -250,9 +250,9 @@
     end::check(node, job);
 }
 
-/// Tells the owner of a job of its head, which the feed would tell it later. The
-/// feed makes up for a message that is lost.
-pub(crate) fn tell_owner(node: &Rc<Node>, job: &Name, entry: &Entry) {
+/// Sends the head of a job to its owner, which would read it from the feed later.
+/// The feed makes up for a message that is lost.
+pub(crate) fn notify_owner(node: &Rc<Node>, job: &Name, entry: &Entry) {
     let owner = entry.head.owner.as_ref().filter(|owner| **owner != node.members.own);
     let Some(address) = owner.and_then(|owner| node.members.address(owner)) else { return };
     let question = Question::Head {
@@ -263,7 +263,7 @@
     let (log, job) = (node.log.clone(), job.clone());
     monoio::spawn(async move {
         if let Err(error) = peer::ask(address, &question, Duration::ZERO).await {
-            slog::info!(log, "job: owner not told"; "job" => &*job, "error" => %error);
+            slog::info!(log, "job: owner not notified"; "job" => &*job, "error" => %error);
         }
     });
 }
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -54,7 +54,7 @@
                 "step" => head.step, "model" => head.model.as_deref(),
                 "work" => head.work, "revision" => revision);
             let entry = Entry { head: head.clone(), revision };
-            index::tell_owner(node, &id, &entry);
+            index::notify_owner(node, &id, &entry);
             node.jobs.record(&id, entry);
             if head.owner.as_ref() == Some(&node.members.own) {
                 open(node, id, head, revision, Rc::new(submission), opening);
--- a/crates/tamarackdock_gateway/src/duty/holder.rs
+++ b/crates/tamarackdock_gateway/src/duty/holder.rs
@@ -74,8 +74,8 @@
     }
 }
 
-/// Returns whether a node that can't be the holder soon should look at the lease.
-/// Few of many nodes do, so that the store is not asked by all of them.
+/// Returns whether a node that does not hold the lease is a candidate for it. Few of
+/// many nodes are, so that the store is not asked by all of them.
 pub(crate) fn is_candidate(own: &Run, live: &[Run]) -> bool {
     adopt::rank(LEASE, own, live) < CANDIDATES
 }
