--- a/crates/tamarackdock_gateway/src/batch/end.rs
+++ b/crates/tamarackdock_gateway/src/batch/end.rs
@@ -5,7 +5,7 @@
 use monoio::time::sleep;
 use tamarackdock_platform::{
     Error,
-    table::{Commit, Condition, Write},
+    table::{Condition, Write},
 };
 use tamarackdock_types::clock::{BootClock, Clock};
 
@@ -114,7 +114,7 @@
     let key = rows::head(id);
     let conditions = vec![Condition { key: key.clone(), revision }];
     let writes = vec![Write { key, value: Some(head.encode()) }];
-    node.store.commit(Commit { operation: node.operation(), conditions, writes }).await
+    node.commit(conditions, writes).await
 }
 
 /// Reads a head from the store and records it. An absent one is `None`.
--- a/crates/tamarackdock_gateway/src/batch/save.rs
+++ b/crates/tamarackdock_gateway/src/batch/save.rs
@@ -4,10 +4,7 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use monoio::time::sleep;
-use tamarackdock_platform::{
-    Error,
-    table::{Commit, Condition},
-};
+use tamarackdock_platform::{Error, table::Condition};
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use super::{
@@ -60,9 +57,7 @@
         Condition { key: rows::head(&job.id), revision: job.revision }
     };
     for writes in batches(writes) {
-        let conditions = vec![condition.clone()];
-        let commit = Commit { operation: node.operation(), conditions, writes };
-        node.store.commit(commit).await?;
+        node.commit(vec![condition.clone()], writes).await?;
     }
     let mut job = job.borrow_mut();
     for (index, events, generation) in saved {
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -113,9 +113,8 @@
     let mut batches = end::batches(specs.collect());
     let mut last = batches.pop().unwrap_or_default();
     for writes in batches {
-        let commit = Commit { operation: node.operation(), conditions: Vec::new(), writes };
         // Without the head these rows are no job, whether or not they were written.
-        node.store.commit(commit).await.map_err(|_| Error::Unreachable)?;
+        node.commit(Vec::new(), writes).await.map_err(|_| Error::Unreachable)?;
     }
     last.push(Write { key: key.clone(), value: Some(head.encode()) });
     let conditions = vec![Condition { key, revision: 0 }];
--- a/crates/tamarackdock_gateway/src/crash.rs
+++ b/crates/tamarackdock_gateway/src/crash.rs
@@ -13,12 +13,13 @@
 use slog::Logger;
 use tamarackdock_platform::{
     Error,
-    table::{Batch, Commit, Condition, Write},
+    table::{Batch, Condition, Write},
 };
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
     call::{Call, fingerprint},
+    members,
     node::Node,
     pace,
 };
@@ -57,15 +58,7 @@
     pub(crate) fn update(&mut self, batch: &Batch, now: Instant, log: &Logger) {
         let mut known = BTreeMap::new();
         for change in &batch.changes {
-            let text = change.value.as_deref().unwrap_or_default();
-            let row: Row = match serde_json::from_str(text) {
-                Ok(row) => row,
-                Err(error) => {
-                    slog::warn!(log, "crashes: row left out";
-                        "key" => &change.key, "error" => %error);
-                    continue;
-                }
-            };
+            let Some(row) = members::decode::<Row>(change, "crashes", log) else { continue };
             let earlier = self.0.get(&change.key).filter(|seen| seen.revision == change.revision);
             let changed = earlier.map_or(now, |seen| seen.changed);
             let seen = Seen { crashes: row.targets.len(), revision: change.revision, changed };
@@ -120,7 +113,7 @@
     row.targets.insert(target.to_owned());
     let conditions = vec![Condition { key: key.clone(), revision }];
     let writes = vec![Write { key, value: serde_json::to_string(&row).ok() }];
-    node.store.commit(Commit { operation: node.operation(), conditions, writes }).await?;
+    node.commit(conditions, writes).await?;
     Ok(row.targets.len())
 }
 
@@ -141,8 +134,7 @@
             .iter()
             .map(|request| Write { key: format!("{TABLE}@{PART}/{request}"), value: None });
         for writes in crate::batch::end::batches(writes.collect()) {
-            let commit = Commit { operation: node.operation(), conditions: Vec::new(), writes };
-            if let Err(error) = node.store.commit(commit).await {
+            if let Err(error) = node.commit(Vec::new(), writes).await {
                 node.store_failed("crashes", &error);
             }
         }
--- a/crates/tamarackdock_gateway/src/duty/clear.rs
+++ b/crates/tamarackdock_gateway/src/duty/clear.rs
@@ -3,10 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use monoio::time::sleep;
-use tamarackdock_platform::{
-    Error,
-    table::{Commit, Write},
-};
+use tamarackdock_platform::{Error, table::Write};
 use tamarackdock_types::clock::{BootClock, Clock};
 
 use crate::{
@@ -55,13 +52,10 @@
             }
             let writes = rows.into_iter().map(|row| Write { key: row.key, value: None });
             for writes in batches(writes.collect()) {
-                let operation = node.operation();
-                let commit = Commit { operation, conditions: Vec::new(), writes };
-                node.store.commit(commit).await?;
+                node.commit(Vec::new(), writes).await?;
             }
         }
     }
     let writes = vec![Write { key: rows::head(id), value: None }];
-    let commit = Commit { operation: node.operation(), conditions: Vec::new(), writes };
-    node.store.commit(commit).await.map(drop)
+    node.commit(Vec::new(), writes).await.map(drop)
 }
--- a/crates/tamarackdock_gateway/src/duty/usage.rs
+++ b/crates/tamarackdock_gateway/src/duty/usage.rs
@@ -8,7 +8,7 @@
 use monoio::time::{sleep, timeout};
 use tamarackdock_platform::{
     Error,
-    table::{Commit, Condition, Write},
+    table::{Condition, Write},
 };
 
 use crate::{
@@ -99,8 +99,7 @@
         let key = format!("{}{}-{:016x}", counts_prefix(number), run.host, run.number);
         let value = serde_json::to_string(&calls).ok();
         let writes = vec![Write { key, value }];
-        let commit = Commit { operation: node.operation(), conditions: Vec::new(), writes };
-        node.store.commit(commit).await?;
+        node.commit(Vec::new(), writes).await?;
         node.usage.borrow_mut().flushed(number, &calls);
     }
     Ok(())
@@ -185,13 +184,10 @@
             *sums.entry(account).or_default() += calls;
         }
     }
-    let commit = Commit {
-        operation: node.operation(),
-        conditions: vec![Condition { key: key.clone(), revision: 0 }],
-        writes: vec![Write { key, value: serde_json::to_string(&sums).ok() }],
-    };
+    let conditions = vec![Condition { key: key.clone(), revision: 0 }];
+    let writes = vec![Write { key, value: serde_json::to_string(&sums).ok() }];
     // After a lost answer the next look reads the seal, if it was written.
-    node.store.commit(commit).await?;
+    node.commit(conditions, writes).await?;
     Ok(sums)
 }
 
--- a/crates/tamarackdock_gateway/src/http/exchange.rs
+++ b/crates/tamarackdock_gateway/src/http/exchange.rs
@@ -46,7 +46,7 @@
 /// # Errors
 ///
 /// Returns the [`Failure`]; the connection must not be used again.
-pub(crate) async fn send_message(
+pub async fn send_message(
     connection: &mut Connection,
     message: &Outgoing,
     host: SocketAddr,
--- a/crates/tamarackdock_gateway/src/members.rs
+++ b/crates/tamarackdock_gateway/src/members.rs
@@ -2,10 +2,10 @@
 
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_with::{DurationMilliSeconds, serde_as};
 use slog::Logger;
-use tamarackdock_platform::table::{Batch, Commit, Write};
+use tamarackdock_platform::table::{Batch, Change, Write};
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
@@ -84,15 +84,7 @@
         self.read = Some(now);
         let mut nodes = BTreeMap::new();
         for change in &batch.changes {
-            let text = change.value.as_deref().unwrap_or_default();
-            let row: Row = match serde_json::from_str(text) {
-                Ok(row) => row,
-                Err(error) => {
-                    slog::warn!(log, "members: row left out";
-                        "key" => &change.key, "error" => %error);
-                    continue;
-                }
-            };
+            let Some(row) = decode::<Row>(change, "members", log) else { continue };
             let name: Name = change.key.as_str().into();
             let earlier = self.nodes.get(&name).filter(|seen| seen.revision == change.revision);
             let changed = earlier.filter(|_| !blind).map_or(now, |seen| seen.changed);
@@ -197,6 +189,18 @@
     }
 }
 
+/// Decodes a row that nodes write for each other. One that can't be read is logged
+/// with the name of its rows and left out.
+pub(crate) fn decode<T: DeserializeOwned>(change: &Change, rows: &str, log: &Logger) -> Option<T> {
+    match serde_json::from_str(change.value.as_deref().unwrap_or_default()) {
+        Ok(row) => Some(row),
+        Err(error) => {
+            slog::warn!(log, "{}: row left out", rows; "key" => &change.key, "error" => %error);
+            None
+        }
+    }
+}
+
 /// Renews the row of this node, and announces the next renewal.
 pub(crate) async fn renew(
     node: &Node,
@@ -215,8 +219,7 @@
     let key = format!("{TABLE}@{PART}/{}", node.members.own.host);
     let value = serde_json::to_string(&row).ok();
     let writes = vec![Write { key, value }];
-    let commit = Commit { operation: node.operation(), conditions: Vec::new(), writes };
-    node.store.commit(commit).await.map(drop)
+    node.commit(Vec::new(), writes).await.map(drop)
 }
 
 /// Renews this node's row for ever.
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -12,7 +12,7 @@
 use futures_util::future::pending;
 use monoio::time::sleep;
 use slog::Logger;
-use tamarackdock_platform::table::Watch;
+use tamarackdock_platform::table::{Commit, Condition, Watch, Write};
 use tamarackdock_types::{
     HostName, NameError,
     clock::{BootClock, Clock, Instant},
@@ -220,6 +220,16 @@
         format!("{:016x}-{}", self.members.own.number, self.operations.get())
     }
 
+    /// Commits writes under conditions, and returns the revision.
+    pub(crate) async fn commit(
+        &self,
+        conditions: Vec<Condition>,
+        writes: Vec<Write>,
+    ) -> Result<u64, tamarackdock_platform::Error> {
+        let operation = self.operation();
+        self.store.commit(Commit { operation, conditions, writes }).await
+    }
+
     /// Returns the largest value of a row in bytes.
     pub(crate) fn row_bytes(&self) -> usize {
         self.settings.borrow().limits.row_bytes
--- a/crates/tamarackdock_gateway/src/peer.rs
+++ b/crates/tamarackdock_gateway/src/peer.rs
@@ -10,7 +10,8 @@
 use crate::{
     batch::{self, Page, index::Entry, rows::Head},
     deployment::Name,
-    http::{Connection, Exchange, Headers},
+    dialect::Outgoing,
+    http::{Connection, Headers, send_message},
     node::Node,
     relay::{StoreAnswer, StoreCall},
     reply::Reply,
@@ -91,15 +92,11 @@
     let mut connection = connected.map_err(|_| PeerError::Unreachable)?;
     let body = rmp_serde::to_vec(question).map_err(|_| PeerError::Malformed)?;
     let mut headers = Headers::default();
-    headers.push("Host", address.to_string());
     headers.push("Content-Type", MEDIA_TYPE);
-    headers.push("Content-Length", body.len().to_string());
     headers.push("Connection", "close");
-    let exchange = async {
-        let exchange = Exchange::begin(&mut connection, "POST", PATH, &headers, &body).await?;
-        exchange.collect(MAX_ANSWER).await
-    };
-    let (answer, _) = timeout(wait + ANSWER_TIMEOUT, exchange)
+    let message = Outgoing { method: "POST", path: PATH.into(), headers, body };
+    let sent = send_message(&mut connection, &message, address, MAX_ANSWER);
+    let (answer, _) = timeout(wait + ANSWER_TIMEOUT, sent)
         .await
         .map_err(|_| PeerError::Silent)?
         .map_err(|_| PeerError::Silent)?;
--- a/crates/tamarackdock_lease/tests/late_first_try.rs
+++ b/crates/tamarackdock_lease/tests/late_first_try.rs
@@ -1,8 +1,10 @@
 //! A first try of a write that takes effect after its read-back.
 
-use std::{collections::BTreeMap, time::Duration};
+mod support;
 
-use tamarackdock_lease::{Action, Input, Lease, Operations, Terms};
+use std::collections::BTreeMap;
+
+use tamarackdock_lease::{Action, Input, Lease, Operations};
 use tamarackdock_platform::{
     Error,
     table::{Commit, Row},
@@ -29,16 +31,8 @@
 /// one, sent earlier, is what candidates see in the row.
 #[test]
 fn validity_counts_from_the_first_try() {
-    let millis = Duration::from_millis;
-    let terms = Terms {
-        duration: millis(2000),
-        margin: millis(100),
-        poll: millis(200),
-        send_window: millis(300),
-        delivery: millis(200),
-    };
     let holder = HostName::new("h1").unwrap();
-    let mut lease = Lease::new("config", holder, terms, Operations::new("h1", 1));
+    let mut lease = Lease::new("config", holder, support::terms(), Operations::new("h1", 1));
     let mut step = |time, input| lease.step(Instant::from_millis(time), input);
 
     let actions = step(1000, Input::Want);
--- a/crates/tamarackdock_lease/tests/schedules/main.rs
+++ b/crates/tamarackdock_lease/tests/schedules/main.rs
@@ -3,6 +3,8 @@
 
 mod node;
 mod store;
+#[path = "../support/mod.rs"]
+mod support;
 mod world;
 
 use std::cell::Cell;
--- a/crates/tamarackdock_lease/tests/schedules/node.rs
+++ b/crates/tamarackdock_lease/tests/schedules/node.rs
@@ -1,14 +1,13 @@
 use rand::{Rng, rngs::StdRng};
-use std::time::Duration;
-use tamarackdock_lease::{Lease, Operations, Terms};
+use tamarackdock_lease::{Lease, Operations};
 use tamarackdock_types::{HostName, clock::Instant};
 
+use crate::support::terms;
+
 /// Clocks run this much too slow or too fast. One margin covers this drift over
 /// the validity, so that the rules need the holder's and the candidate's margin.
 const DRIFT_PPM: u64 = 45_000;
 
-pub(crate) const DELIVERY: u64 = 200;
-
 pub(crate) struct Node {
     pub(crate) lease: Lease,
     pub(crate) run: u64,
@@ -18,18 +17,6 @@
     ppm: u64,
 }
 
-fn terms() -> Terms {
-    let millis = Duration::from_millis;
-    let terms = Terms {
-        duration: millis(2000),
-        margin: millis(100),
-        poll: millis(200),
-        send_window: millis(300),
-        delivery: millis(DELIVERY),
-    };
-    terms.check().unwrap()
-}
-
 impl Node {
     pub(crate) fn new(index: usize, run: u64, random: &mut StdRng) -> Self {
         let holder = HostName::new(&format!("h{index}")).unwrap();
--- a/crates/tamarackdock_lease/tests/schedules/world.rs
+++ b/crates/tamarackdock_lease/tests/schedules/world.rs
@@ -9,10 +9,7 @@
 };
 use tamarackdock_types::fence::Epoch;
 
-use crate::{
-    node::{DELIVERY, Node},
-    store::Store,
-};
+use crate::{node::Node, store::Store, support::DELIVERY};
 
 const NODES: usize = 3;
 const FAULTS_END: u64 = 15_000;
--- a/crates/tamarackdock_lease/tests/store_outage.rs
+++ b/crates/tamarackdock_lease/tests/store_outage.rs
@@ -1,8 +1,10 @@
 //! An outage of the store that is longer than the lease.
 
-use std::{collections::BTreeMap, time::Duration};
+mod support;
 
-use tamarackdock_lease::{Action, Input, Lease, Operations, Terms};
+use std::collections::BTreeMap;
+
+use tamarackdock_lease::{Action, Input, Lease, Operations};
 use tamarackdock_platform::{
     Error,
     table::{Commit, Row},
@@ -18,16 +20,8 @@
 
 impl Candidate {
     fn new(name: &str) -> Self {
-        let millis = Duration::from_millis;
-        let terms = Terms {
-            duration: millis(2000),
-            margin: millis(100),
-            poll: millis(200),
-            send_window: millis(300),
-            delivery: millis(200),
-        };
         let holder = HostName::new(name).unwrap();
-        let lease = Lease::new("duties", holder, terms, Operations::new(name, 1));
+        let lease = Lease::new("duties", holder, support::terms(), Operations::new(name, 1));
         Self { lease, actions: Vec::new() }
     }
 
--- /dev/null
+++ b/crates/tamarackdock_lease/tests/support/mod.rs
@@ -0,0 +1,21 @@
+//! What the tests of the lease share.
+
+use std::time::Duration;
+
+use tamarackdock_lease::Terms;
+
+/// Milliseconds that a sent order needs to arrive.
+pub(crate) const DELIVERY: u64 = 200;
+
+/// Terms of all leases in the tests.
+pub(crate) fn terms() -> Terms {
+    let millis = Duration::from_millis;
+    let terms = Terms {
+        duration: millis(2000),
+        margin: millis(100),
+        poll: millis(200),
+        send_window: millis(300),
+        delivery: millis(DELIVERY),
+    };
+    terms.check().unwrap()
+}
