Score items whose submission names a scoring call

Change: an item is generated, then its whole text is saved under the head's revision, then the scoring call is sent, and only its signed 2xx completes the item. A node that takes over finds the text marked complete and goes on with the call. After a failed save the text is written again under keys of their own, since the failed write may still take effect and would shorten the text. Calls leave one slot of each target to callers, and those of groups that need the fewest results go first. Only answers of 500, as many as the route's attempts, abort an item. Submissions with unusable calls are rejected.

Ruled out: sending the call before the text is saved, which saves 20 ms of some seconds, but lets the next owner make another text after the call was sent.

Stand-ins play scoring calls that fail, are late, unsigned or of another call.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -56,6 +56,12 @@
         now < self.suspect_until || now < self.full_until
     }
 
+    /// Returns how many of a target's `slots` are free for calls that leave `reserved` of them
+    /// to others. A target with fewer slots takes one such call at a time.
+    pub(crate) fn unreserved_slots(&self, slots: u32, reserved: u32) -> u32 {
+        slots.saturating_sub(reserved).max(1).saturating_sub(self.running)
+    }
+
     /// Returns how many requests were started within [`START_WINDOW`].
     pub(crate) fn recent_starts(&self, now: Instant) -> usize {
         self.starts.iter().filter(|at| now.since(**at) < START_WINDOW).count()
@@ -165,6 +171,9 @@
     pub(crate) data_centre: &'a str,
     /// Targets that the call was already sent to.
     pub(crate) tried: &'a [Name],
+    /// Slots of each target that the call leaves free. A call that leaves any is not sent to
+    /// a target without a free slot.
+    pub(crate) reserved_slots: u32,
     /// Returns the rank of the node among those that may call a target.
     pub(crate) node_rank: &'a dyn Fn(&str) -> NodeRank,
 }
@@ -186,6 +195,9 @@
             && !entry.draining
             && !requirements.tried.contains(&entry.id)
             && !is_evacuated(&entry.data_centre)
+            && (requirements.reserved_slots == 0
+                || loads.get(&entry.id).unreserved_slots(entry.slots, requirements.reserved_slots)
+                    > 0)
             && loads.has_capacity(target, service, || (requirements.node_rank)(&entry.id), now)
     });
     usable.min_by_key(|target| {
--- a/crates/tamarackdock_gateway/src/batch/job.rs
+++ b/crates/tamarackdock_gateway/src/batch/job.rs
@@ -6,7 +6,12 @@
 
 use tamarackdock_types::clock::Instant;
 
-use super::{Item, ItemOutcome, ItemResult, Submission, progress::Progress, rows::JobHead};
+use super::{
+    Item, ItemOutcome, ItemResult, Submission,
+    progress::{Progress, Saved},
+    rows::JobHead,
+    scoring::{self, Scoring},
+};
 use crate::{deployment::Name, notify::Notify};
 
 /// First pause after a run that broke without any event. It doubles with each such
@@ -26,6 +31,13 @@
     Waiting,
     /// Runs on the target with this id.
     Running(Name),
+    /// Has its complete text, which the store does not hold yet. The scoring call waits
+    /// for that, so that no other owner makes a different text after the call was sent.
+    Generated,
+    /// Has its complete text in the store and waits for its scoring call.
+    Unscored,
+    /// The scoring call is in progress.
+    Scoring,
     /// Has a result, committed or not yet.
     Finished,
 }
@@ -45,8 +57,10 @@
     consecutive_breaks: u32,
     /// Number of runs that were moved to another target.
     pub(crate) moves: u32,
-    /// Earliest time of the next run.
+    /// Earliest time of the next run or scoring call.
     pub(crate) not_before: Instant,
+    /// Attempts of the scoring call so far.
+    scoring: Scoring,
 }
 
 impl JobItem {
@@ -128,6 +142,7 @@
             consecutive_breaks: 0,
             moves: 0,
             not_before: accepted,
+            scoring: Scoring::default(),
         });
         Self {
             items: items.collect(),
@@ -159,11 +174,78 @@
         let is_usable = progress.versions().iter().all(|version| *version >= min_version);
         let item = self.items.iter_mut().find(|item| *item.request.id == *id);
         match item {
-            Some(item) if is_usable && item.phase == Phase::Waiting => item.progress = progress,
+            Some(item) if is_usable && item.phase == Phase::Waiting => {
+                item.phase = match () {
+                    () if progress.is_saved_complete() => Phase::Unscored,
+                    () if progress.is_complete() => Phase::Generated,
+                    () => Phase::Waiting,
+                };
+                item.progress = progress;
+            }
             _ => {}
         }
     }
 
+    /// Returns the items whose scoring calls may be sent now, with their indexes.
+    pub(crate) fn unscored(&self, now: Instant) -> impl Iterator<Item = (usize, &JobItem)> {
+        let open = !self.closed && !self.stopping;
+        let items = self.items.iter().enumerate();
+        items.filter(move |(_, item)| {
+            open && item.phase == Phase::Unscored && now >= item.not_before
+        })
+    }
+
+    /// Returns whether the store lacks a complete text that waits for its scoring call.
+    pub(crate) fn has_generated(&self) -> bool {
+        !self.closed && self.items.iter().any(|item| item.phase == Phase::Generated)
+    }
+
+    /// Returns how many items of a group have no result yet.
+    pub(crate) fn unfinished_in_group(&self, group: &str) -> usize {
+        let members = self.items.iter().filter(|item| *item.request.group == *group);
+        members.filter(|item| item.phase != Phase::Finished).count()
+    }
+
+    /// Records that the store holds text of an item. If that text is complete, the scoring
+    /// call may be sent.
+    pub(crate) fn mark_saved(&mut self, index: usize, saved: Saved) {
+        let item = &mut self.items[index];
+        item.progress.mark_saved(saved);
+        if item.phase == Phase::Generated && item.progress.is_saved_complete() {
+            item.phase = Phase::Unscored;
+            self.changed.notify_all();
+        }
+    }
+
+    /// Records that the scoring call of an item is being sent.
+    pub(crate) fn start_scoring(&mut self, index: usize) {
+        self.items[index].phase = Phase::Scoring;
+    }
+
+    /// Records the end of a scoring call: the item gets its result, or waits for the next
+    /// call. `max_failures` is the number of failed answers at which it is aborted.
+    pub(crate) fn end_scoring(
+        &mut self,
+        index: usize,
+        outcome: scoring::Outcome,
+        max_failures: u32,
+        now: Instant,
+    ) {
+        let item = &mut self.items[index];
+        if item.phase != Phase::Scoring {
+            return;
+        }
+        match item.scoring.end(outcome, max_failures) {
+            scoring::Next::Scored(score) => self.finish(index, ItemOutcome::Completed, Some(score)),
+            scoring::Next::Abort => self.finish(index, ItemOutcome::Aborted, None),
+            scoring::Next::Retry(pause) => {
+                item.phase = Phase::Unscored;
+                item.not_before = now + pause;
+            }
+        }
+        self.changed.notify_all();
+    }
+
     /// Returns the items that may start now, with their indexes.
     pub(crate) fn startable(&self, now: Instant) -> impl Iterator<Item = (usize, &JobItem)> {
         let open = !self.closed && !self.stopping;
@@ -172,9 +254,10 @@
             .filter(move |(_, item)| open && item.phase == Phase::Waiting && now >= item.not_before)
     }
 
-    /// Returns the earliest time at which a waiting item may start.
+    /// Returns the earliest time at which a waiting item or its scoring call may start.
     pub(crate) fn next_start(&self) -> Option<Instant> {
-        let waiting = self.items.iter().filter(|item| item.phase == Phase::Waiting);
+        let waits = |item: &&JobItem| matches!(item.phase, Phase::Waiting | Phase::Unscored);
+        let waiting = self.items.iter().filter(waits);
         waiting.map(|item| item.not_before).min().filter(|_| !self.closed)
     }
 
@@ -187,11 +270,16 @@
     pub(crate) fn end_run(&mut self, index: usize, outcome: RunOutcome, now: Instant) {
         let max_failures = self.max_failures.max(1);
         let item = &mut self.items[index];
-        if item.phase == Phase::Finished {
+        if !matches!(item.phase, Phase::Running(_)) {
             return;
         }
         item.phase = Phase::Waiting;
         let state = match outcome {
+            RunOutcome::Completed if item.request.scoring.is_some() => {
+                item.progress.mark_complete();
+                item.phase = Phase::Generated;
+                None
+            }
             RunOutcome::Completed => Some(ItemOutcome::Completed),
             RunOutcome::Impossible => Some(ItemOutcome::Aborted),
             RunOutcome::Failed => {
@@ -215,7 +303,7 @@
             }
         };
         if let Some(state) = state {
-            self.finish(index, state);
+            self.finish(index, state, None);
         }
         self.changed.notify_all();
     }
@@ -229,13 +317,13 @@
     pub(crate) fn abort_unfinished(&mut self) {
         for index in 0..self.items.len() {
             if self.items[index].phase != Phase::Finished {
-                self.finish(index, ItemOutcome::Aborted);
+                self.finish(index, ItemOutcome::Aborted, None);
             }
         }
         self.changed.notify_all();
     }
 
-    fn finish(&mut self, index: usize, state: ItemOutcome) {
+    fn finish(&mut self, index: usize, state: ItemOutcome, score: Option<String>) {
         let item = &mut self.items[index];
         item.phase = Phase::Finished;
         let progress = match state {
@@ -247,6 +335,7 @@
             state,
             text: progress.text(),
             versions: progress.versions(),
+            score,
         }));
     }
 
--- a/crates/tamarackdock_gateway/src/batch/mod.rs
+++ b/crates/tamarackdock_gateway/src/batch/mod.rs
@@ -14,6 +14,8 @@
 pub(crate) mod run;
 pub(crate) mod save;
 pub(crate) mod schedule;
+pub(crate) mod score;
+pub(crate) mod scoring;
 pub(crate) mod submit;
 pub(crate) mod takeover;
 
@@ -21,7 +23,7 @@
 mod submission;
 
 pub use page::{ItemOutcome, ItemResult, Page};
-pub use submission::{Item, Submission};
+pub use submission::{Item, ScoringCall, Submission};
 
 #[cfg(test)]
 mod tests;
--- a/crates/tamarackdock_gateway/src/batch/page.rs
+++ b/crates/tamarackdock_gateway/src/batch/page.rs
@@ -24,6 +24,10 @@
     pub text: String,
     /// Versions of the weights that produced the text, in order of their first use.
     pub versions: Vec<u64>,
+    /// Signature of the answer to the item's scoring call. `None` for aborted items and for
+    /// those without a scoring call.
+    #[serde(default)]
+    pub score: Option<String>,
 }
 
 /// Consecutive results of a batch job, as many as one answer holds.
--- a/crates/tamarackdock_gateway/src/batch/progress.rs
+++ b/crates/tamarackdock_gateway/src/batch/progress.rs
@@ -24,7 +24,11 @@
     events: Vec<EventText>,
     /// Number of events that the store holds.
     saved_events: usize,
-    /// Number of times that the text was discarded and begun again.
+    /// Whether the text is complete: no event follows.
+    complete: bool,
+    /// Whether the store holds that the text is complete.
+    saved_complete: bool,
+    /// Number of times that the rows of the store were begun again.
     generation: u32,
 }
 
@@ -69,6 +73,21 @@
         self.events.len() - self.saved_events
     }
 
+    /// Records that no event follows.
+    pub(crate) fn mark_complete(&mut self) {
+        self.complete = true;
+    }
+
+    /// Returns whether no event follows.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Returns whether the store holds the text, and that it is complete.
+    pub(crate) fn is_saved_complete(&self) -> bool {
+        self.complete && self.saved_complete && self.unsaved_events() == 0
+    }
+
     /// Returns the versions that produced the text, in order of their first use.
     pub(crate) fn versions(&self) -> Vec<u64> {
         let mut versions = Vec::new();
@@ -89,6 +108,7 @@
     /// Returns the text for use in another job, for which the store holds no rows yet.
     pub(crate) fn into_new_job(mut self) -> Self {
         self.saved_events = 0;
+        self.saved_complete = false;
         self.generation = 0;
         self
     }
@@ -98,7 +118,10 @@
     pub(crate) fn segments(&self, prefix: &str, epoch: u64) -> Vec<Write> {
         let mut writes = Vec::new();
         let mut from = self.saved_events;
-        while from < self.events.len() {
+        // A row without events can follow the others, to say that the text is complete.
+        while from < self.events.len()
+            || (writes.is_empty() && self.complete && !self.saved_complete)
+        {
             let mut size = 0;
             let fitting = self.events[from..].iter().take_while(|event| {
                 let first = size == 0;
@@ -107,7 +130,8 @@
             });
             let to = from + fitting.count();
             let last = self.last_event.map(|last| last - (self.events.len() - to) as u64);
-            let segment = Segment { last, parts: self.events[from..to].to_vec() };
+            let complete = self.complete && to == self.events.len();
+            let segment = Segment { last, parts: self.events[from..to].to_vec(), complete };
             let key = format!("{prefix}/{epoch:04}{:04}{from:06}", self.generation);
             writes.push(Write { key, value: serde_json::to_string(&segment).ok() });
             from = to;
@@ -115,18 +139,35 @@
         writes
     }
 
-    /// Records that the store holds the first `events` events of a generation. Does
-    /// nothing if the text was begun again in the meantime.
-    pub(crate) fn mark_saved(&mut self, events: usize, generation: u32) {
-        if self.generation == generation {
-            self.saved_events = self.saved_events.max(events);
+    /// Records that the store holds what `saved` says. Does nothing if the text was begun
+    /// again in the meantime.
+    pub(crate) fn mark_saved(&mut self, saved: Saved) {
+        if self.generation == saved.generation {
+            self.saved_events = self.saved_events.max(saved.events);
+            self.saved_complete |= saved.complete;
         }
     }
 
-    /// Returns the number of times that the text was discarded and begun again.
-    pub(crate) fn generation(&self) -> u32 {
-        self.generation
+    /// Makes the next segments begin with the first event, under keys of their own. A write
+    /// that failed may still take effect later, and must not replace newer rows.
+    pub(crate) fn save_anew(&mut self) {
+        self.generation += 1;
+        self.saved_events = 0;
+        self.saved_complete = false;
     }
+
+    /// Returns what the store holds once the present [`Self::segments`] are written.
+    pub(crate) fn extent(&self) -> Saved {
+        Saved { events: self.events.len(), complete: self.complete, generation: self.generation }
+    }
+}
+
+/// How much of a text the store holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Saved {
+    events: usize,
+    complete: bool,
+    generation: u32,
 }
 
 /// Consecutive events of an item, as one row of the store holds them.
@@ -136,6 +177,9 @@
     last: Option<u64>,
     /// The events. Stored under this name.
     parts: Vec<EventText>,
+    /// Whether the text ends with these events.
+    #[serde(default)]
+    complete: bool,
 }
 
 /// Joins the segments of a job's items to their texts, by item id. Rows come in the order
@@ -164,6 +208,8 @@
             progress.events.extend(segment.parts);
             progress.last_event = segment.last;
             progress.saved_events = progress.events.len();
+            progress.complete = segment.complete;
+            progress.saved_complete = segment.complete;
         }
     }
     texts
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -82,7 +82,7 @@
 }
 
 /// Waits until the job is closed or its runs are stopped.
-async fn wait_until_stopped(job: &Rc<RefCell<Job>>, changed: &Notify) {
+pub(crate) async fn wait_until_stopped(job: &Rc<RefCell<Job>>, changed: &Notify) {
     loop {
         let seen = changed.count();
         if job.borrow().closed || job.borrow().stopping {
--- a/crates/tamarackdock_gateway/src/batch/save.rs
+++ b/crates/tamarackdock_gateway/src/batch/save.rs
@@ -8,33 +8,59 @@
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use super::{
-    end::{split_writes, write_head},
+    end::{read_head, split_writes, write_head},
     job::{Job, Phase},
     rows::{self, JobHead},
 };
-use crate::node::Node;
+use crate::{call::timeout_at, node::Node};
 
 /// Interval between saves of a job.
 const INTERVAL: Duration = Duration::from_millis(700);
+/// Time during which complete texts are gathered for one save, before their scoring calls.
+const GATHER_TIME: Duration = Duration::from_millis(15);
 /// Number of unsaved events from which on an item's text is saved. Generating a short
 /// text again takes less time than reading it back.
 const MIN_EVENTS: usize = 12;
 /// Pause between tries to save and release a job that is handed over.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// Saves the text of a job at intervals until the job is closed or complete.
+/// Saves the text of a job until the job is closed or complete: long texts at intervals, and
+/// complete ones that wait for their scoring calls at once.
 pub(crate) async fn run(node: Rc<Node>, job: Rc<RefCell<Job>>) {
+    let changed = job.borrow().changed.clone();
+    let mut next = BootClock.now() + INTERVAL;
     loop {
-        sleep(INTERVAL).await;
+        let seen = changed.count();
         if job.borrow().closed || job.borrow().is_complete() {
             return;
         }
-        save(&node, &job, MIN_EVENTS).await;
+        if BootClock.now() >= next {
+            next = BootClock.now() + INTERVAL;
+            save(&node, &job, MIN_EVENTS).await;
+        } else if job.borrow().has_generated() {
+            sleep(GATHER_TIME).await;
+            save_generated(&node, &job).await;
+        } else {
+            // Both a change and the timeout lead to the next check.
+            let _ = timeout_at(next, changed.changed_since(seen)).await;
+        }
     }
 }
 
-/// Saves the text of unfinished items with at least `min_events` unsaved events. A failure
-/// is logged and not retried, since unsaved text can be generated again.
+/// Saves the texts that wait for their scoring calls. After a failure the head is read, since
+/// another node may own the job or a client may have ended it.
+async fn save_generated(node: &Rc<Node>, job: &Rc<RefCell<Job>>) {
+    let Err(error) = try_save(node, job, usize::MAX).await else { return };
+    node.store_failed("progress", &error);
+    sleep(RETRY_PAUSE).await;
+    let id = job.borrow().id.clone();
+    if let Err(error) = read_head(node, &id).await {
+        node.store_failed("head", &error);
+    }
+}
+
+/// Saves the text of unfinished items that have at least `min_events` unsaved events or are
+/// complete. A failure is logged and not retried, since unsaved text can be generated again.
 pub(crate) async fn save(node: &Node, job: &Rc<RefCell<Job>>, min_events: usize) {
     if let Err(error) = try_save(node, job, min_events).await {
         node.store_failed("progress", &error);
@@ -47,21 +73,32 @@
     let condition = {
         let job = job.borrow();
         for (index, item) in job.items.iter().enumerate() {
-            if item.phase == Phase::Finished || item.progress.unsaved_events() < min_events {
+            let is_due = match item.phase {
+                Phase::Finished | Phase::Unscored | Phase::Scoring => false,
+                Phase::Generated => true,
+                Phase::Waiting | Phase::Running(_) => item.progress.unsaved_events() >= min_events,
+            };
+            if !is_due {
                 continue;
             }
             let prefix = rows::progress_key(&job.id, &item.request.id);
             writes.extend(item.progress.segments(&prefix, job.head.epoch));
-            saved.push((index, item.progress.event_count(), item.progress.generation()));
+            saved.push((index, item.progress.extent()));
         }
         Condition { key: rows::head_key(&job.id), revision: job.revision }
     };
     for writes in split_writes(writes) {
-        node.commit(vec![condition.clone()], writes).await?;
+        if let Err(error) = node.commit(vec![condition.clone()], writes).await {
+            let mut job = job.borrow_mut();
+            for (index, _) in saved {
+                job.items[index].progress.save_anew();
+            }
+            return Err(error);
+        }
     }
     let mut job = job.borrow_mut();
-    for (index, events, generation) in saved {
-        job.items[index].progress.mark_saved(events, generation);
+    for (index, extent) in saved {
+        job.mark_saved(index, extent);
     }
     Ok(())
 }
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -9,7 +9,7 @@
 use super::{
     job::Job,
     placement::{self, PlacementTarget, WaitingItem},
-    run,
+    run, score,
 };
 use crate::{
     balance::{ITEMS_SHARE, NodeRank, TargetLoad, cold_share},
@@ -32,11 +32,11 @@
 /// is an estimate.
 const LIFETIME_MARGIN: Duration = Duration::from_millis(500);
 
-/// Starts items until the process ends.
+/// Starts items and sends scoring calls until the process ends.
 pub(crate) async fn run(node: Rc<Node>) {
     loop {
         let seen = node.jobs.changed.count();
-        let waiting = start_items(&node);
+        let waiting = start_items(&node) | score::start_calls(&node);
         let pause = if waiting { placement::RETRY_PAUSE } else { INTERVAL };
         // Both a change and the timeout lead to the next check.
         let _ = timeout(pause, node.jobs.changed.changed_since(seen)).await;
--- a/crates/tamarackdock_gateway/src/batch/submission.rs
+++ b/crates/tamarackdock_gateway/src/batch/submission.rs
@@ -35,6 +35,22 @@
     pub expected_tokens: Option<u64>,
     /// Group of items that share a prompt.
     pub group: Name,
+    /// Call whose answer scores the complete text, if the trainer wants a score.
+    pub scoring: Option<ScoringCall>,
+}
+
+/// The call that scores an item. It is sent once the item's text is complete, and the
+/// signature of its answer becomes the score of the item's result.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ScoringCall {
+    /// Id of the request, unique within the job.
+    pub id: Name,
+    /// Value of the `Host` field, which selects the route.
+    pub host: String,
+    /// Path of the request, which selects the route.
+    pub path: String,
+    /// Request body, sent unchanged.
+    pub body: Bytes,
 }
 
 impl Item {
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -14,7 +14,7 @@
     index::{self, StartGuard, VersionedHead},
     job::Job,
     rows::{self, JobHead},
-    save, schedule, takeover,
+    save, schedule, scoring, takeover,
 };
 use crate::{call::Call, deployment::Name, node::Node, reply::Reply};
 
@@ -41,6 +41,10 @@
     if !submission.items.iter().all(|item| rows::is_valid_id(&item.id)) {
         return Reply::error(400, "the id of an item has 1 to 64 letters, digits, `-` or `_`");
     }
+    if let Err(error) = scoring::validate(&submission, &node.view.deployment()) {
+        slog::info!(node.log, "job: rejected"; "job" => &*id, "error" => %error);
+        return Reply::error(400, &error.to_string());
+    }
     let Ok(text) = std::str::from_utf8(&call.request.body) else {
         return Reply::error(400, "the batch job is not valid UTF-8");
     };
--- a/crates/tamarackdock_gateway/src/batch/tests/job.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/job.rs
@@ -87,6 +87,7 @@
         state: ItemOutcome::Completed,
         text: "x".into(),
         versions: vec![5],
+        score: None,
     }]);
     job.abort_unfinished();
     job.end_run(0, RunOutcome::Completed, at(0));
--- a/crates/tamarackdock_gateway/src/batch/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/mod.rs
@@ -5,12 +5,13 @@
 mod placement;
 mod progress;
 mod rows;
+mod scoring;
 
 use std::rc::Rc;
 
 use tamarackdock_types::clock::Instant;
 
-use super::{Item, Submission, job::Job, rows::JobHead};
+use super::{Item, ScoringCall, Submission, job::Job, rows::JobHead};
 use crate::{event::Event, http::Headers};
 
 pub(super) fn at(millis: u64) -> Instant {
@@ -26,9 +27,21 @@
         tokens: 4 * expected,
         expected_tokens: Some(expected),
         group: group.into(),
+        scoring: None,
     }
 }
 
+/// Creates an item with a scoring call, whose id begins with `s-`.
+pub(super) fn scored_item(id: &str, group: &str) -> Item {
+    let call = ScoringCall {
+        id: format!("s-{id}").as_str().into(),
+        host: "h".into(),
+        path: "/app/1".into(),
+        body: bytes::Bytes::from_static(b"score this"),
+    };
+    Item { scoring: Some(call), ..item(id, group, 1) }
+}
+
 pub(super) fn head(items: usize) -> JobHead {
     JobHead {
         account: None,
--- a/crates/tamarackdock_gateway/src/batch/tests/progress.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/progress.rs
@@ -24,7 +24,7 @@
         store.push(Row { key: write.key, revision: 1, value, operation: String::new() });
     }
     store.sort_by(|left, right| left.key.cmp(&right.key));
-    progress.mark_saved(progress.event_count(), progress.generation());
+    progress.mark_saved(progress.extent());
 }
 
 fn read(store: &[Row]) -> Option<(String, Option<u64>, Vec<u64>)> {
@@ -86,6 +86,44 @@
     assert_eq!(read(&store), Some(("a".into(), Some(1), vec![5])));
 }
 
+/// Guards against a complete text that the next owner generates again: its scoring call may
+/// have been sent.
+#[test]
+fn a_complete_text_is_read_back_as_complete() {
+    let mut store = Vec::new();
+    let mut progress = text(&[("a", 5), ("b", 5)]);
+    save(&mut progress, &mut store, 1);
+    let stored = |store: &[Row]| join_segments("j", store).remove("i").unwrap();
+    assert!(!stored(&store).is_complete());
+    progress.mark_complete();
+    assert!(!progress.is_saved_complete());
+    save(&mut progress, &mut store, 1);
+    assert!(progress.is_saved_complete());
+    assert_eq!((stored(&store).text(), stored(&store).is_saved_complete()), ("a\nb".into(), true));
+    assert_eq!(progress.segments("p", 1), []);
+}
+
+/// Guards against a save that failed but takes effect later, in place of newer rows: the text
+/// would end early although its scoring call was sent.
+#[test]
+fn a_late_write_of_a_failed_save_does_not_shorten_the_text() {
+    let mut progress = text(&[("a", 5)]);
+    let late = progress.segments(&rows::progress_key("j", "i"), 1);
+    progress.save_anew();
+    progress.append(&event(2, "b"), Some(5)).unwrap();
+    progress.mark_complete();
+    let mut store = Vec::new();
+    save(&mut progress, &mut store, 1);
+    for write in late {
+        store.retain(|row| row.key != write.key);
+        let value = write.value.unwrap();
+        store.push(Row { key: write.key, revision: 1, value, operation: String::new() });
+    }
+    store.sort_by(|left, right| left.key.cmp(&right.key));
+    let stored = join_segments("j", &store).remove("i").unwrap();
+    assert_eq!((stored.text(), stored.is_saved_complete()), ("a\nb".into(), true));
+}
+
 proptest! {
     /// Guards against a take-over that changes the text: each of several owners continues
     /// what it reads from the store, and some of them restart the text.
--- a/crates/tamarackdock_gateway/src/batch/tests/rows.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/rows.rs
@@ -13,6 +13,7 @@
         state: ItemOutcome::Completed,
         text: "é\n".repeat(20),
         versions: vec![1],
+        score: None,
     };
     serde_json::to_string(&result).unwrap()
 }
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -8,10 +8,10 @@
 
 use crate::{
     balance::{self, Requirements},
-    batch::takeover,
+    batch::{ScoringCall, scoring, takeover},
     crash,
     deployment::{CallKind, Name, Route},
-    http::{Exchange, ExchangeError, Headers, Response, ResponseHead},
+    http::{Exchange, ExchangeError, Framing, Headers, RequestHead, Response, ResponseHead},
     node::Node,
     reply::Reply,
     server::Request,
@@ -54,6 +54,27 @@
     /// When the caller stops waiting, if the request says so.
     pub(crate) deadline: Option<Instant>,
     pub(crate) request: Request,
+    pub(crate) origin: Origin,
+}
+
+/// Who sends a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// A caller, who waits for the answer.
+    Caller,
+    /// The owner of a batch job, to score an item. It may run more than once and leaves room
+    /// for the calls of callers.
+    Scoring,
+}
+
+/// The result of sending a call to targets until one answered or the attempts were used up.
+pub(crate) struct Dispatched {
+    /// The last attempt that counts, or `None` if the time was up.
+    pub(crate) last: Option<Attempt>,
+    /// Whether any attempt may have run, which a refusal of a later one does not change.
+    pub(crate) may_have_run: bool,
+    /// Number of targets that answered with the status 500.
+    pub(crate) failures: u32,
 }
 
 /// The result of sending a call to one target.
@@ -85,9 +106,44 @@
             route,
             account,
             request,
+            origin: Origin::Caller,
         }
     }
 
+    /// Creates the scoring call of an item. It has no client account.
+    pub(crate) fn scoring(
+        node: &Node,
+        scoring: &ScoringCall,
+        route: Rc<Route>,
+        now: Instant,
+        give_up_at: Instant,
+    ) -> Self {
+        let mut headers = Headers::default();
+        headers.push("Host", scoring.host.as_bytes());
+        headers.push(node.wire_format.fields().request_id, scoring.id.as_bytes());
+        let head = RequestHead {
+            method: "POST".into(),
+            target: scoring.path.clone(),
+            headers,
+            keep_alive: true,
+            framing: Framing::Length(scoring.body.len() as u64),
+        };
+        Self {
+            id: scoring.id.as_ref().into(),
+            route,
+            account: None,
+            give_up_at,
+            deadline: Some(give_up_at),
+            request: Request { head, body: scoring.body.clone(), arrived: now },
+            origin: Origin::Scoring,
+        }
+    }
+
+    /// Returns whether the call may run more than once.
+    fn may_repeat(&self) -> bool {
+        self.origin == Origin::Scoring || self.route.kind == CallKind::Idempotent
+    }
+
     /// Returns the header fields to send to a target.
     pub(crate) fn headers(&self, node: &Node, target: &Registration, now: Instant) -> Headers {
         let fields = node.wire_format.fields();
@@ -126,6 +182,10 @@
             service: &name,
             data_centre: &node.data_centre,
             tried,
+            reserved_slots: match self.origin {
+                Origin::Caller => 0,
+                Origin::Scoring => scoring::RESERVED_SLOTS,
+            },
             node_rank: &|target| takeover::caller_rank(target, &node.members.own, &live),
         };
         let loads = node.target_loads.borrow();
@@ -166,16 +226,25 @@
         || headers.has_token("connection", name)
 }
 
-/// Serves a call whose response is not a stream. An idempotent call is hedged and
-/// retried on other targets. Any other call is retried only after attempts that
-/// certainly did not run it.
+/// Serves a call whose response is not a stream.
 pub(crate) async fn serve(node: &Rc<Node>, call: &Call) -> Reply {
-    let may_repeat = call.route.kind == CallKind::Idempotent;
+    let dispatched = dispatch(node, call).await;
+    match dispatched.last {
+        Some(last) => final_reply(last, dispatched.may_have_run),
+        None => Reply::error(504, "no target answered in time"),
+    }
+}
+
+/// Sends a call to targets. A call that may be repeated is hedged and retried on other
+/// targets. Any other call is retried only after attempts that certainly did not run it.
+pub(crate) async fn dispatch(node: &Rc<Node>, call: &Call) -> Dispatched {
+    let may_repeat = call.may_repeat();
     let hedge = call.route.objective.mul_f64(HEDGE_SHARE).max(MIN_HEDGE);
     let mut tried: Vec<Name> = Vec::new();
     let mut running = FuturesUnordered::new();
     let mut last = Attempt::NotRun(None);
     let mut may_have_run = false;
+    let mut failures = 0;
     loop {
         let attempts_left = tried.len() < call.route.attempts.max(1) as usize;
         let may_start = attempts_left && (may_repeat || (running.is_empty() && !may_have_run));
@@ -191,11 +260,12 @@
         let pause = if more_attempts { left.min(hedge) } else { left };
         match timeout(pause, running.next()).await {
             Ok(Some(Attempt::Answered(response))) => {
+                failures += u32::from(response.head.status == 500);
                 let retry = response.head.status >= 500 && more_attempts;
+                last = Attempt::Answered(response);
                 if !retry {
-                    return forward(response);
+                    break;
                 }
-                last = Attempt::Answered(response);
             }
             Ok(Some(outcome)) => {
                 may_have_run |= matches!(outcome, Attempt::Unknown(_));
@@ -208,12 +278,12 @@
                 slog::info!(node.log, "call: deadline exceeded"; "id" => &call.id,
                     "route" => &*call.route.name, "tried" => tried.join(","),
                     "running" => running.len());
-                return Reply::error(504, "no target answered in time");
+                return Dispatched { last: None, may_have_run: true, failures };
             }
             Err(_) => {}
         }
     }
-    final_reply(last, may_have_run)
+    Dispatched { last: Some(last), may_have_run, failures }
 }
 
 /// Returns the response to a caller after the last attempt. `may_have_run` says
@@ -247,7 +317,8 @@
         Attempt::NotRun(_) => node.target_loads.borrow_mut().mark_full(&target.id, now),
         Attempt::Unknown(error) => {
             node.target_loads.borrow_mut().mark_suspect(&target.id, now);
-            if *error == ExchangeError::ConnectionLost {
+            // Scoring calls have a growing pause of their own.
+            if *error == ExchangeError::ConnectionLost && call.origin == Origin::Caller {
                 let request = crash::request_fingerprint(call);
                 // A target that restarts under the same id counts as a different one.
                 let run = format!("{}#{}", target.id, target.started.unwrap_or_default());
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -107,6 +107,8 @@
     pub(crate) connections: IntCounterVec,
     /// Runs of batch items, by outcome.
     pub(crate) runs: IntCounterVec,
+    /// Scoring calls by outcome.
+    pub(crate) scores: IntCounterVec,
     /// Time in seconds from the acceptance of a batch job to each listed result.
     pub(crate) result_seconds: Histogram,
     /// Failed calls to the store by kind of call.
@@ -135,6 +137,12 @@
                 &["service"],
             )?,
             runs: counter_vec(&registry, "item_runs", "Runs of batch items.", &["outcome"])?,
+            scores: counter_vec(
+                &registry,
+                "scoring_calls",
+                "Scoring calls of batch items.",
+                &["outcome"],
+            )?,
             result_seconds: histogram(&registry, "result_seconds", "Age of a job at a result.")?,
             store_failures: counter_vec(
                 &registry,
--- a/crates/tamarackdock_gateway/src/tests/balance.rs
+++ b/crates/tamarackdock_gateway/src/tests/balance.rs
@@ -19,8 +19,13 @@
     now: u64,
 ) -> Option<String> {
     let service = Service { cold_rate: 16.0, ..Service::default() };
-    let requirements =
-        Requirements { service: "app", data_centre: "x", tried, node_rank: &|_| ALONE };
+    let requirements = Requirements {
+        service: "app",
+        data_centre: "x",
+        tried,
+        reserved_slots: 0,
+        node_rank: &|_| ALONE,
+    };
     let is_out = |data_centre: &str| data_centre == out;
     let target = choose(&requirements, list.iter(), loads, &service, is_out, at(now))?;
     Some(target.registration.id.to_string())
@@ -113,3 +118,27 @@
     loads.record_event_gap("near", Duration::from_millis(900));
     assert_eq!(loads.get("near").event_interval_ms, Some(40.0));
 }
+
+/// Guards against scoring calls that take the last slots of targets from urgent calls.
+#[test]
+fn calls_that_leave_slots_free_are_not_sent_to_a_target_without_one() {
+    let service = Service::default();
+    let chosen = |loads: &TargetLoads, reserved_slots| {
+        let list = list([registration("a", "x")]);
+        let requirements = Requirements {
+            service: "app",
+            data_centre: "x",
+            tried: &[],
+            reserved_slots,
+            node_rank: &|_| ALONE,
+        };
+        choose(&requirements, list.iter(), loads, &service, |_| false, at(0)).is_some()
+    };
+    let slots = registration("a", "x").slots;
+    let mut loads = TargetLoads::default();
+    for _ in 1..slots {
+        assert!(chosen(&loads, 1));
+        loads.start(&"a".into(), at(0));
+    }
+    assert_eq!((chosen(&loads, 1), chosen(&loads, 0)), (false, true));
+}
--- a/crates/tamarackdock_node/tests/gateway/cluster.rs
+++ b/crates/tamarackdock_node/tests/gateway/cluster.rs
@@ -13,7 +13,10 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::{Client, Engine, Node, Outcome, Proxy, Store, expected_events};
+use platform_standin::{
+    Client, Engine, Node, Outcome, Proxy, Score, Store, expected_events, scoring_call,
+    scoring_fails,
+};
 use serde_json::Value;
 
 /// Time from the withdrawal of a key after which the key must not work.
@@ -103,11 +106,34 @@
     /// Checks that no request showed a key or another client account to a target.
     pub(crate) fn check_runs(&self, violations: &Violations) {
         for run in self.engines.iter().chain(&self.services).flat_map(Engine::runs) {
-            if run.key_seen || run.account.as_deref() != Some("tenant") {
+            // Scoring calls belong to no client account.
+            let expected = (!run.path.starts_with("/app/score/")).then_some("tenant");
+            if run.key_seen || run.account.as_deref() != expected {
                 violations.add(format!("request `{}` ran with the wrong account or a key", run.id));
             }
         }
     }
+
+    /// Checks that each completed result has the score of an answer to its own scoring call,
+    /// sent after its text was complete, and that each aborted one had failed answers only.
+    pub(crate) fn check_scores(&self, step: &Step, violations: &Violations) {
+        let scores: Vec<Score> = self.services.iter().flat_map(Engine::scores).collect();
+        for result in &step.results {
+            let item = result["id"].as_str().unwrap_or_default();
+            let call = scoring_call(item);
+            let mut own = scores.iter().filter(|score| score.call == call && score.item == item);
+            let complete = self.engines.iter().filter_map(|engine| engine.completion(item)).min();
+            let is_after_text = |score: &Score| complete.is_some_and(|at| score.started_at >= at);
+            let is_right = match result["score"].as_str() {
+                Some(seal) => own
+                    .any(|score| score.seal == seal && score.status == 200 && is_after_text(score)),
+                None => scoring_fails(item) && own.filter(|score| score.status == 500).count() >= 3,
+            };
+            if !is_right {
+                violations.add(format!("`{}` has a wrong score: {result}", step.job));
+            }
+        }
+    }
 }
 
 /// Descriptions of broken promises, shared by all clients.
@@ -231,8 +257,13 @@
         let id = result["id"].as_str().unwrap_or_default();
         let repeated = step.results.iter().any(|known| known["id"] == result["id"]);
         let requested = step.items.iter().any(|(item, _)| item == id);
-        let complete = result["text"].as_str() == Some(&expected_events(id).join("\n"));
-        if repeated || !requested || !complete || result["state"] != "completed" {
+        let (state, text) = if scoring_fails(id) {
+            ("aborted", String::new())
+        } else {
+            ("completed", expected_events(id).join("\n"))
+        };
+        let complete = result["text"] == text && result["state"] == state;
+        if repeated || !requested || !complete || result["score"].is_string() == scoring_fails(id) {
             self.violations.add(format!("`{}` has a wrong result: {result}", step.job));
         }
     }
--- a/crates/tamarackdock_node/tests/gateway/single_faults.rs
+++ b/crates/tamarackdock_node/tests/gateway/single_faults.rs
@@ -32,6 +32,7 @@
         trainer.finish(&mut step);
         trainer.end(&step);
         trainer.read_again(&step);
+        cluster.check_scores(&step, &violations);
     }
     cluster.check_runs(&violations);
     assert_none(&violations);
@@ -52,6 +53,7 @@
     let runs = cluster.runs();
     let wrong: Vec<_> = step.items.iter().filter(|(id, _)| runs.get(id) != Some(&1)).collect();
     assert_eq!(wrong, Vec::<&(String, String)>::new(), "items that did not run once");
+    cluster.check_scores(&step, &violations);
     assert_none(&violations);
 }
 
--- a/crates/tamarackdock_node/tests/gateway/soak.rs
+++ b/crates/tamarackdock_node/tests/gateway/soak.rs
@@ -85,6 +85,7 @@
             trainer.finish(step);
         }
         trainer.read_again(step);
+        cluster.check_scores(step, &violations);
     }
     cluster.check_runs(&violations);
     check_calls(&cluster, &calls.1, &calls.2, withdrawn, &violations);
