Stop sending to targets that say in an answer that they leave

Change: `TargetList::depart` keeps a run's own word over later registrations and the loss of its row, until another run registers under the id. All answers are observed: calls, streams, items, scoring calls, reports and orders.

--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -112,6 +112,7 @@
         return RunOutcome::Broken;
     };
     let head = exchange.head().clone();
+    node.observe_answer(target, &head.headers);
     let is_own = head.headers.get(fields.request_id) == Some(&*request.id);
     if head.status != 200 || !is_own {
         return classify_non_stream(node, exchange, &request.id, target).await;
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -347,7 +347,10 @@
     let sent =
         Exchange::begin(&mut connection, &head.method, &head.target, &headers, &call.request.body);
     let received = match sent.await {
-        Ok(exchange) => exchange.collect(MAX_RESPONSE_BYTES).await,
+        Ok(exchange) => {
+            node.observe_answer(target, &exchange.head().headers);
+            exchange.collect(MAX_RESPONSE_BYTES).await
+        }
         Err(error) => Err(error),
     };
     match received {
--- a/crates/tamarackdock_gateway/src/duty/weight_loads.rs
+++ b/crates/tamarackdock_gateway/src/duty/weight_loads.rs
@@ -196,6 +196,7 @@
         let mut connection = node.pool.connect(target).await.ok()?;
         let sent = send_message(&mut connection, &message, target.address, MAX_REPORT).await;
         let (response, reusable) = sent.ok()?;
+        node.observe_answer(target, &response.head.headers);
         if reusable {
             node.pool.put(&target.id, connection, &response.head.headers);
         }
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -26,6 +26,7 @@
     deployment::Name,
     duty::{self, lease::DutyLease, usage::UsageCounter, weight_loads::LoadOrders},
     freshness::Freshness,
+    http::Headers,
     members::{self, Members, NodeRun},
     notify::Notify,
     pool::Pool,
@@ -33,6 +34,7 @@
     server::{self, ListenerKind},
     settings::Settings,
     stop,
+    target::Registration,
     telemetry::{Metrics, Output},
     view::{StoreView, Watcher},
     wire_format::WireFormat,
@@ -260,6 +262,18 @@
         RequestGuard { node: self.clone(), target: target.clone() }
     }
 
+    /// Takes note of what the header fields of a target's answer say about the target itself.
+    pub(crate) fn observe_answer(&self, target: &Registration, headers: &Headers) {
+        if headers.get(self.wire_format.fields().leaving).is_none_or(|leaving| leaving == "0") {
+            return;
+        }
+        let is_new = self.view.targets.borrow_mut().depart(target, BootClock.now());
+        if is_new {
+            slog::info!(self.log, "targets: target leaves by its own answer";
+                "target" => &*target.id, "entry_draining" => target.draining);
+        }
+    }
+
     /// Logs and counts a failed call to the store.
     pub(crate) fn store_failed(&self, call: &str, error: &tamarackdock_platform::Error) {
         self.metrics.store_failures.with_label_values(&[call]).inc();
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -109,6 +109,7 @@
     let Some(Ok(mut exchange)) = timeout_at(call.give_up_at, sent).await else {
         return Ended::Broken;
     };
+    node.observe_answer(target, &exchange.head().headers);
     let is_stream = exchange
         .head()
         .headers
--- a/crates/tamarackdock_gateway/src/target.rs
+++ b/crates/tamarackdock_gateway/src/target.rs
@@ -57,15 +57,41 @@
 /// than the time for which a leaving target still serves requests, at least 2 s.
 pub const GRACE_PERIOD: Duration = Duration::from_millis(1700);
 
+/// Time for which the departure of a target without a row is remembered. A target that leaves
+/// is gone long before.
+const DEPARTURE_TTL: Duration = Duration::from_mins(10);
+
+/// A target's own word, in an answer, that it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Departure {
+    /// Start of the run that leaves.
+    started: Option<u64>,
+    /// When the answer arrived.
+    at: Instant,
+}
+
 /// The targets that a node knows.
 #[derive(Debug, Default)]
 pub struct TargetList {
     targets: BTreeMap<Name, Target>,
+    /// Targets that leave by their own answers, whatever their rows say. Kept while a row is
+    /// gone, as it may come back.
+    departures: BTreeMap<Name, Departure>,
 }
 
 impl TargetList {
-    /// Adds a target or replaces its registration, which ends a grace period.
-    pub fn register(&mut self, registration: Registration, now: Instant) {
+    /// Adds a target or replaces its registration, which ends a grace period. A run that has
+    /// said that it leaves stays draining.
+    pub fn register(&mut self, mut registration: Registration, now: Instant) {
+        match self.departures.get(&registration.id) {
+            Some(departure) if departure.started == registration.started => {
+                registration.draining = true;
+            }
+            Some(_) => {
+                self.departures.remove(&registration.id);
+            }
+            None => {}
+        }
         let cold_until = now + registration.cold_left;
         let known = self.targets.get(&registration.id);
         let presumed_cold_until =
@@ -74,6 +100,24 @@
         self.targets.insert(target.registration.id.clone(), target);
     }
 
+    /// Records that a run of a target has said in an answer that it leaves. Returns whether
+    /// that was not known.
+    pub fn depart(&mut self, registration: &Registration, now: Instant) -> bool {
+        let targets = &mut self.targets;
+        self.departures.retain(|id, departure| {
+            targets.contains_key(id) || now.since(departure.at) < DEPARTURE_TTL
+        });
+        let departure = Departure { started: registration.started, at: now };
+        let known = self.departures.insert(registration.id.clone(), departure);
+        match targets.get_mut(&registration.id) {
+            Some(target) if target.registration.started == registration.started => {
+                target.registration.draining = true;
+            }
+            _ => {}
+        }
+        known.is_none_or(|known| known.started != registration.started)
+    }
+
     /// Makes the targets of a data centre count as cold until a time, since they may
     /// have turned cold after they wrote their rows.
     pub fn presume_cold(&mut self, data_centre: &str, until: Instant) {
--- a/crates/tamarackdock_gateway/src/tests/target.rs
+++ b/crates/tamarackdock_gateway/src/tests/target.rs
@@ -1,4 +1,5 @@
 use super::{at, list, registration};
+use crate::target::{Registration, TargetList};
 
 /// Guards against requests to a target whose row was removed while the store is
 /// available.
@@ -53,3 +54,34 @@
     assert_eq!(cold, [true, false]);
     assert!(!list.get("a").unwrap().is_cold(at(4_000)));
 }
+
+/// Guards against requests to a target that has said in an answer that it leaves, while its row
+/// still says that it is ready, or is gone and comes back.
+#[test]
+fn a_target_that_leaves_by_its_answers_stays_draining() {
+    let entry = registration("a", "x");
+    let mut list = list([entry.clone()]);
+    assert!(list.depart(&entry, at(0)));
+    assert!(!list.depart(&entry, at(1)), "known");
+    let draining = |list: &TargetList| list.get("a").unwrap().registration.draining;
+    assert!(draining(&list));
+    list.register(entry.clone(), at(2));
+    assert!(draining(&list), "the row is still that of a ready target");
+    list.remove("a", false, at(3));
+    list.depart(&registration("b", "x"), at(4));
+    list.register(entry, at(5));
+    assert!(draining(&list), "the row was gone for a while");
+}
+
+/// Guards against a target that is never used again because an earlier run under its id, or
+/// another target at its address, has left.
+#[test]
+fn another_run_of_a_target_that_left_is_used() {
+    let run = |started| Registration { started: Some(started), ..registration("a", "x") };
+    let mut list = list([run(1), registration("b", "x")]);
+    list.depart(&run(1), at(0));
+    list.register(run(2), at(1));
+    list.depart(&run(1), at(2));
+    let draining: Vec<bool> = list.iter().map(|target| target.registration.draining).collect();
+    assert_eq!(draining, [false, false]);
+}
--- a/crates/tamarackdock_gateway/src/wire_format.rs
+++ b/crates/tamarackdock_gateway/src/wire_format.rs
@@ -29,6 +29,8 @@
     pub signature: &'static str,
     /// Present in a response if the target did not run the request.
     pub not_run: &'static str,
+    /// Present in a response if the target is about to leave.
+    pub leaving: &'static str,
     /// Id of the last event of a stream that the sender of the request has received.
     pub last_event: &'static str,
     /// Weight version of a response, or of the following events of a stream.
--- a/crates/tamarackdock_node/tests/gateway/single_faults.rs
+++ b/crates/tamarackdock_node/tests/gateway/single_faults.rs
@@ -262,3 +262,30 @@
     assert_eq!((failed(&calls), failed(&others.join().unwrap())), (0, 0));
     assert_none(&violations);
 }
+
+/// Guards against requests to a target after it has said in an answer that it leaves: its entry
+/// in the store can still say that it is ready.
+#[test]
+fn a_target_that_leaves_by_its_answers_gets_no_more_requests() {
+    let cluster = Cluster::start("leaving", 1, 0);
+    let violations = Violations::default();
+    let (service, engine) = (&cluster.services[0], &cluster.engines[0]);
+    service.leave();
+    engine.leave();
+    let mut client = Client::new(KEY, Duration::from_secs(1));
+    let node = cluster.addresses()[0];
+    let mut call = |id: String| assert_eq!(client.call(node, "/app/", &id).status(), 200);
+    let mut trainer = trainer(&cluster, &violations);
+    let learn = |name: &str, call: &mut dyn FnMut(String), trainer: &mut Trainer, number| {
+        (0..40).for_each(|index| call(format!("{name}-{index}")));
+        let mut step = trainer.submit(number, 24);
+        trainer.finish(&mut step);
+        (service.runs().len(), engine.runs().len())
+    };
+    let first = learn("first", &mut call, &mut trainer, 0);
+    assert!(first.0 > 0 && first.1 > 0, "both targets must be used once: {first:?}");
+    // Entries are written again in the meantime.
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(learn("later", &mut call, &mut trainer, 1), first);
+    assert_none(&violations);
+}
