Keep connections to targets open across refusals and bursts

Change: a connection stays in use after any whole answer. Items and scoring calls use the connection that expires first, callers' calls the newest one. A reused connection that is closed before any byte of an answer says nothing about the target: the item is placed again at once. Scoring calls are hedged after 0.75 of their objective instead of 0.4. A target that refuses items gets one at a time until it accepts one.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -45,11 +45,36 @@
     suspect_until: Instant,
     full_until: Instant,
     starts: VecDeque<Instant>,
+    /// What is known since the target last refused a request.
+    recovery: Recovery,
     /// Moving average of the milliseconds between two events of a stream.
     pub(crate) event_interval_ms: Option<f64>,
 }
 
+/// Whether a target that refused a request has accepted one since. A target that loads weights
+/// refuses all requests for about a second, so that one at a time is enough to see its end.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Recovery {
+    /// It has accepted a request since, or refused none.
+    #[default]
+    Recovered,
+    /// It has refused the last request.
+    Refusing,
+    /// Another request was sent, and its answer is not known.
+    Probing,
+}
+
 impl TargetLoad {
+    /// Returns how many requests may be sent to find out whether the target accepts them again,
+    /// or `None` if it does.
+    pub(crate) fn allowed_probes(&self) -> Option<u32> {
+        match self.recovery {
+            Recovery::Recovered => None,
+            Recovery::Refusing => Some(1),
+            Recovery::Probing => Some(0),
+        }
+    }
+
     /// Returns whether the target is to be used only as a last choice, because a recent
     /// request to it failed, was not run or met the wrong weights.
     pub(crate) fn is_avoided(&self, now: Instant) -> bool {
@@ -84,12 +109,25 @@
         load.running += 1;
         load.starts.retain(|at| now.since(*at) < START_WINDOW);
         load.starts.push_back(now);
+        if load.recovery == Recovery::Refusing {
+            load.recovery = Recovery::Probing;
+        }
     }
 
     /// Records the end of a request.
     pub(crate) fn end(&mut self, target: &str) {
         if let Some(load) = self.0.get_mut(target) {
             load.running = load.running.saturating_sub(1);
+            if load.recovery == Recovery::Probing {
+                load.recovery = Recovery::Refusing;
+            }
+        }
+    }
+
+    /// Records that a target has begun to process a request.
+    pub(crate) fn record_accepted(&mut self, target: &str) {
+        if let Some(load) = self.0.get_mut(target) {
+            load.recovery = Recovery::Recovered;
         }
     }
 
@@ -106,6 +144,7 @@
     pub(crate) fn mark_full(&mut self, target: &str, now: Instant) {
         if let Some(load) = self.0.get_mut(target) {
             load.full_until = now + FULL_FOR;
+            load.recovery = Recovery::Refusing;
         }
     }
 
--- a/crates/tamarackdock_gateway/src/batch/job.rs
+++ b/crates/tamarackdock_gateway/src/batch/job.rs
@@ -95,6 +95,9 @@
     WrongVersion,
     /// The run was stopped because a faster target has room.
     Moved,
+    /// A connection that had been idle was closed before any byte of an answer, which says
+    /// nothing about the target.
+    Stale,
 }
 
 /// A batch job that this node runs.
@@ -295,6 +298,10 @@
                 item.not_before = now;
                 None
             }
+            RunOutcome::Stale => {
+                item.not_before = now;
+                None
+            }
             RunOutcome::Broken => {
                 let doubled = FIRST_BACKOFF * 2_u32.saturating_pow(item.consecutive_breaks.min(10));
                 item.not_before = now + doubled.min(MAX_BACKOFF);
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -12,9 +12,10 @@
 use crate::{
     call::{Attempt, classify_answer},
     event::{Event, EventParser},
-    http::{Exchange, Headers},
+    http::{Exchange, ExchangeError, Headers, Response},
     node::Node,
     notify::Notify,
+    pool::Reuse,
     target::Registration,
 };
 
@@ -78,6 +79,7 @@
         RunOutcome::Broken => "broken",
         RunOutcome::WrongVersion => "wrong_version",
         RunOutcome::Moved => "moved",
+        RunOutcome::Stale => "stale",
     }
 }
 
@@ -100,7 +102,7 @@
     target: &Registration,
 ) -> RunOutcome {
     let fields = node.wire_format.fields();
-    let Ok(mut connection) = node.pool.connect(target).await else {
+    let Ok((mut connection, was_used)) = node.pool.connect(target, Reuse::Oldest).await else {
         return RunOutcome::Broken;
     };
     let Some(request) = prepare_request(node, job, index, target) else {
@@ -108,15 +110,24 @@
     };
     let ItemRequest { path, headers, body, .. } = &request;
     let sent = Exchange::begin(&mut connection, "POST", path, headers, body);
-    let Ok(Ok(mut exchange)) = timeout(FIRST_EVENT_TIMEOUT, sent).await else {
-        return RunOutcome::Broken;
+    let mut exchange = match timeout(FIRST_EVENT_TIMEOUT, sent).await {
+        Ok(Ok(exchange)) => exchange,
+        // The target may have closed the idle connection without notice.
+        Ok(Err(ExchangeError::ConnectionLost)) if was_used => return RunOutcome::Stale,
+        Ok(Err(_)) | Err(_) => return RunOutcome::Broken,
     };
     let head = exchange.head().clone();
     node.observe_answer(target, &head.headers);
     let is_own = head.headers.get(fields.request_id) == Some(&*request.id);
     if head.status != 200 || !is_own {
-        return classify_non_stream(node, exchange, &request.id, target).await;
+        let collected = timeout(FIRST_EVENT_TIMEOUT, exchange.collect(MAX_ERROR_BYTES)).await;
+        let Ok(Ok((response, is_reusable))) = collected else { return RunOutcome::Broken };
+        if is_reusable {
+            node.pool.put(&target.id, connection, &response.head.headers);
+        }
+        return classify_non_stream(node, response, &request.id, target);
     }
+    node.target_loads.borrow_mut().record_accepted(&target.id);
     let mut version: Option<u64> = head.headers.number(fields.weight_version);
     let mut events = EventParser::new(fields.weight_version);
     let mut last_event = None;
@@ -264,14 +275,12 @@
 }
 
 /// Returns the outcome of a run whose answer is not a stream of the item.
-async fn classify_non_stream(
+fn classify_non_stream(
     node: &Node,
-    exchange: Exchange<'_>,
+    response: Response,
     id: &str,
     target: &Registration,
 ) -> RunOutcome {
-    let collected = timeout(FIRST_EVENT_TIMEOUT, exchange.collect(MAX_ERROR_BYTES)).await;
-    let Ok(Ok((response, _))) = collected else { return RunOutcome::Broken };
     let status = response.head.status;
     slog::info!(node.log, "item: answer is not a stream"; "item" => id, "target" => &*target.id,
         "status" => status);
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -116,7 +116,8 @@
             running: load.running,
             slots: registration.slots,
             event_interval_ms: load.event_interval_ms,
-            allowed_starts: allowed_starts(&load, target, service, rank, now),
+            allowed_starts: allowed_starts(&load, target, service, rank, now)
+                .min(load.allowed_probes().unwrap_or(u32::MAX)),
             is_avoided: load.is_avoided(now),
             is_local: registration.data_centre == node.data_centre,
             fitting_jobs: jobs.iter().enumerate().filter_map(fitting).collect(),
--- a/crates/tamarackdock_gateway/src/batch/tests/job.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/job.rs
@@ -45,9 +45,14 @@
 #[test]
 fn broken_and_refused_runs_never_abort_an_item() {
     let mut job = job_with_one_item();
-    for outcome in
-        [RunOutcome::Broken, RunOutcome::Refused, RunOutcome::WrongVersion, RunOutcome::Moved]
-            .repeat(20)
+    for outcome in [
+        RunOutcome::Broken,
+        RunOutcome::Refused,
+        RunOutcome::WrongVersion,
+        RunOutcome::Moved,
+        RunOutcome::Stale,
+    ]
+    .repeat(20)
     {
         run(&mut job, 0, outcome, 0);
     }
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -13,6 +13,7 @@
     deployment::{CallKind, Name, Route},
     http::{Exchange, ExchangeError, Framing, Headers, RequestHead, Response, ResponseHead},
     node::Node,
+    pool::Reuse,
     reply::Reply,
     server::Request,
     target::Registration,
@@ -24,6 +25,9 @@
 /// a second target as well. Targets of plain services are far from full, so a second
 /// run costs little, and the rest of the objective is enough for it.
 const HEDGE_SHARE: f64 = 0.4;
+/// The same for scoring calls, whose objective is far longer than the pause of a step: a hedge
+/// costs a connection, as the slower attempt is closed.
+const SCORING_HEDGE_SHARE: f64 = 0.75;
 /// Shortest time before a hedged attempt, so that calls with a normal latency are not
 /// hedged.
 const MIN_HEDGE: Duration = Duration::from_millis(20);
@@ -239,7 +243,11 @@
 /// targets. Any other call is retried only after attempts that certainly did not run it.
 pub(crate) async fn dispatch(node: &Rc<Node>, call: &Call) -> Dispatched {
     let may_repeat = call.may_repeat();
-    let hedge = call.route.objective.mul_f64(HEDGE_SHARE).max(MIN_HEDGE);
+    let hedge_share = match call.origin {
+        Origin::Caller => HEDGE_SHARE,
+        Origin::Scoring => SCORING_HEDGE_SHARE,
+    };
+    let hedge = call.route.objective.mul_f64(hedge_share).max(MIN_HEDGE);
     let mut tried: Vec<Name> = Vec::new();
     let mut running = FuturesUnordered::new();
     let mut last = Attempt::NotRun(None);
@@ -339,7 +347,11 @@
 /// Sends a call to a target and reads the response.
 async fn exchange(node: &Rc<Node>, call: &Call, target: &Registration) -> Attempt {
     let fields = node.wire_format.fields();
-    let Ok(mut connection) = node.pool.connect(target).await else {
+    let reuse = match call.origin {
+        Origin::Caller => Reuse::Newest,
+        Origin::Scoring => Reuse::Oldest,
+    };
+    let Ok((mut connection, _)) = node.pool.connect(target, reuse).await else {
         return Attempt::NotRun(None);
     };
     let headers = call.headers(node, target, BootClock.now());
--- a/crates/tamarackdock_gateway/src/duty/weight_loads.rs
+++ b/crates/tamarackdock_gateway/src/duty/weight_loads.rs
@@ -10,6 +10,7 @@
     deployment::Name,
     http::{Response, send_message},
     node::Node,
+    pool::Reuse,
     target::Registration,
     wire_format::{Load, OutgoingRequest, TargetReport},
 };
@@ -193,7 +194,7 @@
     let mut message = message.clone();
     message.headers.push(node.wire_format.fields().expected_target, target.id.as_bytes());
     let exchange = async {
-        let mut connection = node.pool.connect(target).await.ok()?;
+        let (mut connection, _) = node.pool.connect(target, Reuse::Newest).await.ok()?;
         let sent = send_message(&mut connection, &message, target.address, MAX_REPORT).await;
         let (response, reusable) = sent.ok()?;
         node.observe_answer(target, &response.head.headers);
--- a/crates/tamarackdock_gateway/src/pool.rs
+++ b/crates/tamarackdock_gateway/src/pool.rs
@@ -1,6 +1,11 @@
 //! Pool of idle connections to targets.
 
-use std::{cell::RefCell, collections::BTreeMap, io, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, VecDeque},
+    io,
+    time::Duration,
+};
 
 use prometheus::IntCounterVec;
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
@@ -21,6 +26,18 @@
 /// no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
 
+/// Which of a target's idle connections carries the next request. Opening a connection is
+/// expensive for targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reuse {
+    /// The one that was used last, which the target has most probably kept. For calls that
+    /// may not be sent again if the connection turns out to be closed.
+    Newest,
+    /// The one that expires first, so that bursts some seconds apart keep all of them open.
+    /// For requests that can be sent again.
+    Oldest,
+}
+
 struct Idle {
     connection: Connection,
     expires: Instant,
@@ -28,7 +45,7 @@
 
 /// Idle connections by target.
 pub(crate) struct Pool {
-    idle: RefCell<BTreeMap<Name, Vec<Idle>>>,
+    idle: RefCell<BTreeMap<Name, VecDeque<Idle>>>,
     opened: IntCounterVec,
 }
 
@@ -38,20 +55,29 @@
         Self { idle: RefCell::default(), opened }
     }
 
-    /// Returns an idle connection to a target, or opens one.
-    pub(crate) async fn connect(&self, target: &Registration) -> io::Result<Connection> {
-        if let Some(connection) = self.take(&target.id) {
-            return Ok(connection);
+    /// Returns an idle connection to a target, or opens one. Also returns whether the
+    /// connection was used before: the target may have closed it without notice.
+    pub(crate) async fn connect(
+        &self,
+        target: &Registration,
+        reuse: Reuse,
+    ) -> io::Result<(Connection, bool)> {
+        if let Some(connection) = self.take(&target.id, reuse) {
+            return Ok((connection, true));
         }
         self.opened.with_label_values(&[&*target.service]).inc();
-        Connection::open(target.address, CONNECT_TIMEOUT).await
+        Ok((Connection::open(target.address, CONNECT_TIMEOUT).await?, false))
     }
 
-    fn take(&self, target: &str) -> Option<Connection> {
+    fn take(&self, target: &str, reuse: Reuse) -> Option<Connection> {
         let now = BootClock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(target)?;
-        while let Some(Idle { mut connection, expires }) = connections.pop() {
+        let mut next = || match reuse {
+            Reuse::Newest => connections.pop_back(),
+            Reuse::Oldest => connections.pop_front(),
+        };
+        while let Some(Idle { mut connection, expires }) = next() {
             if now < expires && connection.is_reusable() {
                 return Some(connection);
             }
@@ -67,7 +93,7 @@
             .borrow_mut()
             .entry(target.clone())
             .or_default()
-            .push(Idle { connection, expires });
+            .push_back(Idle { connection, expires });
     }
 
     /// Closes connections that have expired and those to targets that are not in use.
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -10,6 +10,7 @@
     event::EventParser,
     http::{Exchange, Writer, response_head},
     node::Node,
+    pool::Reuse,
     server::Outcome,
 };
 
@@ -96,7 +97,7 @@
     writer: &mut Writer,
 ) -> Ended {
     let fields = node.wire_format.fields();
-    let Ok(mut connection) = node.pool.connect(target).await else {
+    let Ok((mut connection, _)) = node.pool.connect(target, Reuse::Newest).await else {
         return Ended::NoStream(Attempt::NotRun(None));
     };
     let mut headers = call.headers(node, target, BootClock.now());
--- a/crates/tamarackdock_gateway/src/tests/balance.rs
+++ b/crates/tamarackdock_gateway/src/tests/balance.rs
@@ -142,3 +142,24 @@
     }
     assert_eq!((chosen(&loads, 1), chosen(&loads, 0)), (false, true));
 }
+
+/// Guards against a burst of items to a target that refuses all of them, as it does while it
+/// loads weights.
+#[test]
+fn a_target_that_refuses_is_probed_by_one_request_at_a_time() {
+    let target: Name = "a".into();
+    let mut loads = TargetLoads::default();
+    let probes = |loads: &TargetLoads| loads.get("a").allowed_probes();
+    loads.start(&target, at(0));
+    loads.start(&target, at(0));
+    assert_eq!(probes(&loads), None);
+    for now in [1, 200, 400] {
+        loads.mark_full("a", at(now));
+        loads.end("a");
+        assert_eq!(probes(&loads), Some(1));
+        loads.start(&target, at(now + 150));
+        assert_eq!(probes(&loads), Some(0));
+    }
+    loads.record_accepted("a");
+    assert_eq!(probes(&loads), None);
+}
