Bound what targets and clients send without end

Cause: 200 calls whose answers never end made the process use gigabytes or serve nothing (four tests failed): each answer could buffer 16 MB and each request body its whole limit; interim responses and events that can't be parsed were read on until the deadline; the end of an event was searched from its start again with each read; and a stalled item that got a byte now and then never timed out, since any byte counted as progress.

Change: bodies of requests and of responses share a part of the memory limit each; a request beyond it is refused as not run. At most 64 KB precede a response's body, and an event has at most 64 KB. A malformed event ends the stream of a caller as broken. Items time out by whole events.

--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -10,7 +10,7 @@
     migrate, schedule,
 };
 use crate::{
-    call::{Attempt, classify_answer},
+    call::{Attempt, classify_answer, timeout_at},
     event::{Event, EventParser},
     http::{Exchange, ExchangeError, Headers, Response},
     node::Node,
@@ -132,15 +132,15 @@
     let mut events = EventParser::new(fields.weight_version);
     let mut last_event = None;
     let mut last_check = BootClock.now();
-    let mut event_timeout = FIRST_EVENT_TIMEOUT;
+    // Only whole events count as progress: a stalled target may still send a byte now and then.
+    let mut event_due = last_check + FIRST_EVENT_TIMEOUT;
     loop {
-        let data = match timeout(event_timeout, exchange.next()).await {
-            Ok(Ok(Some(data))) => data,
-            Ok(Ok(None)) if events.has_partial_event() => return RunOutcome::Broken,
-            Ok(Ok(None)) => break,
-            Ok(Err(_)) | Err(_) => return RunOutcome::Broken,
+        let data = match timeout_at(event_due, exchange.next()).await {
+            Some(Ok(Some(data))) => data,
+            Some(Ok(None)) if events.has_partial_event() => return RunOutcome::Broken,
+            Some(Ok(None)) => break,
+            Some(Err(_)) | None => return RunOutcome::Broken,
         };
-        event_timeout = NEXT_EVENT_TIMEOUT;
         events.push(&data);
         loop {
             let event = match events.next() {
@@ -150,6 +150,7 @@
             };
             version = event.version.or(version);
             let now = BootClock.now();
+            event_due = now + NEXT_EVENT_TIMEOUT;
             if let Err(outcome) =
                 append_event(&mut job.borrow_mut(), index, &event, version, &request)
             {
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -138,7 +138,7 @@
             account: None,
             give_up_at,
             deadline: Some(give_up_at),
-            request: Request { head, body: scoring.body.clone(), arrived: now },
+            request: Request { head, body: scoring.body.clone(), arrived: now, _reservation: None },
             origin: Origin::Scoring,
         }
     }
@@ -361,7 +361,7 @@
     let received = match sent.await {
         Ok(exchange) => {
             node.observe_answer(target, &exchange.head().headers);
-            exchange.collect(MAX_RESPONSE_BYTES).await
+            exchange.collect_within(MAX_RESPONSE_BYTES, &node.response_budget).await
         }
         Err(error) => Err(error),
     };
--- a/crates/tamarackdock_gateway/src/event.rs
+++ b/crates/tamarackdock_gateway/src/event.rs
@@ -3,7 +3,10 @@
 use bytes::{Bytes, BytesMut};
 
 /// Largest event, in bytes. Expected events hold up to a few hundred tokens.
-const MAX_EVENT: usize = 1024 * 1024;
+const MAX_EVENT: usize = 64 * 1024;
+
+/// Longest separator of events, `\r\n\r\n`.
+const SEPARATOR_BYTES: usize = 4;
 
 /// A complete event.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -26,6 +29,8 @@
 #[derive(Debug)]
 pub(crate) struct EventParser {
     buffer: BytesMut,
+    /// Number of bytes at the start of the buffer in which no event ends.
+    scanned: usize,
     version_field: String,
 }
 
@@ -33,7 +38,11 @@
     /// Creates a parser; `version_field` is the name of the field that announces a
     /// new weight version.
     pub(crate) fn new(version_field: &str) -> Self {
-        Self { buffer: BytesMut::new(), version_field: version_field.to_ascii_lowercase() }
+        Self {
+            buffer: BytesMut::new(),
+            scanned: 0,
+            version_field: version_field.to_ascii_lowercase(),
+        }
     }
 
     /// Adds received bytes.
@@ -48,9 +57,11 @@
 
     /// Takes the next complete event, or returns `None` if more bytes are needed.
     pub(crate) fn next(&mut self) -> Result<Option<Event>, EventError> {
-        let Some(length) = event_length(&self.buffer) else {
+        let Some(length) = event_length(&self.buffer, self.scanned) else {
+            self.scanned = self.buffer.len().saturating_sub(SEPARATOR_BYTES);
             return if self.buffer.len() > MAX_EVENT { Err(EventError) } else { Ok(None) };
         };
+        self.scanned = 0;
         let raw = self.buffer.split_to(length).freeze();
         let text = std::str::from_utf8(&raw).map_err(|_| EventError)?;
         let mut event = Event { raw: raw.clone(), id: None, data: String::new(), version: None };
@@ -75,12 +86,13 @@
     }
 }
 
-/// Returns the length of the first event including the blank line after it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
-    let crlf = bytes.windows(4).position(|pair| pair == b"\r\n\r\n").map(|at| at + 4);
-    match (lf, crlf) {
-        (Some(lf), Some(crlf)) => Some(lf.min(crlf)),
-        (lf, crlf) => lf.or(crlf),
-    }
+/// Returns the length of the first event including the blank line after it, which does not end
+/// within the first `scanned` bytes.
+fn event_length(bytes: &[u8], scanned: usize) -> Option<usize> {
+    let line_ends = (scanned..bytes.len()).filter(|at| bytes[*at] == b'\n');
+    line_ends.into_iter().find_map(|at| match bytes.get(at + 1..) {
+        Some([b'\n', ..]) => Some(at + 2),
+        Some([b'\r', b'\n', ..]) if at > 0 && bytes[at - 1] == b'\r' => Some(at + 3),
+        _ => None,
+    })
 }
--- a/crates/tamarackdock_gateway/src/http/exchange.rs
+++ b/crates/tamarackdock_gateway/src/http/exchange.rs
@@ -7,11 +7,13 @@
     pin_mut,
 };
 
-use super::{Body, Connection, Headers, ResponseHead, head};
+use super::{Body, Budget, Connection, Headers, ResponseHead, head};
 use crate::wire_format::OutgoingRequest;
 
 /// Largest response head, in bytes. Targets send far smaller ones.
 const MAX_RESPONSE_HEAD: usize = 32 * 1024;
+/// Most bytes up to the end of the final head, which interim responses precede.
+const MAX_BYTES_BEFORE_BODY: usize = 2 * MAX_RESPONSE_HEAD;
 
 /// The reason why an exchange gave no complete response. Only [`ExchangeError::NotSent`]
 /// proves that the request has not run.
@@ -101,14 +103,19 @@
         let Connection { reader, writer } = connection;
         let sending = writer.send(bytes);
         let receiving = async {
+            let mut received = 0;
             loop {
                 match ResponseHead::parse(&mut reader.buffer, MAX_RESPONSE_HEAD) {
                     Ok(Some(head)) => return Ok(head),
+                    Ok(None) if received > MAX_BYTES_BEFORE_BODY => {
+                        return Err(ExchangeError::Malformed);
+                    }
                     Ok(None) => {}
                     Err(_) => return Err(ExchangeError::Malformed),
                 }
+                let before = reader.buffer.len();
                 match reader.fill().await {
-                    Ok(true) => {}
+                    Ok(true) => received += reader.buffer.len() - before,
                     Ok(false) | Err(_) => return Err(ExchangeError::ConnectionLost),
                 }
             }
@@ -157,10 +164,26 @@
     ///
     /// Returns the [`ExchangeError`], which is [`ExchangeError::TooLarge`] if the body
     /// has more than `limit` bytes.
-    pub async fn collect(mut self, limit: usize) -> Result<(Response, bool), ExchangeError> {
+    pub async fn collect(self, limit: usize) -> Result<(Response, bool), ExchangeError> {
+        self.collect_within(limit, &Budget::new(limit)).await
+    }
+
+    /// Reads the body to its end, as [`Self::collect`] does, while the budget that it shares
+    /// with other responses lasts.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`ExchangeError`], which is [`ExchangeError::TooLarge`] if the body has more
+    /// than `limit` bytes or the budget is used up.
+    pub async fn collect_within(
+        mut self,
+        limit: usize,
+        budget: &Budget,
+    ) -> Result<(Response, bool), ExchangeError> {
         let mut body = Vec::new();
+        let mut reservation = budget.reservation();
         while let Some(data) = self.next().await? {
-            if body.len() + data.len() > limit {
+            if body.len() + data.len() > limit || !reservation.grow(data.len()) {
                 return Err(ExchangeError::TooLarge);
             }
             body.extend_from_slice(&data);
--- a/crates/tamarackdock_gateway/src/http/mod.rs
+++ b/crates/tamarackdock_gateway/src/http/mod.rs
@@ -2,11 +2,13 @@
 //! gives the reasons for parsing heads with `httparse` and framing bodies here.
 
 mod body;
+mod budget;
 mod connection;
 mod exchange;
 mod head;
 
 pub use body::{Body, Framing, FramingError};
+pub use budget::{Budget, Reservation};
 pub use connection::Connection;
 pub(crate) use connection::{Reader, Writer};
 pub use exchange::{Exchange, ExchangeError, Response, send_message};
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -26,7 +26,7 @@
     deployment::Name,
     duty::{self, lease::DutyLease, usage::UsageCounter, weight_loads::LoadOrders},
     freshness::Freshness,
-    http::Headers,
+    http::{Budget, Headers},
     members::{self, Members, NodeRun},
     notify::Notify,
     pool::Pool,
@@ -44,6 +44,12 @@
 /// that are gone.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Part of the memory limit that the bodies of requests may use. A growing buffer can take
+/// twice its content.
+const REQUEST_BUDGET_DIVISOR: usize = 5;
+/// Part of the memory limit that the bodies of incomplete responses may use.
+const RESPONSE_BUDGET_DIVISOR: usize = 10;
+
 /// The reason why a node can't start.
 #[derive(Debug, Display, Error, From)]
 pub enum StartError {
@@ -86,6 +92,10 @@
     pub(crate) metrics: Metrics,
     pub(crate) log: Logger,
     pub(crate) output: Output,
+    /// Bytes of requests that are received or in progress.
+    pub(crate) request_budget: Budget,
+    /// Bytes of responses of targets that are being received.
+    pub(crate) response_budget: Budget,
     /// Open connections of all listeners.
     pub(crate) connections: Cell<usize>,
     /// Calls of callers in progress.
@@ -135,6 +145,8 @@
         let log = output.logger();
         let relay = Rc::new(Relay::new(store, members.clone(), platform_tables, log.clone()));
         let metrics = Metrics::new()?;
+        let memory_mb = usize::try_from(settings.limits.memory_mb).unwrap_or(usize::MAX);
+        let memory = memory_mb.saturating_mul(1024 * 1024);
         Ok(Rc::new(Self {
             pool: Pool::new(metrics.connections.clone()),
             data_centre: settings.data_centre.clone(),
@@ -153,6 +165,8 @@
             metrics,
             log,
             output,
+            request_budget: Budget::new(memory / REQUEST_BUDGET_DIVISOR),
+            response_budget: Budget::new(memory / RESPONSE_BUDGET_DIVISOR),
             connections: Cell::new(0),
             calls: Cell::new(0),
             leaving: Cell::new(false),
--- a/crates/tamarackdock_gateway/src/server.rs
+++ b/crates/tamarackdock_gateway/src/server.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     deployment::Limits,
-    http::{Body, Connection, HeadError, Reader, RequestHead, Writer, response_head},
+    http::{Body, Connection, HeadError, Reader, RequestHead, Reservation, Writer, response_head},
     node::{Node, StartError},
     reply::Reply,
 };
@@ -21,6 +21,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Bytes of pipelined requests that are buffered while a request is in progress.
 const MAX_PIPELINED: usize = 64 * 1024;
+/// `Retry-After` of a node whose memory for request bodies is used up.
+const RETRY_FULL: Duration = Duration::from_millis(500);
 /// Longest time between two parts of a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -43,6 +45,9 @@
     pub(crate) body: Bytes,
     /// When the head was received completely.
     pub(crate) arrived: Instant,
+    /// Memory that the body uses while the request is in progress. `None` if the node made the
+    /// request itself.
+    pub(crate) _reservation: Option<Reservation>,
 }
 
 /// The result of a request's handler.
@@ -151,8 +156,9 @@
     if head.headers.has_token("expect", "100-continue") {
         writer.send(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await.map_err(|_| None)?;
     }
-    let body = read_body(reader, &head, limits.body_bytes).await?;
-    Ok(Request { head, body, arrived })
+    let mut reservation = node.request_budget.reservation();
+    let body = read_body(reader, &head, limits.body_bytes, &mut reservation).await?;
+    Ok(Request { head, body, arrived, _reservation: Some(reservation) })
 }
 
 async fn read_head(
@@ -194,6 +200,7 @@
     reader: &mut Reader,
     head: &RequestHead,
     limit: usize,
+    reservation: &mut Reservation,
 ) -> Result<Bytes, Option<Reply>> {
     let mut body = Body::new(head.framing);
     let mut received = Vec::new();
@@ -202,6 +209,10 @@
             Ok(Some(data)) if received.len() + data.len() > limit => {
                 return Err(Some(Reply::error(413, "the request body is too large")));
             }
+            Ok(Some(data)) if !reservation.grow(data.len()) => {
+                let message = "this node holds too many request bodies; nothing has run";
+                return Err(Some(Reply::not_run(message, RETRY_FULL).closing()));
+            }
             Ok(Some(data)) => received.extend_from_slice(&data),
             Ok(None) if body.is_done() => return Ok(received.into()),
             Ok(None) => match timeout(BODY_TIMEOUT, reader.fill()).await {
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -118,7 +118,12 @@
         .is_some_and(|value| value.starts_with("text/event-stream"));
     let same_id = exchange.head().headers.get(fields.request_id) == Some(call.id.as_str());
     if !is_stream || !same_id || exchange.head().status != 200 {
-        return match timeout_at(call.give_up_at, exchange.collect(MAX_ERROR)).await {
+        return match timeout_at(
+            call.give_up_at,
+            exchange.collect_within(MAX_ERROR, &node.response_budget),
+        )
+        .await
+        {
             Some(Ok((response, _))) => {
                 Ended::NoStream(classify_answer(&fields, &call.id, response))
             }
@@ -141,7 +146,16 @@
             Some(Err(_)) | None => return Ended::Broken,
         };
         events.push(&data);
-        while let Ok(Some(event)) = events.next() {
+        loop {
+            let event = match events.next() {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                Err(_) => {
+                    slog::info!(node.log, "stream: malformed event"; "id" => &call.id,
+                        "target" => &*target.id);
+                    return Ended::Broken;
+                }
+            };
             let mut chunk = format!("{:x}\r\n", event.raw.len()).into_bytes();
             chunk.extend_from_slice(&event.raw);
             chunk.extend_from_slice(b"\r\n");
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -2,6 +2,8 @@
 
 #[path = "gateway/cluster.rs"]
 mod cluster;
+#[path = "gateway/endless.rs"]
+mod endless;
 #[path = "gateway/single_faults.rs"]
 mod single_faults;
 #[path = "gateway/soak.rs"]
