Let idle nodes of a large fleet rest

A node that is no candidate for the lease woke up every 5 ms, since it slept until a time that was never set: 200 wake-ups a second on 287 of 295 hosts. Next came reading all members' rows on each host (655 reads a second of 295 rows) and timers that run on hosts without jobs or duties.

Change: the lease rests 150 ms where it asks for no step. Renewals wait for their time or a job, the placement of items and the loads of weights check rarely on hosts without jobs or duties.

Ruled out: rarer polls of the jobs' and targets' feeds; owners need them fresh.

--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -22,6 +22,8 @@
 
 /// Longest time between two checks for items that can start.
 const INTERVAL: Duration = Duration::from_millis(250);
+/// The same on a node that runs no jobs, which is notified of the first one.
+const IDLE_INTERVAL: Duration = Duration::from_secs(2);
 /// Most requests that one node starts on a target within about a second, if the target's
 /// service has cold starts. A target can become cold without notice, and may then be sent
 /// few requests.
@@ -37,7 +39,11 @@
     loop {
         let seen = node.jobs.changed.count();
         let waiting = start_items(&node) | score::start_calls(&node);
-        let pause = if waiting { placement::RETRY_PAUSE } else { INTERVAL };
+        let pause = match () {
+            () if waiting => placement::RETRY_PAUSE,
+            () if node.jobs.is_busy() => INTERVAL,
+            () => IDLE_INTERVAL,
+        };
         // Both a change and the timeout lead to the next check.
         let _ = timeout(pause, node.jobs.changed.changed_since(seen)).await;
         if waiting {
--- a/crates/tamarackdock_gateway/src/batch/takeover.rs
+++ b/crates/tamarackdock_gateway/src/batch/takeover.rs
@@ -226,7 +226,7 @@
     loop {
         let more = node.store.range(prefix.clone(), from).await?;
         let Some(last) = more.last() else { break };
-        from = format!("{}\0", last.key);
+        from = rows::key_after(&last.key);
         stored.extend(more);
     }
     Ok(progress::join_segments(id, &stored))
--- a/crates/tamarackdock_gateway/src/duty/lease.rs
+++ b/crates/tamarackdock_gateway/src/duty/lease.rs
@@ -27,6 +27,8 @@
 const CLOCK_MARGIN: Duration = Duration::from_millis(400);
 /// Time between a candidate's polls of the lease.
 const POLL_INTERVAL: Duration = Duration::from_millis(450);
+/// Shortest time between two steps of the lease.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(5);
 /// Time from the decision to send an order until it is sent.
 const SEND_WINDOW: Duration = Duration::from_millis(100);
 /// Time until a sent order has arrived.
@@ -84,11 +86,18 @@
     takeover::rank(LEASE_NAME, own, live) < CANDIDATES
 }
 
+/// Returns the time until the next step of the lease, which asks for one at `wake`. Without such
+/// a time it has nothing to do: most nodes of a large deployment are no candidates.
+pub(crate) fn pause(wake: Option<Instant>, now: Instant) -> Duration {
+    let longest = POLL_INTERVAL / 3;
+    wake.map_or(longest, |at| at.since(now).clamp(SHORTEST_PAUSE, longest))
+}
+
 /// Performs the actions of the lease's state machine. Never returns.
 pub(crate) async fn run(node: Rc<Node>) {
     let (duties, store, log) = (&node.duties, &node.store, &node.log);
     let mut inputs = Vec::new();
-    let mut wake = Instant::default();
+    let mut wake: Option<Instant> = None;
     let mut wanted = false;
     loop {
         // A holder keeps the lease when nodes join that rank before it.
@@ -99,8 +108,8 @@
             inputs.push(if wants { Input::Acquire } else { Input::Release });
         }
         let Some(input) = inputs.pop() else {
-            let pause = wake.since(BootClock.now()).min(POLL_INTERVAL / 3);
-            monoio::time::sleep(pause.max(Duration::from_millis(5))).await;
+            monoio::time::sleep(pause(wake, BootClock.now())).await;
+            wake = wake.filter(|at| *at > BootClock.now());
             inputs.push(Input::Tick);
             continue;
         };
@@ -115,7 +124,7 @@
                     let result = store.commit(commit).await;
                     inputs.push(Input::Committed { request, result });
                 }
-                Action::Wake(at) => wake = at,
+                Action::Wake(at) => wake = Some(at),
                 Action::Acquired(epoch) => {
                     slog::info!(log, "duties: lease acquired"; "epoch" => epoch.0);
                 }
--- a/crates/tamarackdock_gateway/src/duty/weight_loads.rs
+++ b/crates/tamarackdock_gateway/src/duty/weight_loads.rs
@@ -17,6 +17,8 @@
 
 /// Time between checks for loads that are due.
 const INTERVAL: Duration = Duration::from_millis(50);
+/// Time between checks whether this node has become the holder of the duties.
+const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time limit for a target's response to an order or a request for its report.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time after an accepted order until the target's report is first requested.
@@ -76,12 +78,12 @@
 /// Orders the loads that are due while this node holds the duties. Never returns.
 pub(crate) async fn run(node: Rc<Node>) {
     loop {
-        sleep(INTERVAL).await;
         if node.duties.permit().is_none() {
-            let mut orders = node.load_orders.borrow_mut();
-            orders.reported.clear();
+            node.load_orders.borrow_mut().reported.clear();
+            sleep(IDLE_INTERVAL).await;
             continue;
         }
+        sleep(INTERVAL).await;
         let targets = plan_targets(&node);
         let now = BootClock.now();
         let published = node.view.published.borrow().clone();
--- a/crates/tamarackdock_gateway/src/members.rs
+++ b/crates/tamarackdock_gateway/src/members.rs
@@ -6,10 +6,11 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_with::{DurationMilliSeconds, serde_as};
 use slog::Logger;
-use tamarackdock_platform::table::{Batch, Change, Write};
+use tamarackdock_platform::table::{Batch, Change, FeedResponse, Write};
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
+    call::timeout_at,
     clock,
     deployment::Name,
     node::Node,
@@ -20,8 +21,6 @@
 pub(crate) const TABLE: &str = "member";
 /// Part of the table that holds the rows, separate from what operators write.
 pub(crate) const PART: &str = "m";
-/// Time between checks whether this node's row is due for renewal.
-const RENEWAL_TICK: Duration = Duration::from_millis(50);
 /// Number of missed renewals after which a node counts as gone.
 const MISSED_RENEWALS: u32 = 3;
 /// Allowance for the time from a renewal until another node reads it: the shortest
@@ -96,6 +95,30 @@
         self.nodes = nodes;
     }
 
+    /// Applies the rows that have changed since the last read, as read at `now`.
+    pub(crate) fn apply(&mut self, batch: &Batch, now: Instant, log: &Logger) {
+        if self.last_read.is_none_or(|read| now.since(read) > MAX_READ_GAP) {
+            self.nodes.values_mut().for_each(|member| member.changed = now);
+        }
+        self.last_read = Some(now);
+        for change in &batch.changes {
+            let name: Name = change.key.as_str().into();
+            let is_known =
+                self.nodes.get(&name).is_some_and(|member| member.revision == change.revision);
+            match change.value {
+                None => {
+                    self.nodes.remove(&name);
+                }
+                Some(_) if is_known => {}
+                Some(_) => {
+                    let Some(row) = decode_row::<Row>(change, "members", log) else { continue };
+                    let revision = change.revision;
+                    self.nodes.insert(name, Member { row, revision, changed: now });
+                }
+            }
+        }
+    }
+
     fn is_live(&self, member: &Member) -> bool {
         let gone_after = member.row.renewal * MISSED_RENEWALS + READ_DELAY;
         self.last_read.is_some_and(|read| read.since(member.changed) < gone_after)
@@ -248,7 +271,9 @@
         let often = busy && failures == 0;
         let due = announced.min(if often { shortest_renewal() } else { Duration::MAX });
         if now.since(renewed) < due {
-            monoio::time::sleep(RENEWAL_TICK).await;
+            // A job that starts brings the renewal forward.
+            let seen = node.jobs.changed.count();
+            timeout_at(renewed + due, node.jobs.changed.changed_since(seen)).await;
             continue;
         }
         (renewed, announced) = (now, shortest_renewal());
@@ -268,22 +293,51 @@
     }
 }
 
-/// Reads the rows of all nodes at intervals. Never returns.
+/// Reads the rows that nodes have renewed, at intervals. Reading all rows each time would cost
+/// the square of the number of nodes. Never returns.
 pub(crate) async fn run_read(node: Rc<Node>) {
+    let mut revision = None;
     loop {
-        match node.store.snapshot(TABLE, PART.into()).await {
-            Ok(batch) => {
-                let now = BootClock.now();
-                let before = node.members.live();
-                node.members.table.borrow_mut().update(&batch, now, &node.log);
-                let after = node.members.live();
-                if before != after {
-                    let hosts: Vec<&str> = after.iter().map(|run| &*run.host).collect();
-                    slog::info!(node.log, "members: live nodes changed"; "live" => hosts.join(","));
-                }
+        let read = match revision {
+            Some(after) => node.store.changes(TABLE, after, Duration::ZERO).await,
+            None => node.store.snapshot(TABLE, PART.into()).await.map(FeedResponse::Changes),
+        };
+        match read {
+            Ok(FeedResponse::Changes(batch)) => {
+                record(&node, &batch, revision.is_none());
+                revision = Some(batch.revision);
+            }
+            Ok(FeedResponse::HistoryLost) => {
+                slog::warn!(node.log, "members: history lost, reading again"; "after" => revision);
+                revision = None;
+                continue;
             }
             Err(error) => node.store_failed("members", &error),
         }
         monoio::time::sleep(node.members.interval(periodic::MEMBERS)).await;
     }
 }
+
+/// Records rows as read just now, and logs which nodes have come or gone.
+fn record(node: &Node, batch: &Batch, is_snapshot: bool) {
+    let now = BootClock.now();
+    let before = node.members.live();
+    {
+        let mut table = node.members.table.borrow_mut();
+        if is_snapshot {
+            table.update(batch, now, &node.log);
+        } else {
+            table.apply(batch, now, &node.log);
+        }
+    }
+    let after = node.members.live();
+    if before == after {
+        return;
+    }
+    let hosts = |runs: &[NodeRun], others: &[NodeRun]| {
+        let missing = runs.iter().filter(|run| !others.contains(run));
+        missing.map(|run| run.host.to_string()).collect::<Vec<_>>().join(",")
+    };
+    slog::info!(node.log, "members: live nodes changed"; "come" => hosts(&after, &before),
+        "gone" => hosts(&before, &after), "live" => after.len());
+}
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -17,6 +17,8 @@
 const MAX_BACKLOG: usize = 256 * 1024;
 /// Time between writes of the log.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(100);
+/// The same while there is nothing to write.
+const IDLE_FLUSH_INTERVAL: Duration = Duration::from_millis(300);
 /// Upper bounds of the buckets of latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 1.5, 4.0, 10.0];
 
@@ -65,7 +67,8 @@
             slog::warn!(self.logger(), "log: standard output may block"; "error" => %error);
         }
         loop {
-            monoio::time::sleep(FLUSH_INTERVAL).await;
+            let idle = self.backlog().bytes.is_empty();
+            monoio::time::sleep(if idle { IDLE_FLUSH_INTERVAL } else { FLUSH_INTERVAL }).await;
             self.flush_now();
             dropped.inc_by(std::mem::take(&mut self.backlog().dropped));
         }
--- a/crates/tamarackdock_gateway/src/tests/members.rs
+++ b/crates/tamarackdock_gateway/src/tests/members.rs
@@ -178,3 +178,36 @@
     }
     assert!(counts.iter().all(|count| (60..150).contains(count)), "{counts:?}");
 }
+
+/// Guards against a node that counts as gone or live wrongly because only changed rows are read.
+#[test]
+fn changed_rows_are_enough_to_tell_who_is_live() {
+    let mut table = MemberTable::default();
+    table.update(&batch([row("a", 1, 1, 0), row("b", 1, 2, 0), row("c", 1, 3, 0)]), at(0), &log());
+    let removed = Change { key: "c".into(), revision: 4, value: None };
+    table.apply(&batch([removed]), at(400), &log());
+    for now in [800, 1_200, 1_600, 2_000] {
+        table.apply(&batch([row("a", 1, now, 0)]), at(now), &log());
+    }
+    let live: Vec<_> = table.live().into_iter().map(|run| run.host.to_string()).collect();
+    assert_eq!((live, table.count()), (vec!["a".to_owned()], 2));
+}
+
+/// Guards against taking over the jobs of all nodes after an outage of the store, in which
+/// none of them could renew its row.
+#[test]
+fn changed_rows_after_an_outage_leave_all_nodes_live() {
+    let mut table = MemberTable::default();
+    table.update(&batch([row("a", 1, 1, 0), row("b", 1, 2, 0)]), at(0), &log());
+    table.apply(&batch([row("a", 1, 3, 0)]), at(9_000), &log());
+    assert_eq!(table.live().len(), 2);
+}
+
+/// Guards against nodes that are no candidates for the lease and yet wake up 200 times a second,
+/// which was most of the processor time of 295 hosts.
+#[test]
+fn a_lease_with_nothing_to_do_rests() {
+    let pauses = [None, Some(at(0)), Some(at(10_060)), Some(at(60_000))]
+        .map(|wake| lease::pause(wake, at(10_000)).as_millis());
+    assert_eq!(pauses, [150, 5, 60, 150]);
+}
