--- a/crates/tamarackdock_node/tests/gateway/endless.rs
+++ b/crates/tamarackdock_node/tests/gateway/endless.rs
@@ -101,7 +101,7 @@
          Content-Length: 1000000000\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).unwrap();
-    let block = [b'a'; 64 * 1024];
+    let block = vec![b'a'; 64 * 1024];
     while Instant::now() < until && stream.write_all(&block).is_ok() {}
     let mut answer = Vec::new();
     // A reset ends the answer as well.
