Ask a job's owner before taking the job over; share connections of calls

And on 295 hosts nearly each call of a caller opens a connection to its target, as the balancer spreads them over all hosts.

Change: a candidate asks the owner at its last address, and believes its answer that it runs the job and reaches the store for 1.5 s or longer in large deployments. A call that may be repeated goes through one node for each target and data centre, which keeps connections to it, unless the node has an idle connection itself.

--- a/crates/tamarackdock_gateway/src/batch/takeover.rs
+++ b/crates/tamarackdock_gateway/src/batch/takeover.rs
@@ -28,6 +28,10 @@
 const INTERVAL: Duration = Duration::from_millis(150);
 /// Time that each candidate waits for the one ranked before it.
 const RANK_PAUSE: Duration = Duration::from_millis(700);
+/// Time for which an owner's answer that it runs a job is believed.
+const CONFIRMED_FOR: Duration = Duration::from_millis(1500);
+/// The same for each node of the deployment, since all of them may ask one owner.
+const CONFIRMED_FOR_PER_NODE: Duration = Duration::from_millis(10);
 /// Most candidates that are asked whether they can run a new job.
 const MAX_ASKED: usize = 2;
 /// Number of earlier jobs of a trainer whose text a new job may continue.
@@ -102,6 +106,7 @@
 /// owner is gone, and those that this node owns but does not run.
 pub(crate) async fn run(node: Rc<Node>) {
     let mut orphans: BTreeMap<Name, Instant> = BTreeMap::new();
+    let mut confirmed: BTreeMap<Name, Instant> = BTreeMap::new();
     loop {
         sleep(INTERVAL).await;
         let now = BootClock.now();
@@ -111,17 +116,50 @@
         let found = find_orphans(&node);
         orphans.retain(|id, _| found.iter().any(|(job, _)| job == id));
         let live = node.members.live();
+        let believed = CONFIRMED_FOR.max(CONFIRMED_FOR_PER_NODE * node.members.count());
+        confirmed.retain(|_, at| now.since(*at) < believed);
         for (id, entry) in found {
+            if confirmed.contains_key(&id) {
+                continue;
+            }
             let since = *orphans.entry(id.clone()).or_insert(now);
             let owner = entry.head.owner.as_ref();
-            if now.since(since) >= takeover_delay(&id, owner, &node.members.own, &live) {
-                orphans.remove(&id);
+            if now.since(since) < takeover_delay(&id, owner, &node.members.own, &live) {
+                continue;
+            }
+            orphans.remove(&id);
+            if is_run_by_owner(&node, &id, owner).await {
+                confirmed.insert(id, BootClock.now());
+            } else {
                 take_over(&node, &id, entry).await;
             }
         }
     }
 }
 
+/// Returns whether the owner of a job that looks orphaned says that it runs it. Its row can be
+/// old only because the store was slow to take renewals, and then a take-over would start the
+/// running items again.
+async fn is_run_by_owner(node: &Node, job: &Name, owner: Option<&NodeRun>) -> bool {
+    let Some(owner) = owner.filter(|owner| **owner != node.members.own) else { return false };
+    let Some(address) = node.members.last_address(owner) else { return false };
+    let request = PeerRequest::Runs { job: job.clone() };
+    let answer = peer::ask(address, &request, Duration::ZERO).await;
+    let is_run = matches!(answer, Ok(PeerResponse::Runs(true)));
+    slog::info!(node.log, "job: owner asked before a take-over"; "job" => &**job,
+        "host" => &*owner.host, "runs" => is_run,
+        "error" => answer.err().map(|error| error.to_string()));
+    is_run
+}
+
+/// Returns whether this node runs a job, or starts it, and reaches the store: otherwise another
+/// node should run it.
+pub(crate) fn runs(node: &Node, job: &str) -> bool {
+    let is_open = node.jobs.own_job(job).is_some_and(|job| !job.borrow().closed);
+    let can_list = node.members.is_up_to_date(BootClock.now()) && !node.is_leaving();
+    can_list && (is_open || node.jobs.is_starting(job))
+}
+
 fn find_orphans(node: &Node) -> Vec<(Name, VersionedHead)> {
     let heads = node.jobs.heads();
     let orphan = |id: &Name, head: &JobHead| match &head.owner {
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -11,6 +11,7 @@
     batch::{ScoringCall, scoring, takeover},
     crash,
     deployment::{CallKind, Name, Route},
+    forward,
     http::{Exchange, ExchangeError, Framing, Headers, RequestHead, Response, ResponseHead},
     node::Node,
     pool::Reuse,
@@ -258,7 +259,7 @@
         let may_start = attempts_left && (may_repeat || (running.is_empty() && !may_have_run));
         if may_start && let Some(target) = call.choose(node, &tried) {
             tried.push(target.id.clone());
-            running.push(attempt(node, call, target));
+            running.push(attempt(node, call, target, tried.len() == 1));
         }
         if running.is_empty() {
             break;
@@ -310,10 +311,21 @@
 }
 
 /// Sends a call to a target, and records the outcome.
-async fn attempt(node: &Rc<Node>, call: &Call, target: Registration) -> Attempt {
+async fn attempt(node: &Rc<Node>, call: &Call, target: Registration, is_first: bool) -> Attempt {
     let began = BootClock.now();
     let guard = node.start_request(&target.id, began);
-    let outcome = exchange(node, call, &target).await;
+    // Later attempts go directly, in case the node that forwards is the one in trouble.
+    let may_forward = is_first && call.origin == Origin::Caller && call.may_repeat();
+    let forwarded = if may_forward { forward::send(node, call, &target).await } else { None };
+    let is_forwarded = forwarded.is_some();
+    let outcome = match forwarded {
+        Some(Ok(response)) => {
+            node.observe_answer(&target, &response.head.headers);
+            classify_answer(&node.wire_format.fields(), &call.id, response)
+        }
+        Some(Err(error)) => Attempt::Unknown(error),
+        None => exchange(node, call, &target).await,
+    };
     drop(guard);
     let now = BootClock.now();
     let (name, failure) = match &outcome {
@@ -340,7 +352,7 @@
     }
     node.metrics.attempts.with_label_values(&[name]).inc();
     slog::info!(node.log, "call: attempt"; "id" => &call.id, "target" => &*target.id,
-        "outcome" => name, "failure" => failure, "ms" => now.since(began).as_millis());
+        "outcome" => name, "failure" => failure, "forwarded" => is_forwarded, "ms" => now.since(began).as_millis());
     outcome
 }
 
--- a/crates/tamarackdock_gateway/src/dispatch.rs
+++ b/crates/tamarackdock_gateway/src/dispatch.rs
@@ -31,8 +31,7 @@
     ) -> Outcome {
         match (listener, request.head.path()) {
             (ListenerKind::Callers, _) => {
-                self.calls.set(self.calls.get() + 1);
-                let guard = CallGuard(self.clone());
+                let guard = self.start_call();
                 let outcome = self.handle_caller(request, writer).await;
                 drop(guard);
                 outcome
@@ -51,6 +50,12 @@
         }
     }
 
+    /// Counts a call as in progress until the returned guard is dropped.
+    pub(crate) fn start_call(self: &Rc<Self>) -> CallGuard {
+        self.calls.set(self.calls.get() + 1);
+        CallGuard(self.clone())
+    }
+
     /// Answers a health check of the balancer.
     fn health(&self) -> Reply {
         let ready = !self.is_leaving()
@@ -172,7 +177,7 @@
 }
 
 /// Decrements the number of calls in progress when it is dropped.
-struct CallGuard(Rc<Node>);
+pub(crate) struct CallGuard(Rc<Node>);
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
--- a/crates/tamarackdock_gateway/src/http/exchange.rs
+++ b/crates/tamarackdock_gateway/src/http/exchange.rs
@@ -6,6 +6,7 @@
     future::{Either, select},
     pin_mut,
 };
+use serde::{Deserialize, Serialize};
 
 use super::{Body, Budget, Connection, Headers, ResponseHead, head};
 use crate::wire_format::OutgoingRequest;
@@ -17,7 +18,7 @@
 
 /// The reason why an exchange gave no complete response. Only [`ExchangeError::NotSent`]
 /// proves that the request has not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error, Serialize, Deserialize)]
 pub enum ExchangeError {
     /// No byte of the request was sent. Returned only by callers that open the connection
     /// themselves; [`Exchange`] never returns it.
--- a/crates/tamarackdock_gateway/src/http/head.rs
+++ b/crates/tamarackdock_gateway/src/http/head.rs
@@ -32,6 +32,12 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Headers(Vec<(String, Vec<u8>)>);
 
+impl FromIterator<(String, Vec<u8>)> for Headers {
+    fn from_iter<T: IntoIterator<Item = (String, Vec<u8>)>>(fields: T) -> Self {
+        Self(fields.into_iter().collect())
+    }
+}
+
 impl Headers {
     /// Adds a field.
     pub fn push(&mut self, name: &str, value: impl Into<Vec<u8>>) {
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod dump;
 mod duty;
 mod event;
+mod forward;
 mod members;
 mod node;
 mod notify;
--- a/crates/tamarackdock_gateway/src/members.rs
+++ b/crates/tamarackdock_gateway/src/members.rs
@@ -130,6 +130,12 @@
         (member.row.number == run.number && self.is_live(member)).then_some(member.row.peers)
     }
 
+    /// Returns the peer address in the last row of a run, whether or not it is live.
+    pub(crate) fn last_address(&self, run: &NodeRun) -> Option<SocketAddr> {
+        let member = self.nodes.get(&run.host)?;
+        (member.row.number == run.number).then_some(member.row.peers)
+    }
+
     /// Returns the live runs that are not leaving.
     pub(crate) fn live(&self) -> Vec<NodeRun> {
         let live =
@@ -138,6 +144,15 @@
             .collect()
     }
 
+    /// Returns the live runs in a data centre that are not leaving.
+    pub(crate) fn live_in(&self, data_centre: &str) -> Vec<NodeRun> {
+        let live = self.nodes.iter().filter(|(_, member)| {
+            *member.row.data_centre == *data_centre && self.is_live(member) && !member.row.leaving
+        });
+        live.map(|(host, member)| NodeRun { host: host.clone(), number: member.row.number })
+            .collect()
+    }
+
     /// Returns the number of nodes with a row, including those that seem to be gone:
     /// their rows may be old because the store is too busy to accept renewals.
     pub(crate) fn count(&self) -> usize {
@@ -174,6 +189,16 @@
         self.table.borrow().live()
     }
 
+    /// Returns the live runs in a data centre that are not leaving.
+    pub(crate) fn live_in(&self, data_centre: &str) -> Vec<NodeRun> {
+        self.table.borrow().live_in(data_centre)
+    }
+
+    /// Returns the number of nodes with a row.
+    pub(crate) fn count(&self) -> u32 {
+        u32::try_from(self.table.borrow().count()).unwrap_or(u32::MAX)
+    }
+
     /// Returns the time between two periodic calls of this node to the store.
     pub(crate) fn interval(&self, call: PeriodicCall) -> Duration {
         call.interval(self.table.borrow().count(), self.rates)
@@ -197,6 +222,11 @@
         self.table.borrow().address(run)
     }
 
+    /// Returns the peer address in the last row of a run, whether or not it is live.
+    pub(crate) fn last_address(&self, run: &NodeRun) -> Option<SocketAddr> {
+        self.table.borrow().last_address(run)
+    }
+
     /// Returns the peer addresses of the other live nodes, or the seeds before the
     /// rows are first read.
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
--- a/crates/tamarackdock_gateway/src/peer.rs
+++ b/crates/tamarackdock_gateway/src/peer.rs
@@ -10,7 +10,8 @@
 use crate::{
     batch::{self, Page, index::VersionedHead, rows::JobHead},
     deployment::Name,
-    http::{Connection, Headers, send_message},
+    forward::{self, ForwardedCall, ForwardedResponse},
+    http::{Connection, ExchangeError, Headers, send_message},
     node::Node,
     relay::{StoreAnswer, StoreCall},
     reply::Reply,
@@ -53,6 +54,13 @@
     Alive,
     /// Relays a call to the store for a node that can't reach it.
     Store(StoreCall),
+    /// Sends a caller's call to its target, over a connection that the other node keeps.
+    Forward(Box<ForwardedCall>),
+    /// Asks whether the other node runs a batch job and can list its results.
+    Runs {
+        /// Id of the job.
+        job: Name,
+    },
 }
 
 /// A response to another node.
@@ -66,6 +74,10 @@
     Alive(bool),
     /// Result of a relayed call to the store.
     Store(Result<StoreAnswer, tamarackdock_platform::Error>),
+    /// Response of the target to a forwarded call.
+    Forwarded(Result<ForwardedResponse, ExchangeError>),
+    /// Whether the node runs the job.
+    Runs(bool),
 }
 
 /// The reason why a peer gave no usable response.
@@ -123,6 +135,12 @@
             PeerResponse::Done
         }
         Ok(PeerRequest::Alive) => PeerResponse::Alive(!node.is_leaving()),
+        Ok(PeerRequest::Forward(call)) => {
+            // A planned stop waits for the call's end.
+            let _guard = node.start_call();
+            PeerResponse::Forwarded(forward::serve(node, *call).await)
+        }
+        Ok(PeerRequest::Runs { job }) => PeerResponse::Runs(batch::takeover::runs(node, &job)),
         Ok(PeerRequest::Store(call)) => PeerResponse::Store(node.relay.serve(call).await),
         Err(error) => {
             slog::warn!(node.log, "peer: can't decode the request"; "error" => %error);
--- a/crates/tamarackdock_gateway/src/pool.rs
+++ b/crates/tamarackdock_gateway/src/pool.rs
@@ -69,6 +69,13 @@
         Ok((Connection::open(target.address, CONNECT_TIMEOUT).await?, false))
     }
 
+    /// Returns whether there is an idle connection to a target that has not expired.
+    pub(crate) fn has_idle(&self, target: &str) -> bool {
+        let now = BootClock.now();
+        let idle = self.idle.borrow();
+        idle.get(target).is_some_and(|all| all.iter().any(|idle| now < idle.expires))
+    }
+
     fn take(&self, target: &str, reuse: Reuse) -> Option<Connection> {
         let now = BootClock.now();
         let mut idle = self.idle.borrow_mut();
--- a/crates/tamarackdock_gateway/src/tests/members.rs
+++ b/crates/tamarackdock_gateway/src/tests/members.rs
@@ -7,6 +7,7 @@
 use crate::{
     batch::takeover,
     duty::lease,
+    forward,
     members::{MemberTable, NodeRun, Row},
 };
 
@@ -211,3 +212,21 @@
         .map(|wake| lease::pause(wake, at(10_000)).as_millis());
     assert_eq!(pauses, [150, 5, 60, 150]);
 }
+
+/// Guards against nodes that disagree on who forwards the calls for a target, and against one
+/// node that forwards those for all targets.
+#[test]
+fn nodes_agree_on_who_forwards_the_calls_for_a_target() {
+    let live: Vec<NodeRun> = (0..60).map(|host| run(&format!("edge-{host}"), host)).collect();
+    let mut forwarders = std::collections::BTreeSet::new();
+    for target in 0..20 {
+        let target = format!("i-{target}");
+        let chosen: Vec<_> = live.iter().map(|own| forward::choose(&target, own, &live)).collect();
+        let own: Vec<_> = live.iter().zip(&chosen).filter(|(_, run)| run.is_none()).collect();
+        assert_eq!(own.len(), 1, "only the forwarding node itself sends directly");
+        assert!(chosen.iter().flatten().all(|run| run == own[0].0));
+        forwarders.insert(own[0].0.host.clone());
+    }
+    assert!(forwarders.len() > 10, "{}", forwarders.len());
+    assert_eq!(forward::choose("i-1", &live[0], &[]), None);
+}
--- a/crates/tamarackdock_node/tests/gateway/single_faults.rs
+++ b/crates/tamarackdock_node/tests/gateway/single_faults.rs
@@ -289,3 +289,66 @@
     assert_eq!(learn("later", &mut call, &mut trainer, 1), first);
     assert_none(&violations);
 }
+
+/// Guards against a connection to each target from each node, although a few calls a second
+/// are spread over all nodes.
+#[test]
+fn calls_of_all_nodes_share_connections() {
+    let cluster = Cluster::start("shared-connections", 6, 0);
+    // By then, all nodes know each other and the connections of their start have expired.
+    thread::sleep(Duration::from_secs(10));
+    let connections =
+        || cluster.services.iter().map(platform_standin::Engine::call_connections).sum::<usize>();
+    let before = connections();
+    let mut client = Client::new(KEY, Duration::from_secs(1));
+    for (index, node) in cluster.addresses().into_iter().cycle().take(60).enumerate() {
+        let status = client.call(node, "/app/", &format!("shared-{index}")).status();
+        assert_eq!(status, 200);
+    }
+    let opened = connections() - before;
+    assert!(opened <= 2, "{opened} connections were opened");
+}
+
+/// Guards against calls that wait for a paused node that forwards calls, and against calls that
+/// it sends on after its pause.
+#[test]
+fn calls_do_not_wait_for_a_paused_node() {
+    let cluster = Cluster::start("paused-forwarder", 4, 0);
+    thread::sleep(Duration::from_secs(2));
+    let nodes = cluster.addresses();
+    for paused in 0..nodes.len() {
+        cluster.nodes[paused].pause();
+        for index in 0..8 {
+            let node = nodes[(paused + 1 + index % 3) % nodes.len()];
+            let began = Instant::now();
+            let id = format!("paused-{paused}-{index}");
+            let status = Client::new(KEY, Duration::from_secs(1)).call(node, "/app/", &id).status();
+            let took = began.elapsed();
+            assert!(status == 200 && took < Duration::from_millis(600), "{status} after {took:?}");
+        }
+        thread::sleep(Duration::from_millis(600));
+        cluster.nodes[paused].resume();
+        thread::sleep(Duration::from_secs(2));
+    }
+    let runs = cluster.runs();
+    let repeated: Vec<_> =
+        runs.iter().filter(|(id, count)| id.starts_with("paused-") && **count > 1).collect();
+    assert_eq!(repeated, Vec::<(&String, &usize)>::new());
+}
+
+/// Guards against nodes that take a job over, and start its running items again, because the
+/// store was slow to take the renewals of its owner.
+#[test]
+fn a_job_stays_with_an_owner_that_only_seems_gone() {
+    let cluster = Cluster::start("silent-owner", 4, 0);
+    thread::sleep(Duration::from_secs(1));
+    let violations = Violations::default();
+    let mut trainer = trainer(&cluster, &violations);
+    let mut step = trainer.submit(0, 700);
+    cluster.store.hold_renewals(true);
+    trainer.finish(&mut step);
+    let runs = cluster.runs();
+    let again: Vec<_> = step.items.iter().filter(|(id, _)| runs.get(id) != Some(&1)).collect();
+    assert_eq!(again, Vec::<&(String, String)>::new(), "items that did not run once");
+    assert_none(&violations);
+}
