Drop a connection whose answer belonged to another request

Cause: after a late copy of an earlier answer, the connection went back to the pool with the right answer still to come. Change: only a connection whose last answer was to its own request is used again. Result: gateway test a_late_copy_of_an_answer_reaches_no_other_caller; callers got only their own answers before, too, since answers are told apart by the id of the request.

--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -122,7 +122,8 @@
     if head.status != 200 || !is_own {
         let collected = timeout(FIRST_EVENT_TIMEOUT, exchange.collect(MAX_ERROR_BYTES)).await;
         let Ok(Ok((response, is_reusable))) = collected else { return RunOutcome::Broken };
-        if is_reusable {
+        // After an answer to another request, the one to this request may follow.
+        if is_reusable && is_own {
             node.pool.put(&target.id, connection, &response.head.headers);
         }
         return classify_non_stream(node, response, &request.id, target);
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -379,10 +379,13 @@
     };
     match received {
         Ok((response, reusable)) => {
-            if reusable {
-                node.pool.put(&target.id, connection, &response.head.headers);
+            let headers = response.head.headers.clone();
+            let attempt = classify_answer(&fields, &call.id, response);
+            // After an answer to another request, the one to this request may follow.
+            if reusable && !matches!(attempt, Attempt::Unknown(_)) {
+                node.pool.put(&target.id, connection, &headers);
             }
-            classify_answer(&fields, &call.id, response)
+            attempt
         }
         Err(ExchangeError::NotSent) => Attempt::NotRun(None),
         Err(error) => Attempt::Unknown(error),
--- a/crates/tamarackdock_gateway/src/forward.rs
+++ b/crates/tamarackdock_gateway/src/forward.rs
@@ -142,7 +142,9 @@
     let (response, reusable) =
         exchange.collect_within(MAX_RESPONSE_BYTES, &node.response_budget).await?;
     drop(guard);
-    if reusable {
+    // After an answer to another request, the one to this request may follow.
+    let id = node.wire_format.fields().request_id;
+    if reusable && response.head.headers.get(id) == headers.get(id) {
         node.pool.put(&target.id, connection, &response.head.headers);
     }
     let headers = response.head.headers.iter();
--- a/crates/tamarackdock_node/tests/gateway/single_faults.rs
+++ b/crates/tamarackdock_node/tests/gateway/single_faults.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::{Client, Engine, Outcome, ProxyMode, expected_stream};
+use platform_standin::{Client, Engine, LATE_COPY_PATH, Outcome, ProxyMode, expected_stream};
 
 use crate::cluster::{
     Cluster, KEY, KEY_WITHDRAWAL_BOUND, OLD_KEY, StopFlag, Trainer, Violations, call_until,
@@ -352,3 +352,23 @@
     assert_eq!(again, Vec::<&(String, String)>::new(), "items that did not run once");
     assert_none(&violations);
 }
+
+/// Guards against a caller that gets the second, late copy of an earlier caller's answer,
+/// because it arrives when the connection is in use again.
+#[test]
+fn a_late_copy_of_an_answer_reaches_no_other_caller() {
+    let cluster = Cluster::start("late-copy", 1, 0);
+    let node = cluster.addresses()[0];
+    let mut client = Client::new(KEY, Duration::from_secs(1));
+    let paths = [LATE_COPY_PATH, "/app/", "/app/"].into_iter().cycle().take(36);
+    for (index, path) in paths.enumerate() {
+        let id = format!("copy-{index}");
+        let outcome = client.call(node, path, &id);
+        let expected = Outcome::Answer {
+            status: 200,
+            id: Some(id.clone()),
+            body: format!("answer to {id}").into_bytes(),
+        };
+        assert_eq!(outcome, expected);
+    }
+}
