--- a/crates/tamarackdock_node/tests/gateway/endless.rs
+++ b/crates/tamarackdock_node/tests/gateway/endless.rs
@@ -1,13 +1,12 @@
 //! Targets and clients that send bytes without end.
 
 use std::{
-    io::{Read as _, Write as _},
-    net::{SocketAddr, TcpStream},
+    net::SocketAddr,
     thread,
     time::{Duration, Instant},
 };
 
-use platform_standin::{Client, ENDLESS_PLACES, STREAM_WITHOUT_END};
+use platform_standin::{Client, ENDLESS_PLACES, STREAM_WITHOUT_END, send_without_end};
 
 use crate::cluster::{Cluster, KEY, Trainer, Violations};
 
@@ -82,29 +81,12 @@
     let node = cluster.addresses()[0];
     let until = Instant::now() + Duration::from_secs(4);
     let clients: Vec<_> = (0..CONNECTIONS / 4)
-        .map(|index| thread::spawn(move || send_without_end(node, index, until)))
+        .map(|index| {
+            thread::spawn(move || send_without_end(node, KEY, &format!("endless-{index}"), until))
+        })
         .collect();
     let answers: Vec<String> = clients.into_iter().map(|client| client.join().unwrap()).collect();
     let served = answers.iter().filter(|answer| answer.starts_with("HTTP/1.1 2")).count();
     assert_eq!(served, 0);
     assert_serves(&cluster);
 }
-
-/// Sends a body until the node closes the connection or the time is up, and returns the
-/// answer, which is empty if there is none.
-fn send_without_end(node: SocketAddr, index: usize, until: Instant) -> String {
-    let mut stream = TcpStream::connect(node).unwrap();
-    stream.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
-    stream.set_write_timeout(Some(Duration::from_millis(500))).unwrap();
-    let head = format!(
-        "POST /app/ HTTP/1.1\r\nHost: a.example\r\nApi-Key: {KEY}\r\nX-Attempt-Id: e-{index}\r\n\
-         Content-Length: 1000000000\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).unwrap();
-    let block = vec![b'a'; 64 * 1024];
-    while Instant::now() < until && stream.write_all(&block).is_ok() {}
-    let mut answer = Vec::new();
-    // A reset ends the answer as well.
-    let _ = stream.read_to_end(&mut answer);
-    String::from_utf8_lossy(&answer).into_owned()
-}
