Write once what the change had written twice

Change: `Node::read_prefix`, `Node::collect`, `MemberTable::update` by way of `apply`, `backoff::Backoff`, `run::until_stopped`, methods of `Origin` in a file of its own, attempts in `hedge`, serde on `Headers`, one list of open jobs a round. No other test changed.

--- a/crates/tamarackdock_gateway/src/batch/job.rs
+++ b/crates/tamarackdock_gateway/src/batch/job.rs
@@ -8,19 +8,16 @@
 
 use super::{
     Item, ItemOutcome, ItemResult, Submission,
+    backoff::{Backoff, REFUSED_PAUSE},
     progress::{Progress, Saved},
     rows::JobHead,
     scoring::{self, Scoring},
 };
 use crate::{deployment::Name, notify::Notify};
 
-/// First pause after a run that broke without any event. It doubles with each such
-/// run in a row, since the item itself may crash its targets.
-const FIRST_BACKOFF: Duration = Duration::from_millis(50);
-/// Longest such pause.
+/// Longest pause after runs in a row that broke without any event. The item itself may crash
+/// its targets.
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
-/// Pause of an item after a target refused it or had the wrong weights.
-const REFUSED_PAUSE: Duration = Duration::from_millis(30);
 /// Output tokens that an event is estimated to hold.
 const TOKENS_PER_EVENT: u64 = 50;
 
@@ -53,8 +50,8 @@
     pub(crate) carried: bool,
     /// Number of runs for which a target reported a failure.
     failures: u32,
-    /// Number of runs in a row that broke without an event.
-    consecutive_breaks: u32,
+    /// Runs in a row that broke without an event.
+    breaks: Backoff,
     /// Number of runs that were moved to another target.
     pub(crate) moves: u32,
     /// Earliest time of the next run or scoring call.
@@ -142,7 +139,7 @@
             progress: Progress::default(),
             carried: false,
             failures: 0,
-            consecutive_breaks: 0,
+            breaks: Backoff::default(),
             moves: 0,
             not_before: accepted,
             scoring: Scoring::default(),
@@ -191,11 +188,7 @@
 
     /// Returns the items whose scoring calls may be sent now, with their indexes.
     pub(crate) fn unscored(&self, now: Instant) -> impl Iterator<Item = (usize, &JobItem)> {
-        let open = !self.closed && !self.stopping;
-        let items = self.items.iter().enumerate();
-        items.filter(move |(_, item)| {
-            open && item.phase == Phase::Unscored && now >= item.not_before
-        })
+        self.due(Phase::Unscored, now)
     }
 
     /// Returns whether the store lacks a complete text that waits for its scoring call.
@@ -251,10 +244,14 @@
 
     /// Returns the items that may start now, with their indexes.
     pub(crate) fn startable(&self, now: Instant) -> impl Iterator<Item = (usize, &JobItem)> {
+        self.due(Phase::Waiting, now)
+    }
+
+    /// Returns the items in a phase that need not wait longer, with their indexes.
+    fn due(&self, phase: Phase, now: Instant) -> impl Iterator<Item = (usize, &JobItem)> {
         let open = !self.closed && !self.stopping;
         let items = self.items.iter().enumerate();
-        items
-            .filter(move |(_, item)| open && item.phase == Phase::Waiting && now >= item.not_before)
+        items.filter(move |(_, item)| open && item.phase == phase && now >= item.not_before)
     }
 
     /// Returns the earliest time at which a waiting item or its scoring call may start.
@@ -303,9 +300,7 @@
                 None
             }
             RunOutcome::Broken => {
-                let doubled = FIRST_BACKOFF * 2_u32.saturating_pow(item.consecutive_breaks.min(10));
-                item.not_before = now + doubled.min(MAX_BACKOFF);
-                item.consecutive_breaks += 1;
+                item.not_before = now + item.breaks.next(MAX_BACKOFF);
                 None
             }
         };
@@ -317,7 +312,7 @@
 
     /// Records that a run has produced text, which resets the item's backoff.
     pub(crate) fn record_progress(&mut self, index: usize) {
-        self.items[index].consecutive_breaks = 0;
+        self.items[index].breaks = Backoff::default();
     }
 
     /// Aborts all items that are not finished.
--- a/crates/tamarackdock_gateway/src/batch/progress.rs
+++ b/crates/tamarackdock_gateway/src/batch/progress.rs
@@ -26,7 +26,7 @@
     saved_events: usize,
     /// Whether the text is complete: no event follows.
     complete: bool,
-    /// Whether the store holds that the text is complete.
+    /// Whether the store holds the whole text, and that it is complete.
     saved_complete: bool,
     /// Number of times that the rows of the store were begun again.
     generation: u32,
@@ -85,7 +85,7 @@
 
     /// Returns whether the store holds the text, and that it is complete.
     pub(crate) fn is_saved_complete(&self) -> bool {
-        self.complete && self.saved_complete && self.unsaved_events() == 0
+        self.saved_complete
     }
 
     /// Returns the versions that produced the text, in order of their first use.
--- a/crates/tamarackdock_gateway/src/batch/rows.rs
+++ b/crates/tamarackdock_gateway/src/batch/rows.rs
@@ -99,11 +99,6 @@
     number.map_or(prefix.clone(), |number| format!("{prefix}{number:06}"))
 }
 
-/// Returns the first possible key behind a key, to read on from a page of rows.
-pub(crate) fn key_after(key: &str) -> String {
-    format!("{key}\0")
-}
-
 /// Returns the position of a result and the number of the piece, from the key of a row.
 pub(crate) fn parse_result_key(key: &str) -> Option<(usize, usize)> {
     let mut parts = key.rsplit('/');
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
+use futures_util::future::{Either, select};
 use monoio::time::timeout;
 use tamarackdock_types::clock::{BootClock, Clock};
 
@@ -34,16 +35,7 @@
 pub(crate) async fn run(node: Rc<Node>, job: Rc<RefCell<Job>>, index: usize, target: Registration) {
     let began = BootClock.now();
     let guard = node.start_request(&target.id, began);
-    let changed = job.borrow().changed.clone();
-    let outcome = {
-        let running = stream_item(&node, &job, index, &target);
-        let stopped = wait_until_stopped(&job, &changed);
-        futures_util::pin_mut!(running, stopped);
-        match futures_util::future::select(running, stopped).await {
-            futures_util::future::Either::Left((outcome, _)) => Some(outcome),
-            futures_util::future::Either::Right(((), _)) => None,
-        }
-    };
+    let outcome = until_stopped(&job, stream_item(&node, &job, index, &target)).await;
     drop(guard);
     let now = BootClock.now();
     let label = outcome.map_or("stopped", outcome_label);
@@ -83,8 +75,22 @@
     }
 }
 
+/// Waits for a future, or returns `None` when the job is closed or its runs are stopped.
+pub(crate) async fn until_stopped<T>(
+    job: &Rc<RefCell<Job>>,
+    future: impl Future<Output = T>,
+) -> Option<T> {
+    let changed = job.borrow().changed.clone();
+    let stopped = wait_until_stopped(job, &changed);
+    futures_util::pin_mut!(future, stopped);
+    match select(future, stopped).await {
+        Either::Left((value, _)) => Some(value),
+        Either::Right(((), _)) => None,
+    }
+}
+
 /// Waits until the job is closed or its runs are stopped.
-pub(crate) async fn wait_until_stopped(job: &Rc<RefCell<Job>>, changed: &Notify) {
+async fn wait_until_stopped(job: &Rc<RefCell<Job>>, changed: &Notify) {
     loop {
         let seen = changed.count();
         if job.borrow().closed || job.borrow().stopping {
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -38,7 +38,8 @@
 pub(crate) async fn run(node: Rc<Node>) {
     loop {
         let seen = node.jobs.changed.count();
-        let waiting = start_items(&node) | score::start_calls(&node);
+        let jobs = node.jobs.open_jobs();
+        let waiting = start_items(&node, &jobs) | score::start_calls(&node, &jobs);
         let pause = match () {
             () if waiting => placement::RETRY_PAUSE,
             () if node.jobs.is_busy() => INTERVAL,
@@ -54,9 +55,8 @@
 }
 
 /// Starts the items that can start and returns whether others still wait.
-fn start_items(node: &Rc<Node>) -> bool {
+fn start_items(node: &Rc<Node>, jobs: &[Rc<RefCell<Job>>]) -> bool {
     let now = BootClock.now();
-    let jobs = node.jobs.open_jobs();
     if jobs.is_empty() {
         return false;
     }
@@ -75,7 +75,7 @@
         return has_later;
     }
     let count = waiting.len();
-    let (mut targets, registrations) = placement_targets(node, &jobs, now);
+    let (mut targets, registrations) = placement_targets(node, jobs, now);
     let placed = placement::assign_items(waiting, &mut targets);
     let has_unplaced = count > placed.len();
     for (placed_item, target_index) in placed {
--- a/crates/tamarackdock_gateway/src/batch/score.rs
+++ b/crates/tamarackdock_gateway/src/batch/score.rs
@@ -8,22 +8,22 @@
 use super::{
     ScoringCall,
     job::Job,
-    run::wait_until_stopped,
+    run::until_stopped,
     scoring::{self, Outcome, WaitingCall},
 };
 use crate::{
-    call::{self, Attempt, Call, Dispatched, pick_service},
+    call::{Attempt, Call, pick_service},
     deployment::{Name, Route},
+    hedge,
     node::Node,
 };
 
 /// Pause after a scoring call whose route is not configured.
 const NO_ROUTE_PAUSE: Duration = Duration::from_millis(500);
 
-/// Sends the scoring calls that there is room for. Returns whether others still wait.
-pub(crate) fn start_calls(node: &Rc<Node>) -> bool {
+/// Sends the scoring calls of `jobs` that there is room for. Returns whether others still wait.
+pub(crate) fn start_calls(node: &Rc<Node>, jobs: &[Rc<RefCell<Job>>]) -> bool {
     let now = BootClock.now();
-    let jobs = node.jobs.open_jobs();
     let mut waiting: BTreeMap<Option<Name>, Vec<WaitingCall>> = BTreeMap::new();
     for (index, job) in jobs.iter().enumerate() {
         let job = job.borrow();
@@ -78,27 +78,18 @@
 /// up, or the job is stopped.
 async fn run(node: Rc<Node>, job: Rc<RefCell<Job>>, index: usize) {
     let began = BootClock.now();
-    let changed = job.borrow().changed.clone();
     let Some(prepared) = prepare(&node, &job.borrow(), index, began) else {
         let outcome = Outcome::NotRun(Some(NO_ROUTE_PAUSE));
         finish(&node, &job, index, outcome, 0, "no_route", began);
         return;
     };
-    let dispatched = {
-        let sending = call::dispatch(&node, &prepared);
-        let stopped = wait_until_stopped(&job, &changed);
-        futures_util::pin_mut!(sending, stopped);
-        match futures_util::future::select(sending, stopped).await {
-            futures_util::future::Either::Left((dispatched, _)) => dispatched,
-            futures_util::future::Either::Right(((), _)) => {
-                // The text is in the store. The next owner sends the call again.
-                slog::info!(node.log, "score: call stopped"; "job" => &*job.borrow().id,
-                    "call" => &prepared.id);
-                return;
-            }
-        }
+    let Some(attempts) = until_stopped(&job, hedge::send(&node, &prepared)).await else {
+        // The text is in the store. The next owner sends the call again.
+        slog::info!(node.log, "score: call stopped"; "job" => &*job.borrow().id,
+            "call" => &prepared.id);
+        return;
     };
-    let (label, outcome) = outcome(&node, dispatched);
+    let (label, outcome) = outcome(&node, attempts);
     let job_limit = job.borrow().max_failures;
     finish(&node, &job, index, outcome, prepared.route.attempts.max(job_limit), label, began);
 }
@@ -127,16 +118,16 @@
 
 /// Returns the outcome of a call with its label in logs and metrics. Only a whole answer of
 /// success with the signature of its target scores an item.
-fn outcome(node: &Node, dispatched: Dispatched) -> (&'static str, Outcome) {
+fn outcome(node: &Node, attempts: hedge::Summary) -> (&'static str, Outcome) {
     let signature = node.wire_format.fields().signature;
-    match dispatched.last {
+    match attempts.last {
         Some(Attempt::Answered(response)) if (200..300).contains(&response.head.status) => {
             match response.head.headers.get(signature) {
                 Some(score) => ("scored", Outcome::Scored(score.into())),
                 None => ("unknown", Outcome::Unknown),
             }
         }
-        _ if dispatched.failures > 0 => ("failed", Outcome::Failed(dispatched.failures)),
+        _ if attempts.failures > 0 => ("failed", Outcome::Failed(attempts.failures)),
         Some(Attempt::NotRun(after)) => ("not_run", Outcome::NotRun(after)),
         Some(Attempt::Answered(_) | Attempt::Unknown(_)) | None => ("unknown", Outcome::Unknown),
     }
--- a/crates/tamarackdock_gateway/src/batch/scoring.rs
+++ b/crates/tamarackdock_gateway/src/batch/scoring.rs
@@ -10,17 +10,17 @@
 
 use derive_more::{Display, Error};
 
-use super::{Submission, rows};
+use super::{
+    Submission,
+    backoff::{Backoff, REFUSED_PAUSE},
+    rows,
+};
 use crate::deployment::Deployment;
 
 /// Slots of each target that scoring calls leave to other calls.
 pub(crate) const RESERVED_SLOTS: u32 = 1;
-/// First pause after a call without a usable answer. It doubles with each such call in a row.
-const FIRST_BACKOFF: Duration = Duration::from_millis(50);
-/// Longest such pause.
+/// Longest pause after calls in a row without a usable answer.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
-/// Shortest pause after all targets refused a call.
-const REFUSED_PAUSE: Duration = Duration::from_millis(30);
 
 /// How a scoring call ended, after all attempts that it was given.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -51,8 +51,8 @@
 pub(crate) struct Scoring {
     /// Number of answers that reported a failure. Only these can abort the item.
     failures: u32,
-    /// Number of calls in a row without a score that may have run.
-    consecutive_breaks: u32,
+    /// Calls in a row without a score that may have run.
+    breaks: Backoff,
 }
 
 impl Scoring {
@@ -63,20 +63,17 @@
             Outcome::Scored(score) => Next::Scored(score),
             Outcome::Failed(count) => {
                 self.failures += count;
-                if self.failures >= max_failures.max(1) { Next::Abort } else { self.back_off() }
+                if self.failures >= max_failures.max(1) {
+                    return Next::Abort;
+                }
+                Next::Retry(self.breaks.next(MAX_BACKOFF))
             }
             Outcome::NotRun(after) => {
                 Next::Retry(after.unwrap_or_default().clamp(REFUSED_PAUSE, MAX_BACKOFF))
             }
-            Outcome::Unknown => self.back_off(),
+            Outcome::Unknown => Next::Retry(self.breaks.next(MAX_BACKOFF)),
         }
     }
-
-    fn back_off(&mut self) -> Next {
-        let doubled = FIRST_BACKOFF * 2_u32.saturating_pow(self.consecutive_breaks.min(10));
-        self.consecutive_breaks += 1;
-        Next::Retry(doubled.min(MAX_BACKOFF))
-    }
 }
 
 /// An item that waits for its scoring call.
--- a/crates/tamarackdock_gateway/src/batch/takeover.rs
+++ b/crates/tamarackdock_gateway/src/batch/takeover.rs
@@ -258,15 +258,7 @@
 
 /// Reads the saved text of a job's items from the store, by id.
 async fn read_progress(node: &Node, id: &str) -> Result<BTreeMap<String, Progress>, Error> {
-    let prefix = rows::progress_key(id, "");
-    let mut stored = Vec::new();
-    let mut from = prefix.clone();
-    loop {
-        let more = node.store.range(prefix.clone(), from).await?;
-        let Some(last) = more.last() else { break };
-        from = rows::key_after(&last.key);
-        stored.extend(more);
-    }
+    let stored = node.read_prefix(rows::progress_key(id, "")).await?;
     Ok(progress::join_segments(id, &stored))
 }
 
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -1,37 +1,23 @@
-//! Forwards the calls of callers to targets, with hedging and retries.
+//! The calls of callers and of scoring, and what the answers of targets mean for them.
 
 use std::{rc::Rc, time::Duration};
 
-use futures_util::{StreamExt, future::Either, stream::FuturesUnordered};
-use monoio::time::{sleep, timeout};
+use futures_util::future::Either;
+use monoio::time::sleep;
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
     balance::{self, Requirements},
-    batch::{ScoringCall, scoring, takeover},
-    crash,
+    batch::{ScoringCall, takeover},
     deployment::{CallKind, Name, Route},
-    forward,
-    http::{Exchange, ExchangeError, Framing, Headers, RequestHead, Response, ResponseHead},
+    http::{ExchangeError, Framing, Headers, RequestHead, Response, ResponseHead},
     node::Node,
-    pool::Reuse,
+    origin::Origin,
     reply::Reply,
     server::Request,
     target::Registration,
 };
 
-/// Largest response of a target. It is buffered in memory.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-/// Share of the latency objective after which an idempotent call is hedged: sent to
-/// a second target as well. Targets of plain services are far from full, so a second
-/// run costs little, and the rest of the objective is enough for it.
-const HEDGE_SHARE: f64 = 0.4;
-/// The same for scoring calls, whose objective is far longer than the pause of a step: a hedge
-/// costs a connection, as the slower attempt is closed.
-const SCORING_HEDGE_SHARE: f64 = 0.75;
-/// Shortest time before a hedged attempt, so that calls with a normal latency are not
-/// hedged.
-const MIN_HEDGE: Duration = Duration::from_millis(20);
 /// `Retry-After` of a refusal where no target gives one.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Hop-by-hop header fields, and those that frame the body.
@@ -62,26 +48,6 @@
     pub(crate) origin: Origin,
 }
 
-/// Who sends a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Origin {
-    /// A caller, who waits for the answer.
-    Caller,
-    /// The owner of a batch job, to score an item. It may run more than once and leaves room
-    /// for the calls of callers.
-    Scoring,
-}
-
-/// The result of sending a call to targets until one answered or the attempts were used up.
-pub(crate) struct Dispatched {
-    /// The last attempt that counts, or `None` if the time was up.
-    pub(crate) last: Option<Attempt>,
-    /// Whether any attempt may have run, which a refusal of a later one does not change.
-    pub(crate) may_have_run: bool,
-    /// Number of targets that answered with the status 500.
-    pub(crate) failures: u32,
-}
-
 /// The result of sending a call to one target.
 pub(crate) enum Attempt {
     /// The target ran the request and responded.
@@ -145,7 +111,7 @@
     }
 
     /// Returns whether the call may run more than once.
-    fn may_repeat(&self) -> bool {
+    pub(crate) fn may_repeat(&self) -> bool {
         self.origin == Origin::Scoring || self.route.kind == CallKind::Idempotent
     }
 
@@ -187,10 +153,7 @@
             service: &name,
             data_centre: &node.data_centre,
             tried,
-            reserved_slots: match self.origin {
-                Origin::Caller => 0,
-                Origin::Scoring => scoring::RESERVED_SLOTS,
-            },
+            reserved_slots: self.origin.reserved_slots(),
             node_rank: &|target| takeover::caller_rank(target, &node.members.own, &live),
         };
         let loads = node.target_loads.borrow();
@@ -231,70 +194,6 @@
         || headers.has_token("connection", name)
 }
 
-/// Serves a call whose response is not a stream.
-pub(crate) async fn serve(node: &Rc<Node>, call: &Call) -> Reply {
-    let dispatched = dispatch(node, call).await;
-    match dispatched.last {
-        Some(last) => final_reply(last, dispatched.may_have_run),
-        None => Reply::error(504, "no target answered in time"),
-    }
-}
-
-/// Sends a call to targets. A call that may be repeated is hedged and retried on other
-/// targets. Any other call is retried only after attempts that certainly did not run it.
-pub(crate) async fn dispatch(node: &Rc<Node>, call: &Call) -> Dispatched {
-    let may_repeat = call.may_repeat();
-    let hedge_share = match call.origin {
-        Origin::Caller => HEDGE_SHARE,
-        Origin::Scoring => SCORING_HEDGE_SHARE,
-    };
-    let hedge = call.route.objective.mul_f64(hedge_share).max(MIN_HEDGE);
-    let mut tried: Vec<Name> = Vec::new();
-    let mut running = FuturesUnordered::new();
-    let mut last = Attempt::NotRun(None);
-    let mut may_have_run = false;
-    let mut failures = 0;
-    loop {
-        let attempts_left = tried.len() < call.route.attempts.max(1) as usize;
-        let may_start = attempts_left && (may_repeat || (running.is_empty() && !may_have_run));
-        if may_start && let Some(target) = call.choose(node, &tried) {
-            tried.push(target.id.clone());
-            running.push(attempt(node, call, target, tried.len() == 1));
-        }
-        if running.is_empty() {
-            break;
-        }
-        let left = call.give_up_at.since(BootClock.now());
-        let more_attempts = may_repeat && tried.len() < call.route.attempts as usize;
-        let pause = if more_attempts { left.min(hedge) } else { left };
-        match timeout(pause, running.next()).await {
-            Ok(Some(Attempt::Answered(response))) => {
-                failures += u32::from(response.head.status == 500);
-                let retry = response.head.status >= 500 && more_attempts;
-                last = Attempt::Answered(response);
-                if !retry {
-                    break;
-                }
-            }
-            Ok(Some(outcome)) => {
-                may_have_run |= matches!(outcome, Attempt::Unknown(_));
-                if !matches!(last, Attempt::Answered(_)) {
-                    last = outcome;
-                }
-            }
-            Ok(None) => break,
-            Err(_) if BootClock.now() >= call.give_up_at => {
-                slog::info!(node.log, "call: deadline exceeded"; "id" => &call.id,
-                    "route" => &*call.route.name, "tried" => tried.join(","),
-                    "running" => running.len());
-                return Dispatched { last: None, may_have_run: true, failures };
-            }
-            Err(_) => {}
-        }
-    }
-    Dispatched { last: Some(last), may_have_run, failures }
-}
-
 /// Returns the response to a caller after the last attempt. `may_have_run` says
 /// whether any attempt may have run, which a refusal of a later one does not change.
 pub(crate) fn final_reply(last: Attempt, may_have_run: bool) -> Reply {
@@ -310,88 +209,6 @@
     }
 }
 
-/// Sends a call to a target, and records the outcome.
-async fn attempt(node: &Rc<Node>, call: &Call, target: Registration, is_first: bool) -> Attempt {
-    let began = BootClock.now();
-    let guard = node.start_request(&target.id, began);
-    // Later attempts go directly, in case the node that forwards is the one in trouble.
-    let may_forward = is_first && call.origin == Origin::Caller && call.may_repeat();
-    let forwarded = if may_forward { forward::send(node, call, &target).await } else { None };
-    let is_forwarded = forwarded.is_some();
-    let outcome = match forwarded {
-        Some(Ok(response)) => {
-            node.observe_answer(&target, &response.head.headers);
-            classify_answer(&node.wire_format.fields(), &call.id, response)
-        }
-        Some(Err(error)) => Attempt::Unknown(error),
-        None => exchange(node, call, &target).await,
-    };
-    drop(guard);
-    let now = BootClock.now();
-    let (name, failure) = match &outcome {
-        Attempt::Answered(_) => ("answered", None),
-        Attempt::NotRun(_) => ("not_run", None),
-        Attempt::Unknown(error) => ("unknown", Some(error.to_string())),
-    };
-    match &outcome {
-        Attempt::NotRun(_) => node.target_loads.borrow_mut().mark_full(&target.id, now),
-        Attempt::Unknown(error) => {
-            node.target_loads.borrow_mut().mark_suspect(&target.id, now);
-            // Scoring calls have a growing pause of their own.
-            if *error == ExchangeError::ConnectionLost && call.origin == Origin::Caller {
-                let request = crash::request_fingerprint(call);
-                // A target that restarts under the same id counts as a different one.
-                let run = format!("{}#{}", target.id, target.started.unwrap_or_default());
-                monoio::spawn(crash::record(node.clone(), request, run));
-            }
-        }
-        Attempt::Answered(_) => {}
-    }
-    if let (Attempt::Answered(_) | Attempt::Unknown(_), Some(account)) = (&outcome, &call.account) {
-        node.count_usage(account, began);
-    }
-    node.metrics.attempts.with_label_values(&[name]).inc();
-    slog::info!(node.log, "call: attempt"; "id" => &call.id, "target" => &*target.id,
-        "outcome" => name, "failure" => failure, "forwarded" => is_forwarded, "ms" => now.since(began).as_millis());
-    outcome
-}
-
-/// Sends a call to a target and reads the response.
-async fn exchange(node: &Rc<Node>, call: &Call, target: &Registration) -> Attempt {
-    let fields = node.wire_format.fields();
-    let reuse = match call.origin {
-        Origin::Caller => Reuse::Newest,
-        Origin::Scoring => Reuse::Oldest,
-    };
-    let Ok((mut connection, _)) = node.pool.connect(target, reuse).await else {
-        return Attempt::NotRun(None);
-    };
-    let headers = call.headers(node, target, BootClock.now());
-    let head = &call.request.head;
-    let sent =
-        Exchange::begin(&mut connection, &head.method, &head.target, &headers, &call.request.body);
-    let received = match sent.await {
-        Ok(exchange) => {
-            node.observe_answer(target, &exchange.head().headers);
-            exchange.collect_within(MAX_RESPONSE_BYTES, &node.response_budget).await
-        }
-        Err(error) => Err(error),
-    };
-    match received {
-        Ok((response, reusable)) => {
-            let headers = response.head.headers.clone();
-            let attempt = classify_answer(&fields, &call.id, response);
-            // After an answer to another request, the one to this request may follow.
-            if reusable && !matches!(attempt, Attempt::Unknown(_)) {
-                node.pool.put(&target.id, connection, &headers);
-            }
-            attempt
-        }
-        Err(ExchangeError::NotSent) => Attempt::NotRun(None),
-        Err(error) => Attempt::Unknown(error),
-    }
-}
-
 /// Decides from a complete response whether the target ran the request.
 pub(crate) fn classify_answer(
     fields: &crate::wire_format::HeaderFields,
--- a/crates/tamarackdock_gateway/src/dispatch.rs
+++ b/crates/tamarackdock_gateway/src/dispatch.rs
@@ -6,9 +6,10 @@
 
 use crate::{
     batch,
-    call::{self, Call},
+    call::Call,
     crash,
     deployment::{Authorization, CallKind, Name, Route},
+    hedge,
     http::Writer,
     node::Node,
     peer,
@@ -160,7 +161,7 @@
             }
             CallKind::Stream { .. } => ("stream", stream::serve(self, &call, writer).await),
             CallKind::Idempotent | CallKind::AtMostOnce => {
-                ("call", Outcome::Reply(call::serve(self, &call).await))
+                ("call", Outcome::Reply(hedge::serve(self, &call).await))
             }
         }
     }
--- a/crates/tamarackdock_gateway/src/duty/usage.rs
+++ b/crates/tamarackdock_gateway/src/duty/usage.rs
@@ -12,7 +12,6 @@
 };
 
 use crate::{
-    batch::rows,
     deployment::Name,
     http::{Connection, send_message},
     node::Node,
@@ -182,18 +181,11 @@
 
 /// Adds up the counts of all nodes for a window and writes the totals.
 async fn seal_window(node: &Rc<Node>, number: u64, key: String) -> Result<Totals, Error> {
-    let prefix = counts_prefix(number);
     let mut totals = Totals::new();
-    let mut from = prefix.clone();
-    loop {
-        let rows = node.store.range(prefix.clone(), from).await?;
-        let Some(last) = rows.last() else { break };
-        from = rows::key_after(&last.key);
-        for row in rows {
-            let counts: Totals = serde_json::from_str(&row.value).map_err(|_| Error::Malformed)?;
-            for (account, calls) in counts {
-                *totals.entry(account).or_default() += calls;
-            }
+    for row in node.read_prefix(counts_prefix(number)).await? {
+        let counts: Totals = serde_json::from_str(&row.value).map_err(|_| Error::Malformed)?;
+        for (account, calls) in counts {
+            *totals.entry(account).or_default() += calls;
         }
     }
     let conditions = vec![Condition { key: key.clone(), revision: 0 }];
--- a/crates/tamarackdock_gateway/src/forward.rs
+++ b/crates/tamarackdock_gateway/src/forward.rs
@@ -40,7 +40,7 @@
     method: String,
     path: String,
     /// Header fields for the target.
-    headers: Vec<(String, Vec<u8>)>,
+    headers: Headers,
     body: Vec<u8>,
     /// Store time at which it was sent to the peer, in milliseconds.
     sent_ms: i64,
@@ -50,7 +50,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ForwardedResponse {
     status: u16,
-    headers: Vec<(String, Vec<u8>)>,
+    headers: Headers,
     body: Vec<u8>,
 }
 
@@ -93,12 +93,11 @@
     let peer = choose(&target.id, &node.members.own, &live)
         .filter(|peer| !node.forwarders.is_avoided(&peer.host, now))?;
     let address = node.members.address(&peer)?;
-    let headers = call.headers(node, target, now);
     let request = PeerRequest::Forward(Box::new(ForwardedCall {
         target: target.id.clone(),
         method: call.request.head.method.clone(),
         path: call.request.head.target.clone(),
-        headers: headers.iter().map(|(name, value)| (name.into(), value.into())).collect(),
+        headers: call.headers(node, target, now),
         body: call.request.body.to_vec(),
         sent_ms: node.store_clock.millis(now)?,
     }));
@@ -135,22 +134,18 @@
     let guard = node.start_request(&target.id, now);
     let connected = node.pool.connect(&target, Reuse::Newest).await;
     let (mut connection, _) = connected.map_err(|_| ExchangeError::NotSent)?;
-    let headers = Headers::from_iter(call.headers);
-    let exchange =
-        Exchange::begin(&mut connection, &call.method, &call.path, &headers, &call.body).await?;
-    node.observe_answer(&target, &exchange.head().headers);
-    let (response, reusable) =
-        exchange.collect_within(MAX_RESPONSE_BYTES, &node.response_budget).await?;
+    let ForwardedCall { method, path, headers, body, .. } = &call;
+    let exchange = Exchange::begin(&mut connection, method, path, headers, body).await?;
+    let (response, reusable) = node.collect(&target, exchange, MAX_RESPONSE_BYTES).await?;
     drop(guard);
     // After an answer to another request, the one to this request may follow.
     let id = node.wire_format.fields().request_id;
     if reusable && response.head.headers.get(id) == headers.get(id) {
         node.pool.put(&target.id, connection, &response.head.headers);
     }
-    let headers = response.head.headers.iter();
     Ok(ForwardedResponse {
         status: response.head.status,
-        headers: headers.map(|(name, value)| (name.into(), value.into())).collect(),
+        headers: response.head.headers,
         body: response.body.to_vec(),
     })
 }
@@ -159,7 +154,7 @@
     fn into_response(self) -> Response {
         let head = ResponseHead {
             status: self.status,
-            headers: Headers::from_iter(self.headers),
+            headers: self.headers,
             keep_alive: false,
             framing: Framing::Length(self.body.len() as u64),
         };
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/hedge.rs
@@ -0,0 +1,171 @@
+//! Sends calls to targets, with hedging and retries.
+
+use std::{rc::Rc, time::Duration};
+
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use monoio::time::timeout;
+use tamarackdock_types::clock::{BootClock, Clock};
+
+use crate::{
+    call::{Attempt, Call, classify_answer, final_reply},
+    crash,
+    deployment::Name,
+    forward,
+    http::{Exchange, ExchangeError},
+    node::Node,
+    origin::Origin,
+    reply::Reply,
+    target::Registration,
+};
+
+/// Largest response of a target. It is buffered in memory.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// Shortest time before a hedged attempt, so that calls with a normal latency are not
+/// hedged.
+const MIN_HEDGE: Duration = Duration::from_millis(20);
+
+/// What came of the attempts of a call, until a target answered or they were used up.
+pub(crate) struct Summary {
+    /// The last attempt that counts, or `None` if the time was up.
+    pub(crate) last: Option<Attempt>,
+    /// Whether any attempt may have run, which a refusal of a later one does not change.
+    pub(crate) may_have_run: bool,
+    /// Number of targets that answered with the status 500.
+    pub(crate) failures: u32,
+}
+
+/// Serves a call whose response is not a stream.
+pub(crate) async fn serve(node: &Rc<Node>, call: &Call) -> Reply {
+    let attempts = send(node, call).await;
+    match attempts.last {
+        Some(last) => final_reply(last, attempts.may_have_run),
+        None => Reply::error(504, "no target answered in time"),
+    }
+}
+
+/// Sends a call to targets. A call that may be repeated is hedged and retried on other
+/// targets. Any other call is retried only after attempts that certainly did not run it.
+pub(crate) async fn send(node: &Rc<Node>, call: &Call) -> Summary {
+    let may_repeat = call.may_repeat();
+    let hedge = call.route.objective.mul_f64(call.origin.hedge_share()).max(MIN_HEDGE);
+    let mut tried: Vec<Name> = Vec::new();
+    let mut running = FuturesUnordered::new();
+    let mut last = Attempt::NotRun(None);
+    let mut may_have_run = false;
+    let mut failures = 0;
+    loop {
+        let attempts_left = tried.len() < call.route.attempts.max(1) as usize;
+        let may_start = attempts_left && (may_repeat || (running.is_empty() && !may_have_run));
+        if may_start && let Some(target) = call.choose(node, &tried) {
+            tried.push(target.id.clone());
+            running.push(attempt(node, call, target, tried.len() == 1));
+        }
+        if running.is_empty() {
+            break;
+        }
+        let left = call.give_up_at.since(BootClock.now());
+        let more_attempts = may_repeat && tried.len() < call.route.attempts as usize;
+        let pause = if more_attempts { left.min(hedge) } else { left };
+        match timeout(pause, running.next()).await {
+            Ok(Some(Attempt::Answered(response))) => {
+                failures += u32::from(response.head.status == 500);
+                let retry = response.head.status >= 500 && more_attempts;
+                last = Attempt::Answered(response);
+                if !retry {
+                    break;
+                }
+            }
+            Ok(Some(outcome)) => {
+                may_have_run |= matches!(outcome, Attempt::Unknown(_));
+                if !matches!(last, Attempt::Answered(_)) {
+                    last = outcome;
+                }
+            }
+            Ok(None) => break,
+            Err(_) if BootClock.now() >= call.give_up_at => {
+                slog::info!(node.log, "call: deadline exceeded"; "id" => &call.id,
+                    "route" => &*call.route.name, "tried" => tried.join(","),
+                    "running" => running.len());
+                return Summary { last: None, may_have_run: true, failures };
+            }
+            Err(_) => {}
+        }
+    }
+    Summary { last: Some(last), may_have_run, failures }
+}
+
+/// Sends a call to a target, and records the outcome.
+async fn attempt(node: &Rc<Node>, call: &Call, target: Registration, is_first: bool) -> Attempt {
+    let began = BootClock.now();
+    let guard = node.start_request(&target.id, began);
+    // Later attempts go directly, in case the node that forwards is the one in trouble.
+    let may_forward = is_first && call.origin == Origin::Caller && call.may_repeat();
+    let forwarded = if may_forward { forward::send(node, call, &target).await } else { None };
+    let is_forwarded = forwarded.is_some();
+    let outcome = match forwarded {
+        Some(Ok(response)) => {
+            node.observe_answer(&target, &response.head.headers);
+            classify_answer(&node.wire_format.fields(), &call.id, response)
+        }
+        Some(Err(error)) => Attempt::Unknown(error),
+        None => exchange(node, call, &target).await,
+    };
+    drop(guard);
+    let now = BootClock.now();
+    let (name, failure) = match &outcome {
+        Attempt::Answered(_) => ("answered", None),
+        Attempt::NotRun(_) => ("not_run", None),
+        Attempt::Unknown(error) => ("unknown", Some(error.to_string())),
+    };
+    match &outcome {
+        Attempt::NotRun(_) => node.target_loads.borrow_mut().mark_full(&target.id, now),
+        Attempt::Unknown(error) => {
+            node.target_loads.borrow_mut().mark_suspect(&target.id, now);
+            // Scoring calls have a growing pause of their own.
+            if *error == ExchangeError::ConnectionLost && call.origin == Origin::Caller {
+                let request = crash::request_fingerprint(call);
+                // A target that restarts under the same id counts as a different one.
+                let run = format!("{}#{}", target.id, target.started.unwrap_or_default());
+                monoio::spawn(crash::record(node.clone(), request, run));
+            }
+        }
+        Attempt::Answered(_) => {}
+    }
+    if let (Attempt::Answered(_) | Attempt::Unknown(_), Some(account)) = (&outcome, &call.account) {
+        node.count_usage(account, began);
+    }
+    node.metrics.attempts.with_label_values(&[name]).inc();
+    slog::info!(node.log, "call: attempt"; "id" => &call.id, "target" => &*target.id,
+        "outcome" => name, "failure" => failure, "forwarded" => is_forwarded,
+        "ms" => now.since(began).as_millis());
+    outcome
+}
+
+/// Sends a call to a target and reads the response.
+async fn exchange(node: &Rc<Node>, call: &Call, target: &Registration) -> Attempt {
+    let fields = node.wire_format.fields();
+    let Ok((mut connection, _)) = node.pool.connect(target, call.origin.reuse()).await else {
+        return Attempt::NotRun(None);
+    };
+    let headers = call.headers(node, target, BootClock.now());
+    let head = &call.request.head;
+    let sent =
+        Exchange::begin(&mut connection, &head.method, &head.target, &headers, &call.request.body);
+    let received = match sent.await {
+        Ok(exchange) => node.collect(target, exchange, MAX_RESPONSE_BYTES).await,
+        Err(error) => Err(error),
+    };
+    match received {
+        Ok((response, reusable)) => {
+            let headers = response.head.headers.clone();
+            let attempt = classify_answer(&fields, &call.id, response);
+            // After an answer to another request, the one to this request may follow.
+            if reusable && !matches!(attempt, Attempt::Unknown(_)) {
+                node.pool.put(&target.id, connection, &headers);
+            }
+            attempt
+        }
+        Err(ExchangeError::NotSent) => Attempt::NotRun(None),
+        Err(error) => Attempt::Unknown(error),
+    }
+}
--- a/crates/tamarackdock_gateway/src/http/head.rs
+++ b/crates/tamarackdock_gateway/src/http/head.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Buf, BytesMut};
 use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
 
 use super::{Framing, FramingError};
 
@@ -29,15 +30,9 @@
 }
 
 /// Header fields, in the order in which they are sent.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Headers(Vec<(String, Vec<u8>)>);
 
-impl FromIterator<(String, Vec<u8>)> for Headers {
-    fn from_iter<T: IntoIterator<Item = (String, Vec<u8>)>>(fields: T) -> Self {
-        Self(fields.into_iter().collect())
-    }
-}
-
 impl Headers {
     /// Adds a field.
     pub fn push(&mut self, name: &str, value: impl Into<Vec<u8>>) {
--- a/crates/tamarackdock_gateway/src/members.rs
+++ b/crates/tamarackdock_gateway/src/members.rs
@@ -1,7 +1,13 @@
 //! Membership: the nodes of the deployment, by the rows that each node renews in
 //! the store.
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -82,17 +88,10 @@
 impl MemberTable {
     /// Replaces the table by all rows, as read at `now`.
     pub(crate) fn update(&mut self, batch: &Batch, now: Instant, log: &Logger) {
-        let after_gap = self.last_read.is_none_or(|read| now.since(read) > MAX_READ_GAP);
-        self.last_read = Some(now);
-        let mut nodes = BTreeMap::new();
-        for change in &batch.changes {
-            let Some(row) = decode_row::<Row>(change, "members", log) else { continue };
-            let name: Name = change.key.as_str().into();
-            let earlier = self.nodes.get(&name).filter(|member| member.revision == change.revision);
-            let changed = earlier.filter(|_| !after_gap).map_or(now, |member| member.changed);
-            nodes.insert(name, Member { row, revision: change.revision, changed });
-        }
-        self.nodes = nodes;
+        let hosts: BTreeSet<&str> =
+            batch.changes.iter().map(|change| change.key.as_str()).collect();
+        self.nodes.retain(|host, _| hosts.contains(&**host));
+        self.apply(batch, now, log);
     }
 
     /// Applies the rows that have changed since the last read, as read at `now`.
@@ -102,18 +101,18 @@
         }
         self.last_read = Some(now);
         for change in &batch.changes {
-            let name: Name = change.key.as_str().into();
-            let is_known =
-                self.nodes.get(&name).is_some_and(|member| member.revision == change.revision);
-            match change.value {
-                None => {
-                    self.nodes.remove(&name);
+            let known = self.nodes.get(change.key.as_str());
+            if known.is_some_and(|member| member.revision == change.revision) {
+                continue;
+            }
+            let row = change.value.as_ref().and_then(|_| decode_row(change, "members", log));
+            match row {
+                Some(row) => {
+                    let member = Member { row, revision: change.revision, changed: now };
+                    self.nodes.insert(change.key.as_str().into(), member);
                 }
-                Some(_) if is_known => {}
-                Some(_) => {
-                    let Some(row) = decode_row::<Row>(change, "members", log) else { continue };
-                    let revision = change.revision;
-                    self.nodes.insert(name, Member { row, revision, changed: now });
+                None => {
+                    self.nodes.remove(change.key.as_str());
                 }
             }
         }
@@ -126,28 +125,31 @@
 
     /// Returns the peer address of a run that is live.
     pub(crate) fn address(&self, run: &NodeRun) -> Option<SocketAddr> {
-        let member = self.nodes.get(&run.host)?;
-        (member.row.number == run.number && self.is_live(member)).then_some(member.row.peers)
+        self.member(run).filter(|member| self.is_live(member)).map(|member| member.row.peers)
     }
 
     /// Returns the peer address in the last row of a run, whether or not it is live.
     pub(crate) fn last_address(&self, run: &NodeRun) -> Option<SocketAddr> {
-        let member = self.nodes.get(&run.host)?;
-        (member.row.number == run.number).then_some(member.row.peers)
+        self.member(run).map(|member| member.row.peers)
+    }
+
+    fn member(&self, run: &NodeRun) -> Option<&Member> {
+        self.nodes.get(&run.host).filter(|member| member.row.number == run.number)
     }
 
     /// Returns the live runs that are not leaving.
     pub(crate) fn live(&self) -> Vec<NodeRun> {
-        let live =
-            self.nodes.iter().filter(|(_, member)| self.is_live(member) && !member.row.leaving);
-        live.map(|(host, member)| NodeRun { host: host.clone(), number: member.row.number })
-            .collect()
+        self.live_where(|_| true)
     }
 
     /// Returns the live runs in a data centre that are not leaving.
     pub(crate) fn live_in(&self, data_centre: &str) -> Vec<NodeRun> {
+        self.live_where(|row| *row.data_centre == *data_centre)
+    }
+
+    fn live_where(&self, condition: impl Fn(&Row) -> bool) -> Vec<NodeRun> {
         let live = self.nodes.iter().filter(|(_, member)| {
-            *member.row.data_centre == *data_centre && self.is_live(member) && !member.row.leaving
+            condition(&member.row) && self.is_live(member) && !member.row.leaving
         });
         live.map(|(host, member)| NodeRun { host: host.clone(), number: member.row.number })
             .collect()
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -12,7 +12,7 @@
 use futures_util::future::pending;
 use monoio::time::sleep;
 use slog::Logger;
-use tamarackdock_platform::table::{Commit, Condition, Watch, Write};
+use tamarackdock_platform::table::{Commit, Condition, Row, Watch, Write};
 use tamarackdock_types::{
     HostName, NameError,
     clock::{BootClock, Clock, Instant},
@@ -27,7 +27,7 @@
     duty::{self, lease::DutyLease, usage::UsageCounter, weight_loads::LoadOrders},
     forward::Forwarders,
     freshness::Freshness,
-    http::{Budget, Headers},
+    http::{Budget, Exchange, ExchangeError, Headers, Response},
     members::{self, Members, NodeRun},
     notify::Notify,
     pool::Pool,
@@ -250,6 +250,22 @@
         self.store.commit(Commit { operation, conditions, writes }).await
     }
 
+    /// Reads all rows whose keys begin with `prefix`, page by page.
+    pub(crate) async fn read_prefix(
+        &self,
+        prefix: String,
+    ) -> Result<Vec<Row>, tamarackdock_platform::Error> {
+        let mut rows: Vec<Row> = Vec::new();
+        let mut from = prefix.clone();
+        loop {
+            let page = self.store.range(prefix.clone(), from).await?;
+            let Some(last) = page.last() else { return Ok(rows) };
+            // The first possible key behind the last one.
+            from = format!("{}\0", last.key);
+            rows.extend(page);
+        }
+    }
+
     /// Returns the size limit of a row's value, in bytes.
     pub(crate) fn row_bytes(&self) -> usize {
         self.settings.borrow().limits.row_bytes
@@ -291,6 +307,18 @@
         }
     }
 
+    /// Reads the whole answer of a target, within the memory for responses. Also returns whether
+    /// the connection can carry another request.
+    pub(crate) async fn collect(
+        &self,
+        target: &Registration,
+        exchange: Exchange<'_>,
+        limit: usize,
+    ) -> Result<(Response, bool), ExchangeError> {
+        self.observe_answer(target, &exchange.head().headers);
+        exchange.collect_within(limit, &self.response_budget).await
+    }
+
     /// Logs and counts a failed call to the store.
     pub(crate) fn store_failed(&self, call: &str, error: &tamarackdock_platform::Error) {
         self.metrics.store_failures.with_label_values(&[call]).inc();
--- a/crates/tamarackdock_gateway/src/tests/members.rs
+++ b/crates/tamarackdock_gateway/src/tests/members.rs
@@ -230,3 +230,16 @@
     assert!(forwarders.len() > 10, "{}", forwarders.len());
     assert_eq!(forward::choose("i-1", &live[0], &[]), None);
 }
+
+/// Guards against a node that stays live by an old row after it wrote one that can't be read, by
+/// either kind of read.
+#[test]
+fn a_row_that_becomes_invalid_drops_its_node() {
+    let invalid = Change { key: "a".into(), revision: 2, value: Some("{}".into()) };
+    for read in [MemberTable::update, MemberTable::apply] {
+        let mut table = MemberTable::default();
+        table.update(&batch([row("a", 1, 1, 0)]), at(0), &log());
+        read(&mut table, &batch([invalid.clone()]), at(400), &log());
+        assert_eq!(table.count(), 0);
+    }
+}
