Log the limits that targets name in their answers

What callers saw: nothing yet. A target in trouble names in its answers the requests a second that it accepts from all nodes together; nodes did not read it, and neither logs nor metrics showed it.

Change: the field is decoded, and each change of a target's limit is logged (`targets: limit changed`).

No decision has changed.

--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod event;
 mod forward;
 mod hedge;
+mod limit;
 mod members;
 mod node;
 mod notify;
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -28,6 +28,7 @@
     forward::Forwarders,
     freshness::Freshness,
     http::{Budget, Exchange, ExchangeError, Headers, Response},
+    limit::NamedLimits,
     members::{self, Members, NodeRun},
     notify::Notify,
     pool::Pool,
@@ -83,6 +84,7 @@
     pub(crate) pool: Pool,
     pub(crate) forwarders: Forwarders,
     pub(crate) target_loads: RefCell<TargetLoads>,
+    pub(crate) limits: RefCell<NamedLimits>,
     pub(crate) members: Rc<Members>,
     pub(crate) relay: Rc<Relay>,
     pub(crate) jobs: JobIndex,
@@ -159,6 +161,7 @@
             view: Rc::new(StoreView::new(Freshness::new(key_bound))),
             forwarders: Forwarders::default(),
             target_loads: RefCell::default(),
+            limits: RefCell::default(),
             members,
             jobs: JobIndex::default(),
             duties: Rc::new(duties),
@@ -297,7 +300,13 @@
 
     /// Takes note of what the header fields of a target's answer say about the target itself.
     pub(crate) fn observe_answer(&self, target: &Registration, headers: &Headers) {
-        if headers.get(self.wire_format.fields().leaving).is_none_or(|leaving| leaving == "0") {
+        let fields = self.wire_format.fields();
+        let rate = headers.number::<f64>(fields.limit);
+        if self.limits.borrow_mut().record(target, rate) {
+            slog::info!(self.log, "targets: limit changed"; "target" => &*target.id,
+                "per_s" => rate, "data_centre" => &*target.data_centre);
+        }
+        if headers.get(fields.leaving).is_none_or(|leaving| leaving == "0") {
             return;
         }
         let is_new = self.view.targets.borrow_mut().depart(target, BootClock.now());
@@ -367,6 +376,7 @@
         let in_use = |id: &str| targets.get(id).is_some_and(|target| !target.registration.draining);
         node.pool.sweep(in_use);
         node.target_loads.borrow_mut().sweep(|id| targets.get(id).is_some());
+        node.limits.borrow_mut().sweep(|id| targets.get(id).is_some());
         node.metrics
             .deployment
             .set(i64::try_from(node.view.deployment().version).unwrap_or(i64::MAX));
--- a/crates/tamarackdock_gateway/src/wire_format.rs
+++ b/crates/tamarackdock_gateway/src/wire_format.rs
@@ -31,6 +31,9 @@
     pub not_run: &'static str,
     /// Present in a response if the target is about to leave.
     pub leaving: &'static str,
+    /// Requests a second that the target accepts from all nodes together. Present in a response
+    /// while the target limits them.
+    pub limit: &'static str,
     /// Id of the last event of a stream that the sender of the request has received.
     pub last_event: &'static str,
     /// Weight version of a response, or of the following events of a stream.
