Keep to the limits that targets name, by permits of one node for each target

Cause: nodes dropped what a target says about its load; no decision held for the sum of all nodes.

Change: one node for each target, its limiter, grants permits for requests, evenly spaced and in equal parts for calls and batch work. Calls prefer targets without a limit, wait for a permit for a quarter of their objective, and are refused as not run with the time of the next permit. An answer without a limit ends one only if its request was sent after the limit was read.

Ruled out: shares for each node, as cold targets have, are far below one request on large fleets.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     deployment::{Name, Service},
-    target::Target,
+    target::{Registration, Target},
 };
 
 /// Time for which a target is used only as a last choice after the connection of a
@@ -202,6 +202,15 @@
     total / nodes + usize::from(node_rank.rank < total % nodes)
 }
 
+/// How the limit of a target bears on the next call.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct LimitState {
+    /// Whether no permit for the target can be had now.
+    pub(crate) is_withheld: bool,
+    /// Whether other targets should be preferred.
+    pub(crate) is_spared: bool,
+}
+
 /// What a call requires of its target.
 pub(crate) struct Requirements<'a> {
     /// Name of the service.
@@ -215,11 +224,14 @@
     pub(crate) reserved_slots: u32,
     /// Returns the rank of the node among those that may call a target.
     pub(crate) node_rank: &'a dyn Fn(&str) -> NodeRank,
+    /// Returns how the limit of a target bears on the call.
+    pub(crate) limit: &'a dyn Fn(&Registration) -> LimitState,
 }
 
-/// Returns the best target for a call. Targets that are not avoided come first, then
-/// those with free slots, then those in the node's own data centre, then those with
-/// the fewest requests of this node relative to their slots.
+/// Returns the best target for a call. Targets that are not avoided come first, then those
+/// for which permits can be had, then those with free slots, then those without a limit, then
+/// those in the node's own data centre, then those with the fewest requests of this node
+/// relative to their slots.
 pub(crate) fn choose<'a>(
     requirements: &Requirements<'_>,
     targets: impl Iterator<Item = &'a Target>,
@@ -244,6 +256,8 @@
         let load = loads.get(&entry.id);
         let near = *entry.data_centre == *requirements.data_centre;
         let full = load.running >= entry.slots;
-        (load.is_avoided(now), full, !near, load.running * 1000 / entry.slots.max(1))
+        let LimitState { is_withheld, is_spared } = (requirements.limit)(entry);
+        let relative_load = load.running * 1000 / entry.slots.max(1);
+        (load.is_avoided(now), is_withheld, full, is_spared, !near, relative_load)
     })
 }
--- a/crates/tamarackdock_gateway/src/batch/placement.rs
+++ b/crates/tamarackdock_gateway/src/batch/placement.rs
@@ -57,6 +57,16 @@
         !self.is_avoided && self.running < self.slots && self.allowed_starts > 0
     }
 
+    /// Returns for how many of the items there are slots, however many may start now.
+    pub(crate) fn room_for(&self, items: &[WaitingItem]) -> u32 {
+        if self.is_avoided {
+            return 0;
+        }
+        let fitting = items.iter().filter(|item| self.fitting_jobs.contains(&item.job)).count();
+        let free = self.slots.saturating_sub(self.running);
+        free.min(u32::try_from(fitting).unwrap_or(u32::MAX))
+    }
+
     /// Returns the estimated milliseconds per event under the present load, slightly
     /// raised for targets in other data centres.
     fn cost(&self) -> f64 {
@@ -66,26 +76,37 @@
     }
 }
 
-/// Returns the items that start now, each with the index of its target. Updates the
-/// targets accordingly.
+/// Which of the waiting items start now.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub(crate) struct Assignment {
+    /// The items that start, each with the index of its target.
+    pub(crate) placed: Vec<(WaitingItem, usize)>,
+    /// The items that go on waiting.
+    pub(crate) unplaced: Vec<WaitingItem>,
+}
+
+/// Returns the items that start now. Updates the targets accordingly.
 pub(crate) fn assign_items(
     mut waiting: Vec<WaitingItem>,
     targets: &mut [PlacementTarget],
-) -> Vec<(WaitingItem, usize)> {
+) -> Assignment {
     waiting
         .sort_by_key(|item| (item.job, !item.carried, Reverse(item.remaining_tokens), item.item));
-    let mut placed = Vec::new();
+    let mut assignment = Assignment::default();
     for item in waiting {
         let fitting = targets
             .iter()
             .enumerate()
             .filter(|(_, target)| target.has_room() && target.fitting_jobs.contains(&item.job));
         let best = fitting.min_by(|(_, left), (_, right)| left.cost().total_cmp(&right.cost()));
-        if let Some((index, _)) = best {
-            targets[index].running += 1;
-            targets[index].allowed_starts -= 1;
-            placed.push((item, index));
+        match best.map(|(index, _)| index) {
+            Some(index) => {
+                targets[index].running += 1;
+                targets[index].allowed_starts -= 1;
+                assignment.placed.push((item, index));
+            }
+            None => assignment.unplaced.push(item),
         }
     }
-    placed
+    assignment
 }
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -115,6 +115,7 @@
         return RunOutcome::Refused;
     };
     let ItemRequest { path, headers, body, .. } = &request;
+    let sent_at = BootClock.now();
     let sent = Exchange::begin(&mut connection, "POST", path, headers, body);
     let mut exchange = match timeout(FIRST_EVENT_TIMEOUT, sent).await {
         Ok(Ok(exchange)) => exchange,
@@ -123,7 +124,7 @@
         Ok(Err(_)) | Err(_) => return RunOutcome::Broken,
     };
     let head = exchange.head().clone();
-    node.observe_answer(target, &head.headers);
+    node.observe_answer(target, &head, &request.id, sent_at);
     let is_own = head.headers.get(fields.request_id) == Some(&*request.id);
     if head.status != 200 || !is_own {
         let collected = timeout(FIRST_EVENT_TIMEOUT, exchange.collect(MAX_ERROR_BYTES)).await;
@@ -190,6 +191,7 @@
 fn should_move(node: &Node, job: &Job, index: usize, target: &Registration) -> bool {
     let item = &job.items[index];
     let loads = node.target_loads.borrow();
+    let limits = node.limits.borrow();
     let Some(event_interval_ms) = loads.get(&target.id).event_interval_ms else { return false };
     let targets = node.view.targets.borrow();
     let others = targets.iter().map(|other| &other.registration).filter(|other| {
@@ -197,6 +199,7 @@
         other.service == target.service
             && !other.draining
             && load.running < other.slots
+            && !limits.is_limited(other)
             && schedule::can_serve(job, other, None)
     });
     let intervals = others.filter_map(|other| loads.get(&other.id).event_interval_ms).collect();
@@ -293,7 +296,7 @@
     slog::info!(node.log, "item: answer is not a stream"; "item" => id, "target" => &*target.id,
         "status" => status);
     match classify_answer(&node.wire_format.fields(), id, response) {
-        Attempt::NotRun(_) => RunOutcome::Refused,
+        Attempt::NotRun(_) | Attempt::Withheld(_) => RunOutcome::Refused,
         Attempt::Answered(_) if status == 422 => RunOutcome::Impossible,
         Attempt::Answered(_) if status == 500 => RunOutcome::Failed,
         Attempt::Answered(_) | Attempt::Unknown(_) => RunOutcome::Broken,
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -8,7 +8,7 @@
 
 use super::{
     job::Job,
-    placement::{self, PlacementTarget, WaitingItem},
+    placement::{self, Assignment, PlacementTarget, WaitingItem},
     run, score,
 };
 use crate::{
@@ -16,6 +16,7 @@
     call::pick_service,
     deployment::{Name, Service},
     duty::weight_loads,
+    limit::permits,
     node::Node,
     target::{Registration, Target},
 };
@@ -74,13 +75,19 @@
     if waiting.is_empty() {
         return has_later;
     }
-    let count = waiting.len();
     let (mut targets, registrations) = placement_targets(node, jobs, now);
-    let placed = placement::assign_items(waiting, &mut targets);
-    let has_unplaced = count > placed.len();
+    let Assignment { placed, unplaced } = placement::assign_items(waiting, &mut targets);
+    for (target, registration) in targets.iter().zip(&registrations) {
+        let wanted = target.room_for(&unplaced);
+        if wanted > 0 {
+            permits::replenish(node, registration, wanted);
+        }
+    }
+    let has_unplaced = !unplaced.is_empty();
     for (placed_item, target_index) in placed {
         let job = jobs[placed_item.job].clone();
         let target = registrations[target_index].clone();
+        node.limits.borrow_mut().use_permit(&target.id);
         job.borrow_mut().start(placed_item.item, target.id.clone());
         monoio::spawn(run::run(node.clone(), job, placed_item.item, target));
     }
@@ -99,6 +106,7 @@
     let evacuated = node.view.evacuated.borrow();
     let assigned = weight_loads::assignment(node);
     let loads = node.target_loads.borrow();
+    let limits = node.limits.borrow();
     let rank = node.jobs.owner_rank(&node.members.own);
     let services: Vec<Option<Name>> =
         jobs.iter().map(|job| service_of(node, &job.borrow())).collect();
@@ -123,7 +131,8 @@
             slots: registration.slots,
             event_interval_ms: load.event_interval_ms,
             allowed_starts: allowed_starts(&load, target, service, rank, now)
-                .min(load.allowed_probes().unwrap_or(u32::MAX)),
+                .min(load.allowed_probes().unwrap_or(u32::MAX))
+                .min(limits.allowed_items(registration, now)),
             is_avoided: load.is_avoided(now),
             is_local: registration.data_centre == node.data_centre,
             fitting_jobs: jobs.iter().enumerate().filter_map(fitting).collect(),
--- a/crates/tamarackdock_gateway/src/batch/tests/placement.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/placement.rs
@@ -57,6 +57,11 @@
 
 type Policy = fn(Vec<WaitingItem>, &mut [PlacementTarget]) -> Vec<(WaitingItem, usize)>;
 
+/// The policy of the gateway.
+fn assign(items: Vec<WaitingItem>, targets: &mut [PlacementTarget]) -> Vec<(WaitingItem, usize)> {
+    assign_items(items, targets).placed
+}
+
 /// The baseline: items in order, each on the target with the fewest runs.
 fn in_order(
     waiting: Vec<WaitingItem>,
@@ -122,10 +127,10 @@
 /// past the time at which its results are due.
 #[test]
 fn steps_end_sooner_than_with_the_baseline() {
-    let (policy, baseline) = (mean(assign_items), mean(in_order));
+    let (policy, baseline) = (mean(assign), mean(in_order));
     println!("mean time to nine tenths of the groups: {policy:.0} ms, baseline {baseline:.0} ms");
     assert!(policy < baseline, "{policy:.0} ms against {baseline:.0} ms");
-    let late = (0..SEEDS).filter(|seed| simulate_step(*seed, assign_items) > DEADLINE_MS).count();
+    let late = (0..SEEDS).filter(|seed| simulate_step(*seed, assign) > DEADLINE_MS).count();
     assert_eq!(late, 0, "steps that end after {DEADLINE_MS} ms");
 }
 
@@ -136,7 +141,7 @@
 fn order(items: Vec<WaitingItem>) -> Vec<usize> {
     let mut targets = vec![placement_target(0)];
     targets[0].fitting_jobs = vec![0, 1];
-    assign_items(items, &mut targets).into_iter().map(|(item, _)| item.item).collect()
+    assign(items, &mut targets).into_iter().map(|(item, _)| item.item).collect()
 }
 
 /// Guards against an order of starts by which a trainer waits longer for its step.
@@ -161,7 +166,7 @@
         PlacementTarget { is_avoided: true, ..placement_target(2) },
         PlacementTarget { fitting_jobs: vec![1], ..placement_target(3) },
     ];
-    assert!(assign_items(vec![waiting(0, 0, false, 1)], &mut unusable.clone()).is_empty());
+    assert!(assign(vec![waiting(0, 0, false, 1)], &mut unusable.clone()).is_empty());
 }
 
 /// Guards against starting more items on a cold target than are allowed.
@@ -169,5 +174,5 @@
 fn a_cold_target_gets_no_more_than_allowed() {
     let items = (0..9).map(|item| waiting(item, 0, false, 1)).collect();
     let mut targets = [PlacementTarget { allowed_starts: 2, ..placement_target(0) }];
-    assert_eq!(assign_items(items, &mut targets).len(), 2);
+    assert_eq!(assign(items, &mut targets).len(), 2);
 }
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -7,7 +7,7 @@
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
-    balance::{self, Requirements},
+    balance::{self, LimitState, Requirements},
     batch::{ScoringCall, takeover},
     deployment::{CallKind, Name, Route},
     http::{ExchangeError, Framing, Headers, RequestHead, Response, ResponseHead},
@@ -54,6 +54,9 @@
     Answered(Response),
     /// The request has certainly not run. Holds the target's `Retry-After`, if any.
     NotRun(Option<Duration>),
+    /// The request was not sent, since the target's limit leaves no room for it. Holds the time
+    /// after which there is room.
+    Withheld(Duration),
     /// The request may have run.
     Unknown(ExchangeError),
 }
@@ -149,12 +152,18 @@
         let targets = node.view.targets.borrow();
         let evacuated = node.view.evacuated.borrow();
         let live = node.members.live();
+        let limits = node.limits.borrow();
+        let store_ms = node.store_clock.millis(now);
         let requirements = Requirements {
             service: &name,
             data_centre: &node.data_centre,
             tried,
             reserved_slots: self.origin.reserved_slots(),
             node_rank: &|target| takeover::caller_rank(target, &node.members.own, &live),
+            limit: &|target| LimitState {
+                is_withheld: !limits.withheld_for(target, now).is_zero(),
+                is_spared: limits.is_spared(target, store_ms),
+            },
         };
         let loads = node.target_loads.borrow();
         let is_evacuated = |data_centre: &str| evacuated.contains(data_centre);
@@ -203,7 +212,11 @@
             "no target can take the request now; it has not run",
             after.unwrap_or(RETRY_AFTER),
         ),
-        Attempt::NotRun(_) | Attempt::Unknown(_) => {
+        Attempt::Withheld(after) if !may_have_run => Reply::not_run(
+            "the targets' limits leave no room for the request now; it has not run",
+            after,
+        ),
+        Attempt::NotRun(_) | Attempt::Withheld(_) | Attempt::Unknown(_) => {
             Reply::error(502, "the connection to the target broke; the request may have run")
         }
     }
--- a/crates/tamarackdock_gateway/src/duty/weight_loads.rs
+++ b/crates/tamarackdock_gateway/src/duty/weight_loads.rs
@@ -199,7 +199,7 @@
         let (mut connection, _) = node.pool.connect(target, Reuse::Newest).await.ok()?;
         let sent = send_message(&mut connection, &message, target.address, MAX_REPORT).await;
         let (response, reusable) = sent.ok()?;
-        node.observe_answer(target, &response.head.headers);
+        node.observe_leaving(target, &response.head.headers);
         if reusable {
             node.pool.put(&target.id, connection, &response.head.headers);
         }
--- a/crates/tamarackdock_gateway/src/forward.rs
+++ b/crates/tamarackdock_gateway/src/forward.rs
@@ -15,6 +15,7 @@
     call::Call,
     deployment::Name,
     http::{Exchange, ExchangeError, Framing, Headers, Response, ResponseHead},
+    limit::{Demand, permits},
     members::NodeRun,
     node::Node,
     peer::{self, PeerError, PeerRequest, PeerResponse},
@@ -131,16 +132,24 @@
         slog::info!(node.log, "forward: not sent"; "target" => &*call.target, "age_ms" => age);
         return Err(ExchangeError::NotSent);
     };
+    if let Err(after) = permits::acquire(node, &target, Demand::Calls, Duration::ZERO).await {
+        slog::info!(node.log, "forward: no permit"; "target" => &*call.target,
+            "retry_ms" => after.as_millis());
+        return Err(ExchangeError::NotSent);
+    }
     let guard = node.start_request(&target.id, now);
     let connected = node.pool.connect(&target, Reuse::Newest).await;
     let (mut connection, _) = connected.map_err(|_| ExchangeError::NotSent)?;
     let ForwardedCall { method, path, headers, body, .. } = &call;
     let exchange = Exchange::begin(&mut connection, method, path, headers, body).await?;
-    let (response, reusable) = node.collect(&target, exchange, MAX_RESPONSE_BYTES).await?;
+    let field = node.wire_format.fields().request_id;
+    let id = headers.get(field);
+    let received =
+        node.collect(&target, exchange, MAX_RESPONSE_BYTES, id.unwrap_or_default(), now).await;
+    let (response, reusable) = received?;
     drop(guard);
     // After an answer to another request, the one to this request may follow.
-    let id = node.wire_format.fields().request_id;
-    if reusable && response.head.headers.get(id) == headers.get(id) {
+    if reusable && response.head.headers.get(field) == id {
         node.pool.put(&target.id, connection, &response.head.headers);
     }
     Ok(ForwardedResponse {
--- a/crates/tamarackdock_gateway/src/hedge.rs
+++ b/crates/tamarackdock_gateway/src/hedge.rs
@@ -12,6 +12,7 @@
     deployment::Name,
     forward,
     http::{Exchange, ExchangeError},
+    limit::permits,
     node::Node,
     origin::Origin,
     reply::Reply,
@@ -24,6 +25,10 @@
 /// hedged.
 const MIN_HEDGE: Duration = Duration::from_millis(20);
 
+/// Share of the latency objective for which an attempt waits for a permit: less than the time
+/// after which a call is hedged, and short enough for the objective to be kept.
+pub(crate) const PERMIT_WAIT_SHARE: f64 = 0.25;
+
 /// What came of the attempts of a call, until a target answered or they were used up.
 pub(crate) struct Summary {
     /// The last attempt that counts, or `None` if the time was up.
@@ -53,8 +58,9 @@
     let mut last = Attempt::NotRun(None);
     let mut may_have_run = false;
     let mut failures = 0;
+    let mut withheld = 0;
     loop {
-        let attempts_left = tried.len() < call.route.attempts.max(1) as usize;
+        let attempts_left = tried.len() - withheld < call.route.attempts.max(1) as usize;
         let may_start = attempts_left && (may_repeat || (running.is_empty() && !may_have_run));
         if may_start && let Some(target) = call.choose(node, &tried) {
             tried.push(target.id.clone());
@@ -64,7 +70,7 @@
             break;
         }
         let left = call.give_up_at.since(BootClock.now());
-        let more_attempts = may_repeat && tried.len() < call.route.attempts as usize;
+        let more_attempts = may_repeat && tried.len() - withheld < call.route.attempts as usize;
         let pause = if more_attempts { left.min(hedge) } else { left };
         match timeout(pause, running.next()).await {
             Ok(Some(Attempt::Answered(response))) => {
@@ -77,6 +83,7 @@
             }
             Ok(Some(outcome)) => {
                 may_have_run |= matches!(outcome, Attempt::Unknown(_));
+                withheld += usize::from(matches!(outcome, Attempt::Withheld(_)));
                 if !matches!(last, Attempt::Answered(_)) {
                     last = outcome;
                 }
@@ -104,7 +111,7 @@
     let is_forwarded = forwarded.is_some();
     let outcome = match forwarded {
         Some(Ok(response)) => {
-            node.observe_answer(&target, &response.head.headers);
+            node.observe_answer(&target, &response.head, &call.id, began);
             classify_answer(&node.wire_format.fields(), &call.id, response)
         }
         Some(Err(error)) => Attempt::Unknown(error),
@@ -115,6 +122,7 @@
     let (name, failure) = match &outcome {
         Attempt::Answered(_) => ("answered", None),
         Attempt::NotRun(_) => ("not_run", None),
+        Attempt::Withheld(_) => ("withheld", None),
         Attempt::Unknown(error) => ("unknown", Some(error.to_string())),
     };
     match &outcome {
@@ -129,7 +137,7 @@
                 monoio::spawn(crash::record(node.clone(), request, run));
             }
         }
-        Attempt::Answered(_) => {}
+        Attempt::Answered(_) | Attempt::Withheld(_) => {}
     }
     if let (Attempt::Answered(_) | Attempt::Unknown(_), Some(account)) = (&outcome, &call.account) {
         node.count_usage(account, began);
@@ -144,15 +152,20 @@
 /// Sends a call to a target and reads the response.
 async fn exchange(node: &Rc<Node>, call: &Call, target: &Registration) -> Attempt {
     let fields = node.wire_format.fields();
+    let longest_wait = call.route.objective.mul_f64(PERMIT_WAIT_SHARE);
+    if let Err(after) = permits::acquire(node, target, call.origin.demand(), longest_wait).await {
+        return Attempt::Withheld(after);
+    }
     let Ok((mut connection, _)) = node.pool.connect(target, call.origin.reuse()).await else {
         return Attempt::NotRun(None);
     };
-    let headers = call.headers(node, target, BootClock.now());
+    let sent_at = BootClock.now();
+    let headers = call.headers(node, target, sent_at);
     let head = &call.request.head;
     let sent =
         Exchange::begin(&mut connection, &head.method, &head.target, &headers, &call.request.body);
     let received = match sent.await {
-        Ok(exchange) => node.collect(target, exchange, MAX_RESPONSE_BYTES).await,
+        Ok(exchange) => node.collect(target, exchange, MAX_RESPONSE_BYTES, &call.id, sent_at).await,
         Err(error) => Err(error),
     };
     match received {
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -27,8 +27,11 @@
     duty::{self, lease::DutyLease, usage::UsageCounter, weight_loads::LoadOrders},
     forward::Forwarders,
     freshness::Freshness,
-    http::{Budget, Exchange, ExchangeError, Headers, Response},
-    limit::NamedLimits,
+    http::{Budget, Exchange, ExchangeError, Headers, Response, ResponseHead},
+    limit::{
+        Observation, TargetLimits,
+        permits::{self, Limiter},
+    },
     members::{self, Members, NodeRun},
     notify::Notify,
     pool::Pool,
@@ -84,7 +87,8 @@
     pub(crate) pool: Pool,
     pub(crate) forwarders: Forwarders,
     pub(crate) target_loads: RefCell<TargetLoads>,
-    pub(crate) limits: RefCell<NamedLimits>,
+    pub(crate) limits: RefCell<TargetLimits>,
+    pub(crate) limiter: Limiter,
     pub(crate) members: Rc<Members>,
     pub(crate) relay: Rc<Relay>,
     pub(crate) jobs: JobIndex,
@@ -162,6 +166,7 @@
             forwarders: Forwarders::default(),
             target_loads: RefCell::default(),
             limits: RefCell::default(),
+            limiter: Limiter::default(),
             members,
             jobs: JobIndex::default(),
             duties: Rc::new(duties),
@@ -298,15 +303,28 @@
         RequestGuard { node: self.clone(), target: target.clone() }
     }
 
-    /// Takes note of what the header fields of a target's answer say about the target itself.
-    pub(crate) fn observe_answer(&self, target: &Registration, headers: &Headers) {
+    /// Takes note of what a target's answer says about the target itself. `id` is the id of the
+    /// request, which was sent at `sent`.
+    pub(crate) fn observe_answer(
+        self: &Rc<Self>,
+        target: &Registration,
+        head: &ResponseHead,
+        id: &str,
+        sent: Instant,
+    ) {
         let fields = self.wire_format.fields();
-        let rate = headers.number::<f64>(fields.limit);
-        if self.limits.borrow_mut().record(target, rate) {
-            slog::info!(self.log, "targets: limit changed"; "target" => &*target.id,
-                "per_s" => rate, "data_centre" => &*target.data_centre);
+        let is_own = head.headers.get(fields.request_id).is_none_or(|echo| echo == id);
+        // Another target than the expected one answers 421.
+        if is_own && head.status != 421 {
+            self.observe_limit(target, head.headers.get(fields.limit), sent);
         }
-        if headers.get(fields.leaving).is_none_or(|leaving| leaving == "0") {
+        self.observe_leaving(target, &head.headers);
+    }
+
+    /// Takes note of a target's word, in an answer of any kind, that it leaves.
+    pub(crate) fn observe_leaving(&self, target: &Registration, headers: &Headers) {
+        let field = self.wire_format.fields().leaving;
+        if headers.get(field).is_none_or(|leaving| leaving == "0") {
             return;
         }
         let is_new = self.view.targets.borrow_mut().depart(target, BootClock.now());
@@ -316,15 +334,40 @@
         }
     }
 
+    /// Takes note of the limit that a target's answer names, if any.
+    fn observe_limit(self: &Rc<Self>, target: &Registration, limit: Option<&str>, sent: Instant) {
+        let at = if limit.is_some() { BootClock.now() } else { sent };
+        // Targets are known from the store, whose time is known from its first answer.
+        let at_ms = self.store_clock.millis(at).unwrap_or_default();
+        let rate = limit.and_then(|limit| limit.parse::<f64>().ok());
+        let observation = match limit {
+            None => Some(Observation::unlimited(at_ms)),
+            Some(_) => rate.and_then(|rate| Observation::named(rate, at_ms)),
+        };
+        let Some(observation) = observation else {
+            slog::warn!(self.log, "targets: limit ignored"; "target" => &*target.id,
+                "limit" => limit);
+            return;
+        };
+        if self.limits.borrow_mut().record(&target.id, target.started, observation) {
+            slog::info!(self.log, "targets: limit changed"; "target" => &*target.id,
+                "per_s" => rate, "data_centre" => &*target.data_centre);
+            permits::report(self, target);
+        }
+    }
+
     /// Reads the whole answer of a target, within the memory for responses. Also returns whether
-    /// the connection can carry another request.
+    /// the connection can carry another request. `id` is the id of the request, which was sent
+    /// at `sent`.
     pub(crate) async fn collect(
-        &self,
+        self: &Rc<Self>,
         target: &Registration,
         exchange: Exchange<'_>,
         limit: usize,
+        id: &str,
+        sent: Instant,
     ) -> Result<(Response, bool), ExchangeError> {
-        self.observe_answer(target, &exchange.head().headers);
+        self.observe_answer(target, exchange.head(), id, sent);
         exchange.collect_within(limit, &self.response_budget).await
     }
 
@@ -377,6 +420,7 @@
         node.pool.sweep(in_use);
         node.target_loads.borrow_mut().sweep(|id| targets.get(id).is_some());
         node.limits.borrow_mut().sweep(|id| targets.get(id).is_some());
+        node.limiter.sweep(|id| targets.get(id).is_some());
         node.metrics
             .deployment
             .set(i64::try_from(node.view.deployment().version).unwrap_or(i64::MAX));
--- a/crates/tamarackdock_gateway/src/origin.rs
+++ b/crates/tamarackdock_gateway/src/origin.rs
@@ -1,6 +1,6 @@
 //! Who sends a call, and what follows from that for its attempts.
 
-use crate::{batch::scoring, pool::Reuse};
+use crate::{batch::scoring, limit::Demand, pool::Reuse};
 
 /// Share of the latency objective after which an idempotent call is hedged: sent to
 /// a second target as well. Targets of plain services are far from full, so a second
@@ -37,6 +37,14 @@
         }
     }
 
+    /// Returns which part of a target's limit a call uses.
+    pub(crate) fn demand(self) -> Demand {
+        match self {
+            Self::Caller => Demand::Calls,
+            Self::Scoring => Demand::Batch,
+        }
+    }
+
     /// Returns which idle connection carries a call.
     pub(crate) fn reuse(self) -> Reuse {
         match self {
--- a/crates/tamarackdock_gateway/src/peer.rs
+++ b/crates/tamarackdock_gateway/src/peer.rs
@@ -12,6 +12,7 @@
     deployment::Name,
     forward::{self, ForwardedCall, ForwardedResponse},
     http::{Connection, ExchangeError, Headers, send_message},
+    limit::permits::{self, PermitRequest, PermitResponse},
     node::Node,
     relay::{StoreAnswer, StoreCall},
     reply::Reply,
@@ -61,6 +62,8 @@
         /// Id of the job.
         job: Name,
     },
+    /// Asks for permits for requests to a target that limits them.
+    Permits(PermitRequest),
 }
 
 /// A response to another node.
@@ -78,6 +81,8 @@
     Forwarded(Result<ForwardedResponse, ExchangeError>),
     /// Whether the node runs the job.
     Runs(bool),
+    /// The permits that the node grants.
+    Permits(PermitResponse),
 }
 
 /// The reason why a peer gave no usable response.
@@ -141,6 +146,7 @@
             PeerResponse::Forwarded(forward::serve(node, *call).await)
         }
         Ok(PeerRequest::Runs { job }) => PeerResponse::Runs(batch::takeover::runs(node, &job)),
+        Ok(PeerRequest::Permits(request)) => PeerResponse::Permits(permits::serve(node, &request)),
         Ok(PeerRequest::Store(call)) => PeerResponse::Store(node.relay.serve(call).await),
         Err(error) => {
             slog::warn!(node.log, "peer: can't decode the request"; "error" => %error);
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -8,7 +8,9 @@
     call::{Attempt, Call, classify_answer, end_to_end_headers, final_reply, timeout_at},
     deployment::{CallKind, Name},
     event::EventParser,
+    hedge::PERMIT_WAIT_SHARE,
     http::{Exchange, Writer, response_head},
+    limit::permits,
     node::Node,
     pool::Reuse,
     server::Outcome,
@@ -48,14 +50,16 @@
     let mut tried: Vec<Name> = Vec::new();
     let mut last = Attempt::NotRun(None);
     let mut may_have_run = false;
-    while tried.len() < call.route.attempts.max(1) as usize && BootClock.now() < call.give_up_at {
+    let mut withheld = 0;
+    let attempts = call.route.attempts.max(1) as usize;
+    while tried.len() - withheld < attempts && BootClock.now() < call.give_up_at {
         let Some(target) = call.choose(node, &tried) else { break };
         tried.push(target.id.clone());
         let began = BootClock.now();
         let guard = node.start_request(&target.id, began);
         let ended = run(node, call, &target, &mut progress, writer).await;
         drop(guard);
-        if !matches!(ended, Ended::NoStream(Attempt::NotRun(_)))
+        if !matches!(ended, Ended::NoStream(Attempt::NotRun(_) | Attempt::Withheld(_)))
             && let Some(account) = &call.account
         {
             node.count_usage(account, began);
@@ -67,6 +71,10 @@
                 node.target_loads.borrow_mut().mark_full(&target.id, BootClock.now());
                 last = answer;
             }
+            Ended::NoStream(answer @ Attempt::Withheld(_)) => {
+                withheld += 1;
+                last = answer;
+            }
             Ended::NoStream(answer) => {
                 last = answer;
                 break;
@@ -97,10 +105,15 @@
     writer: &mut Writer,
 ) -> Ended {
     let fields = node.wire_format.fields();
+    let longest_wait = call.route.objective.mul_f64(PERMIT_WAIT_SHARE);
+    if let Err(after) = permits::acquire(node, target, call.origin.demand(), longest_wait).await {
+        return Ended::NoStream(Attempt::Withheld(after));
+    }
     let Ok((mut connection, _)) = node.pool.connect(target, Reuse::Newest).await else {
         return Ended::NoStream(Attempt::NotRun(None));
     };
-    let mut headers = call.headers(node, target, BootClock.now());
+    let sent_at = BootClock.now();
+    let mut headers = call.headers(node, target, sent_at);
     if let Some(last) = progress.last_event {
         headers.push(fields.last_event, last.to_string());
     }
@@ -110,7 +123,7 @@
     let Some(Ok(mut exchange)) = timeout_at(call.give_up_at, sent).await else {
         return Ended::Broken;
     };
-    node.observe_answer(target, &exchange.head().headers);
+    node.observe_answer(target, exchange.head(), &call.id, sent_at);
     let is_stream = exchange
         .head()
         .headers
--- a/crates/tamarackdock_gateway/src/tests/balance.rs
+++ b/crates/tamarackdock_gateway/src/tests/balance.rs
@@ -4,7 +4,7 @@
 
 use super::{at, list, registration};
 use crate::{
-    balance::{ITEMS_SHARE, NodeRank, Requirements, TargetLoads, choose, cold_share},
+    balance::{ITEMS_SHARE, LimitState, NodeRank, Requirements, TargetLoads, choose, cold_share},
     deployment::{Name, Service},
     target::{Registration, TargetList},
 };
@@ -25,6 +25,7 @@
         tried,
         reserved_slots: 0,
         node_rank: &|_| ALONE,
+        limit: &|_| LimitState::default(),
     };
     let is_out = |data_centre: &str| data_centre == out;
     let target = choose(&requirements, list.iter(), loads, &service, is_out, at(now))?;
@@ -131,6 +132,7 @@
             tried: &[],
             reserved_slots,
             node_rank: &|_| ALONE,
+            limit: &|_| LimitState::default(),
         };
         choose(&requirements, list.iter(), loads, &service, |_| false, at(0)).is_some()
     };
--- a/crates/tamarackdock_gateway/src/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/tests/mod.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod event;
 mod freshness;
+mod limit;
 mod malformed;
 mod members;
 mod periodic;
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -4,6 +4,8 @@
 mod cluster;
 #[path = "gateway/endless.rs"]
 mod endless;
+#[path = "gateway/limits.rs"]
+mod limits;
 #[path = "gateway/single_faults.rs"]
 mod single_faults;
 #[path = "gateway/soak.rs"]
