Tell the limits of targets to all nodes by the rows of their limiters

Cause: each node learned a limit from its own first answer only.

Change: the limiter of a target writes its limit to its member row, which all nodes follow. The spacing is kept in whole microseconds, as nodes logged a change of the limit at each answer after they had got it from another node.

--- a/crates/tamarackdock_gateway/src/limit/mod.rs
+++ b/crates/tamarackdock_gateway/src/limit/mod.rs
@@ -50,7 +50,10 @@
             return None;
         }
         let spacing = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(MAX_SPACING);
-        Some(Self { spacing: Some(spacing.min(MAX_SPACING)), at_ms })
+        let spacing = spacing.min(MAX_SPACING).as_micros();
+        // Whole microseconds, as other nodes get it.
+        let spacing = Duration::from_micros(u64::try_from(spacing).unwrap_or(u64::MAX));
+        Some(Self { spacing: Some(spacing), at_ms })
     }
 
     /// Returns what an answer without a limit says.
@@ -59,12 +62,24 @@
     }
 }
 
+/// What a node tells the others about the limit of a target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Notice {
+    /// Id of the target.
+    pub(crate) target: Name,
+    /// Start of the target's run.
+    pub(crate) started: Option<u64>,
+    pub(crate) observation: Observation,
+}
+
 /// A target whose limit this node has heard of.
 #[derive(Debug, Clone)]
 struct LimitedTarget {
     /// Start of the run that the observation is about.
     started: Option<u64>,
     observation: Observation,
+    /// Time of the first observation since the limit last changed.
+    changed_ms: i64,
     /// Permits for items, valid until `expires`.
     permits: u32,
     expires: Instant,
@@ -92,19 +107,26 @@
             Some(known) if observation.at_ms <= known.observation.at_ms => false,
             Some(known) => {
                 let before = std::mem::replace(&mut known.observation, observation);
-                before.spacing != observation.spacing
+                let has_changed = before.spacing != observation.spacing;
+                if has_changed {
+                    known.changed_ms = observation.at_ms;
+                }
+                has_changed
             }
+            // Nothing is kept of targets that never named a limit.
+            None if observation.spacing.is_none() => false,
             None => {
                 let limited = LimitedTarget {
                     started,
                     observation,
+                    changed_ms: observation.at_ms,
                     permits: 0,
                     expires: Instant::default(),
                     withheld_until: Instant::default(),
                     asking: false,
                 };
                 self.0.insert(id.clone(), limited);
-                observation.spacing.is_some()
+                true
             }
         }
     }
@@ -115,6 +137,17 @@
         known.map(|known| known.observation)
     }
 
+    /// Returns what is known of the targets that `is_own` accepts.
+    pub(crate) fn notices(&self, is_own: impl Fn(&Name) -> bool) -> Vec<Notice> {
+        let own = self.0.iter().filter(|(target, _)| is_own(target));
+        own.map(|(target, known)| Notice {
+            target: target.clone(),
+            started: known.started,
+            observation: Observation { at_ms: known.changed_ms, ..known.observation },
+        })
+        .collect()
+    }
+
     /// Returns whether requests to a target need permits.
     pub(crate) fn is_limited(&self, target: &Registration) -> bool {
         let observation = self.observation(&target.id, target.started);
--- a/crates/tamarackdock_gateway/src/limit/permits.rs
+++ b/crates/tamarackdock_gateway/src/limit/permits.rs
@@ -11,7 +11,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
-use super::{Bucket, Demand, Grant, Observation};
+use super::{Bucket, Demand, Grant, Notice, Observation};
 use crate::{
     batch::takeover,
     deployment::Name,
@@ -186,12 +186,23 @@
     grant
 }
 
+/// Returns what this node tells the others: the limits of the targets for which it is the
+/// first limiter.
+pub(crate) fn own_notices(node: &Node) -> Vec<Notice> {
+    let live = node.members.live();
+    let is_own = |target: &Name| takeover::rank(target, &node.members.own, &live) == 0;
+    node.limits.borrow().notices(is_own)
+}
+
 /// Grants permits to a node.
 pub(crate) fn serve(node: &Node, request: &PermitRequest) -> PermitResponse {
     let PermitRequest { target, started, wanted, .. } = request;
     let mut limits = node.limits.borrow_mut();
-    if let Some(observation) = request.observation {
-        limits.record(target, *started, observation);
+    if let Some(observation) = request.observation
+        && limits.record(target, *started, observation)
+    {
+        // The others learn of it with the next renewal of this node's row.
+        node.jobs.changed.notify_all();
     }
     let observation = limits.observation(target, *started);
     let grant = match observation.and_then(|observation| observation.spacing) {
--- a/crates/tamarackdock_gateway/src/members.rs
+++ b/crates/tamarackdock_gateway/src/members.rs
@@ -19,6 +19,7 @@
     call::timeout_at,
     clock,
     deployment::Name,
+    limit::{Notice, permits},
     node::Node,
     periodic::{self, PeriodicCall, Rates},
 };
@@ -63,6 +64,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "renewal_ms", default = "shortest_renewal")]
     pub(crate) renewal: Duration,
+    /// Limits of the targets for which the node grants permits. A node that has just started
+    /// learns them here before it sends anything.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) limits: Vec<Notice>,
 }
 
 fn shortest_renewal() -> Duration {
@@ -275,6 +280,7 @@
 pub(crate) async fn renew(
     node: &Node,
     renewal: Duration,
+    limits: Vec<Notice>,
 ) -> Result<(), tamarackdock_platform::Error> {
     let now = BootClock.now();
     let store = node.store_clock.millis(now).unwrap_or_default();
@@ -285,6 +291,7 @@
         wall_offset_ms: clock::unix_millis() - store,
         leaving: node.is_leaving(),
         renewal,
+        limits,
     };
     let key = format!("{TABLE}@{PART}/{}", node.members.own.host);
     let value = serde_json::to_string(&row).ok();
@@ -297,13 +304,15 @@
     let mut announced = Duration::ZERO;
     let mut renewed = BootClock.now();
     let mut failures = 0;
+    let mut published = Vec::new();
     loop {
         let now = BootClock.now();
         let busy = node.jobs.is_busy();
-        let often = busy && failures == 0;
+        let limits = permits::own_notices(&node);
+        let often = (busy || limits != published) && failures == 0;
         let due = announced.min(if often { shortest_renewal() } else { Duration::MAX });
         if now.since(renewed) < due {
-            // A job that starts brings the renewal forward.
+            // A job that starts and a limit that changes bring the renewal forward.
             let seen = node.jobs.changed.count();
             timeout_at(renewed + due, node.jobs.changed.changed_since(seen)).await;
             continue;
@@ -312,8 +321,11 @@
         if !busy {
             announced = node.members.interval(periodic::RENEWALS);
         }
-        failures = match renew(&node, announced).await {
-            Ok(()) => 0,
+        failures = match renew(&node, announced, limits.clone()).await {
+            Ok(()) => {
+                published = limits;
+                0
+            }
             Err(error) => {
                 node.store_failed("renew", &error);
                 failures + 1
@@ -350,6 +362,18 @@
     }
 }
 
+/// Takes note of the limits in rows that have changed.
+fn record_limits(node: &Node, batch: &Batch) {
+    let table = node.members.table.borrow();
+    let members = batch.changes.iter().filter_map(|change| table.nodes.get(change.key.as_str()));
+    for Notice { target, started, observation } in members.flat_map(|member| &member.row.limits) {
+        if node.limits.borrow_mut().record(target, *started, *observation) {
+            slog::info!(node.log, "targets: limit heard of"; "target" => &**target,
+                "spacing_ms" => observation.spacing.map(|spacing| spacing.as_millis()));
+        }
+    }
+}
+
 /// Records rows as read just now, and logs which nodes have come or gone.
 fn record(node: &Node, batch: &Batch, is_snapshot: bool) {
     let now = BootClock.now();
@@ -362,6 +386,7 @@
             table.apply(batch, now, &node.log);
         }
     }
+    record_limits(node, batch);
     let after = node.members.live();
     if before == after {
         return;
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -353,6 +353,7 @@
             slog::info!(self.log, "targets: limit changed"; "target" => &*target.id,
                 "per_s" => rate, "data_centre" => &*target.data_centre);
             permits::report(self, target);
+            self.jobs.changed.notify_all();
         }
     }
 
--- a/crates/tamarackdock_gateway/src/stop.rs
+++ b/crates/tamarackdock_gateway/src/stop.rs
@@ -14,7 +14,7 @@
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use tamarackdock_types::clock::{BootClock, Clock};
 
-use crate::{batch, duty, members, node::Node, periodic, settings::Settings};
+use crate::{batch, duty, limit::permits, members, node::Node, periodic, settings::Settings};
 
 /// Time between polls for signals.
 const SIGNAL_INTERVAL: Duration = Duration::from_millis(50);
@@ -85,7 +85,9 @@
         "jobs" => node.jobs.open_jobs().len());
     node.leave();
     node.duties.release(RELEASE_TIMEOUT).await;
-    if let Err(error) = members::renew(node, periodic::RENEWALS.shortest).await {
+    if let Err(error) =
+        members::renew(node, periodic::RENEWALS.shortest, permits::own_notices(node)).await
+    {
         node.store_failed("renew", &error);
     }
     let left = limit.saturating_sub(BootClock.now().since(began));
--- a/crates/tamarackdock_gateway/src/tests/limit.rs
+++ b/crates/tamarackdock_gateway/src/tests/limit.rs
@@ -4,7 +4,7 @@
 
 use super::{at, registration};
 use crate::limit::{
-    Bucket, Demand, Grant, Observation, TargetLimits,
+    Bucket, Demand, Grant, Notice, Observation, TargetLimits,
     permits::{Limiter, PermitRequest},
 };
 
@@ -51,6 +51,28 @@
     assert_eq!(record(named), (false, false));
 }
 
+/// Guards against a node that has just started and sends a step's items to a target whose limit
+/// the others know, and against rows that are written again with each answer.
+#[test]
+fn limits_are_told_to_other_nodes() {
+    let target = registration(ID, "x");
+    let mut limits = TargetLimits::default();
+    limits.record(&target.id, None, Observation::named(4.7, 1_000).unwrap());
+    let notices = limits.notices(|_| true);
+    let encoded = serde_json::to_string(&notices).unwrap();
+    assert_eq!(serde_json::from_str::<Vec<Notice>>(&encoded).unwrap(), notices);
+    assert!(!limits.record(&target.id, None, Observation::named(4.7, 3_000).unwrap()));
+    assert_eq!(limits.notices(|_| true), notices);
+    assert_eq!(limits.notices(|_| false), []);
+    let mut others = TargetLimits::default();
+    for notice in &notices {
+        assert!(others.record(&notice.target, notice.started, notice.observation));
+    }
+    assert!(others.is_limited(&target));
+    limits.record(&target.id, None, Observation::unlimited(4_000));
+    assert_ne!(limits.notices(|_| true), notices, "the end of the limit");
+}
+
 /// Guards against a limit of an earlier run that binds a target after its restart.
 #[test]
 fn a_limit_binds_one_run_of_a_target() {
--- a/crates/tamarackdock_gateway/src/tests/malformed.rs
+++ b/crates/tamarackdock_gateway/src/tests/malformed.rs
@@ -19,7 +19,7 @@
 const MAX_HEAD: usize = 4096;
 
 /// Valid messages, which the tests below damage.
-const SEEDS: [&str; 8] = [
+const SEEDS: [&str; 9] = [
     "POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
     "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\nabcde\r\n0\r\nA: b\r\n\r\n",
     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
@@ -27,6 +27,8 @@
     r#"{"id":"a","state":"completed","text":"x","versions":[1],"score":"s"}"#,
     r#"{"last":3,"parts":[[1,"x"],[null,"y"]],"complete":true}"#,
     r#"{"number":1,"peers":"127.0.0.1:1","data_centre":"x","wall_offset_ms":5,"leaving":false}"#,
+    r#"{"number":1,"peers":"127.0.0.1:1","data_centre":"x","wall_offset_ms":5,"leaving":false,
+        "limits":[{"target":"a","started":1,"observation":{"spacing":500000,"at_ms":7}}]}"#,
     r#"{"account":null,"host":"h","path":"/","model":null,"step":1,"accepted_ms":0,"items":1}"#,
 ];
 
--- a/crates/tamarackdock_gateway/src/tests/members.rs
+++ b/crates/tamarackdock_gateway/src/tests/members.rs
@@ -23,6 +23,7 @@
         wall_offset_ms,
         leaving: false,
         renewal: Duration::from_millis(renewal),
+        limits: Vec::new(),
     };
     Change { key: host.into(), revision, value: serde_json::to_string(&row).ok() }
 }
--- a/crates/tamarackdock_node/tests/gateway/limits.rs
+++ b/crates/tamarackdock_node/tests/gateway/limits.rs
@@ -108,3 +108,32 @@
     assert_eq!(untrue, Vec::<&str>::new(), "refused as not run, and ran");
     assert_eq!(violations.all(), Vec::<String>::new());
 }
+
+/// Guards against a node that sends the items of a step to a target at once, because it has
+/// started after the other nodes have read the target's limit.
+#[test]
+fn a_node_that_starts_keeps_to_limits_that_others_know() {
+    const LIMIT: u32 = 1;
+    let mut cluster = Cluster::start("limit-notice", 3, 0);
+    let violations = Violations::default();
+    for engine in &cluster.engines[..2] {
+        engine.name_limit(Some(f64::from(LIMIT)));
+    }
+    let nodes = cluster.addresses();
+    let mut trainer = Trainer::new("t", nodes, cluster.store.clone(), violations.clone());
+    let mut step = trainer.submit(0, 48);
+    trainer.finish(&mut step);
+    trainer.end(&step);
+    for node in &mut cluster.nodes {
+        node.restart();
+        thread::sleep(Duration::from_secs(2));
+    }
+    let restarted = Instant::now();
+    let mut step = trainer.submit(1, 48);
+    trainer.finish(&mut step);
+    for engine in &cluster.engines[..2] {
+        let most = busiest_window(engine, restarted, Instant::now());
+        assert!(most <= bound(LIMIT), "`{}` got {most} requests in 4 s", engine.id);
+    }
+    assert_eq!(violations.all(), Vec::<String>::new());
+}
