Log the software versions of targets with the runs that they serve

What callers saw: nothing yet. Targets of several software versions serve one service, and a text that one of them began must not go on at another; entries' versions were decoded and dropped.

No decision has changed.

--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -35,6 +35,7 @@
 pub(crate) async fn run(node: Rc<Node>, job: Rc<RefCell<Job>>, index: usize, target: Registration) {
     let began = BootClock.now();
     let guard = node.start_request(&target.id, began);
+    let after = job.borrow().items[index].progress.last_event();
     let outcome = until_stopped(&job, stream_item(&node, &job, index, &target)).await;
     drop(guard);
     let now = BootClock.now();
@@ -44,7 +45,8 @@
         let job = job.borrow();
         let item = &job.items[index];
         slog::info!(node.log, "item: run ended"; "job" => &*job.id, "item" => &*item.request.id,
-            "target" => &*target.id, "outcome" => label, "events" => item.progress.event_count(),
+            "target" => &*target.id, "software" => &*target.software, "after" => after,
+            "outcome" => label, "events" => item.progress.event_count(),
             "expected" => item.request.estimated_tokens(), "ms" => now.since(began).as_millis());
     }
     match outcome {
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -83,7 +83,8 @@
                 may_have_run = true;
                 node.target_loads.borrow_mut().mark_suspect(&target.id, BootClock.now());
                 slog::info!(node.log, "stream: broken"; "id" => &call.id,
-                    "target" => &*target.id, "last_event" => progress.last_event);
+                    "target" => &*target.id, "software" => &*target.software,
+                    "last_event" => progress.last_event);
                 if !resumable {
                     break;
                 }
--- a/crates/tamarackdock_gateway/src/target.rs
+++ b/crates/tamarackdock_gateway/src/target.rs
@@ -13,6 +13,8 @@
     pub id: Name,
     /// Service to which the target belongs.
     pub service: Name,
+    /// Version of its software. Several versions can serve at the same time.
+    pub software: Name,
     /// Address that accepts its requests.
     pub address: SocketAddr,
     /// Data centre of its host.
