Continue texts of items only at the software version that began them

Cause: the version was decoded and dropped. Placement knew only service, weights and load.

Change: the text of an item names the software that made it, in memory and in the store. Placement and moves of slow runs keep to it. An item begins again when its version has no target left, or when others had room for as long as it takes to make the text again. Incomplete texts of an earlier release, which don't name it, are not continued.

Ruled out: waiting without a bound (a version may never have room again), and beginning again at once (most breaks come from connections, with all targets of the version alive).

--- a/crates/tamarackdock_gateway/src/batch/job.rs
+++ b/crates/tamarackdock_gateway/src/batch/job.rs
@@ -18,6 +18,8 @@
 /// Longest pause after runs in a row that broke without any event. The item itself may crash
 /// its targets.
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
+/// Time that a target takes for an event, about.
+const TIME_PER_EVENT: Duration = Duration::from_millis(35);
 /// Output tokens that an event is estimated to hold.
 const TOKENS_PER_EVENT: u64 = 50;
 
@@ -56,6 +58,9 @@
     pub(crate) moves: u32,
     /// Earliest time of the next run or scoring call.
     pub(crate) not_before: Instant,
+    /// Since when the item waits for a target that can continue its text although others have
+    /// room.
+    held_since: Option<Instant>,
     /// Attempts of the scoring call so far.
     scoring: Scoring,
 }
@@ -74,6 +79,17 @@
     }
 }
 
+/// Where there is room for a waiting item whose text no target with room can continue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Room {
+    /// No target can continue the text.
+    Never,
+    /// Targets that can continue the text are full, and others could begin it again.
+    Elsewhere,
+    /// All targets are full.
+    Later,
+}
+
 /// How a run of an item ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RunOutcome {
@@ -142,6 +158,7 @@
             breaks: Backoff::default(),
             moves: 0,
             not_before: accepted,
+            held_since: None,
             scoring: Scoring::default(),
         });
         Self {
@@ -161,7 +178,8 @@
     }
 
     /// Sets the text of a waiting item to that of an earlier run, unless part of it
-    /// was made with weights that are too old for the job. If `carried`, all items of its
+    /// was made with weights that are too old for the job, or it is incomplete and the software
+    /// that made it is not known. If `carried`, all items of its
     /// group count as carried, whether or not the text is used.
     pub(crate) fn restore(&mut self, id: &str, progress: Progress, carried: bool) {
         let min_version = self.submission.min_version;
@@ -171,7 +189,8 @@
             let members = self.items.iter_mut().filter(|other| other.request.group == group);
             members.for_each(|other| other.carried = true);
         }
-        let is_usable = progress.versions().iter().all(|version| *version >= min_version);
+        let is_usable = progress.versions().iter().all(|version| *version >= min_version)
+            && (progress.is_complete() || progress.made_by().is_some());
         let item = self.items.iter_mut().find(|item| *item.request.id == *id);
         match item {
             Some(item) if is_usable && item.phase == Phase::Waiting => {
@@ -264,6 +283,31 @@
     /// Records the start of a run.
     pub(crate) fn start(&mut self, index: usize, target: Name) {
         self.items[index].phase = Phase::Running(target);
+        self.items[index].held_since = None;
+    }
+
+    /// Records that an item with text found no target. Discards the text and returns true if no
+    /// target can continue it, or if another one could have begun it again for as long as it takes
+    /// to make the text.
+    pub(crate) fn hold(&mut self, index: usize, room: Room, now: Instant) -> bool {
+        let item = &mut self.items[index];
+        let events = u32::try_from(item.progress.event_count()).unwrap_or(u32::MAX);
+        let discards = match room {
+            Room::Never => true,
+            Room::Elsewhere => {
+                let held_since = *item.held_since.get_or_insert(now);
+                now.since(held_since) >= TIME_PER_EVENT.saturating_mul(events)
+            }
+            Room::Later => {
+                item.held_since = None;
+                false
+            }
+        };
+        if discards {
+            item.progress.restart();
+            item.held_since = None;
+        }
+        discards
     }
 
     /// Records the end of a run: the item gets its result, or waits for the next run.
--- a/crates/tamarackdock_gateway/src/batch/placement.rs
+++ b/crates/tamarackdock_gateway/src/batch/placement.rs
@@ -9,7 +9,7 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use crate::deployment::Name;
+use crate::{deployment::Name, target::Software};
 
 /// Fraction by which each further run on a target slows down its runs.
 const SLOWDOWN_PER_RUN: f64 = 0.028;
@@ -29,12 +29,15 @@
     pub(crate) carried: bool,
     /// Estimated number of remaining output tokens.
     pub(crate) remaining_tokens: u64,
+    /// Software that alone can continue the item's text, if it has one.
+    pub(crate) made_by: Option<Software>,
 }
 
 /// What placement needs to know of a target.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct PlacementTarget {
     pub(crate) id: Name,
+    pub(crate) software: Software,
     /// Number of requests of this node in progress.
     pub(crate) running: u32,
     /// Number of requests that the target processes at once.
@@ -57,12 +60,23 @@
         !self.is_avoided && self.running < self.slots && self.allowed_starts > 0
     }
 
+    /// Returns whether a run of an item could begin here now, without the item's text.
+    pub(crate) fn could_begin(&self, item: &WaitingItem) -> bool {
+        self.has_room() && self.fitting_jobs.contains(&item.job)
+    }
+
+    /// Returns whether an item can run here once there is room.
+    pub(crate) fn fits(&self, item: &WaitingItem) -> bool {
+        self.fitting_jobs.contains(&item.job)
+            && item.made_by.as_ref().is_none_or(|made_by| *made_by == self.software)
+    }
+
     /// Returns for how many of the items there are slots, however many may start now.
     pub(crate) fn room_for(&self, items: &[WaitingItem]) -> u32 {
         if self.is_avoided {
             return 0;
         }
-        let fitting = items.iter().filter(|item| self.fitting_jobs.contains(&item.job)).count();
+        let fitting = items.iter().filter(|item| self.fits(item)).count();
         let free = self.slots.saturating_sub(self.running);
         free.min(u32::try_from(fitting).unwrap_or(u32::MAX))
     }
@@ -97,7 +111,7 @@
         let fitting = targets
             .iter()
             .enumerate()
-            .filter(|(_, target)| target.has_room() && target.fitting_jobs.contains(&item.job));
+            .filter(|(_, target)| target.has_room() && target.fits(&item));
         let best = fitting.min_by(|(_, left), (_, right)| left.cost().total_cmp(&right.cost()));
         match best.map(|(index, _)| index) {
             Some(index) => {
--- a/crates/tamarackdock_gateway/src/batch/progress.rs
+++ b/crates/tamarackdock_gateway/src/batch/progress.rs
@@ -7,7 +7,7 @@
 use tamarackdock_platform::table::{Row, Write};
 
 use super::rows;
-use crate::event::Event;
+use crate::{event::Event, target::Software};
 
 /// Most bytes of text in a row of several events.
 const MAX_SEGMENT_BYTES: usize = 24 * 1024;
@@ -22,6 +22,8 @@
     /// Id of the last event, `None` before the first one.
     last_event: Option<u64>,
     events: Vec<EventText>,
+    /// Software of the targets that made the events.
+    made_by: Option<Software>,
     /// Number of events that the store holds.
     saved_events: usize,
     /// Whether the text is complete: no event follows.
@@ -37,6 +39,20 @@
 pub(crate) struct OutOfOrder;
 
 impl Progress {
+    /// Prepares for events of a target with this software. Returns whether it may continue the
+    /// text.
+    pub(crate) fn continue_with(&mut self, software: &Software) -> bool {
+        if self.events.is_empty() {
+            self.made_by = Some(software.clone());
+        }
+        self.made_by.as_ref() == Some(software)
+    }
+
+    /// Returns the software that alone can continue the text, or `None` before the first event.
+    pub(crate) fn made_by(&self) -> Option<&Software> {
+        self.made_by.as_ref().filter(|_| !self.events.is_empty())
+    }
+
     /// Appends an event, which must have the next id, and the version of the weights that
     /// produced it.
     pub(crate) fn append(&mut self, event: &Event, version: Option<u64>) -> Result<(), OutOfOrder> {
@@ -131,7 +147,8 @@
             let to = from + fitting.count();
             let last = self.last_event.map(|last| last - (self.events.len() - to) as u64);
             let complete = self.complete && to == self.events.len();
-            let segment = Segment { last, parts: self.events[from..to].to_vec(), complete };
+            let parts = self.events[from..to].to_vec();
+            let segment = Segment { last, parts, complete, made_by: self.made_by.clone() };
             let key = format!("{prefix}/{epoch:04}{:04}{from:06}", self.generation);
             writes.push(Write { key, value: serde_json::to_string(&segment).ok() });
             from = to;
@@ -180,6 +197,8 @@
     /// Whether the text ends with these events.
     #[serde(default)]
     complete: bool,
+    /// Software that made the events. Rows of earlier releases don't name it.
+    made_by: Option<Software>,
 }
 
 /// Joins the segments of a job's items to their texts, by item id. Rows come in the order
@@ -207,6 +226,7 @@
         if from == progress.events.len() {
             progress.events.extend(segment.parts);
             progress.last_event = segment.last;
+            progress.made_by = segment.made_by;
             progress.saved_events = progress.events.len();
             progress.complete = segment.complete;
             progress.saved_complete = segment.complete;
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -200,6 +200,7 @@
         let load = loads.get(&other.id);
         other.service == target.service
             && !other.draining
+            && other.software == target.software
             && load.running < other.slots
             && !limits.is_limited(other)
             && schedule::can_serve(job, other, None)
@@ -245,7 +246,8 @@
     Ok(())
 }
 
-/// Builds the request of an item, or returns `None` if its route is gone.
+/// Builds the request of an item, or returns `None` if its route is gone or the target can't
+/// continue its text.
 fn prepare_request(
     node: &Node,
     job: &Rc<RefCell<Job>>,
@@ -253,6 +255,9 @@
     target: &Registration,
 ) -> Option<ItemRequest> {
     let fields = node.wire_format.fields();
+    if !job.borrow_mut().items[index].progress.continue_with(&target.runs()) {
+        return None;
+    }
     let job = job.borrow();
     let item = &job.items[index];
     let route = node.view.deployment().route(&job.head.host, &item.request.path)?;
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -7,7 +7,7 @@
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use super::{
-    job::Job,
+    job::{Job, Room},
     placement::{self, Assignment, PlacementTarget, WaitingItem},
     run, score,
 };
@@ -69,6 +69,7 @@
             item,
             carried: job_item.carried,
             remaining_tokens: job_item.remaining_tokens(),
+            made_by: job_item.progress.made_by().cloned(),
         }));
     }
     let has_later = jobs.iter().any(|job| job.borrow().next_start().is_some());
@@ -83,6 +84,21 @@
             permits::replenish(node, registration, wanted);
         }
     }
+    for item in unplaced.iter().filter(|item| item.made_by.is_some()) {
+        let mut job = jobs[item.job].borrow_mut();
+        let room = match () {
+            () if !targets.iter().any(|target| target.fits(item)) => Room::Never,
+            () if targets.iter().any(|target| target.could_begin(item)) => Room::Elsewhere,
+            () => Room::Later,
+        };
+        let events = job.items[item.item].progress.event_count();
+        if job.hold(item.item, room, now) {
+            slog::info!(node.log, "item: text discarded, as no target continues it";
+                "job" => &*job.id, "item" => &*job.items[item.item].request.id,
+                "software" => item.made_by.as_ref().map(|made_by| made_by.version.to_string()),
+                "events" => events, "room" => ?room);
+        }
+    }
     let has_unplaced = !unplaced.is_empty();
     for (placed_item, target_index) in placed {
         let job = jobs[placed_item.job].clone();
@@ -127,6 +143,7 @@
         let load = loads.get(&registration.id);
         usable.push(PlacementTarget {
             id: registration.id.clone(),
+            software: registration.runs(),
             running: load.running,
             slots: registration.slots,
             event_interval_ms: load.event_interval_ms,
--- a/crates/tamarackdock_gateway/src/batch/tests/job.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/job.rs
@@ -1,8 +1,11 @@
 use super::{at, event, item, job};
-use crate::batch::{
-    ItemOutcome, ItemResult,
-    job::{Job, Phase, RunOutcome},
-    progress::Progress,
+use crate::{
+    batch::{
+        ItemOutcome, ItemResult,
+        job::{Job, Phase, Room, RunOutcome},
+        progress::Progress,
+    },
+    target::Software,
 };
 
 fn job_with_one_item() -> Job {
@@ -114,8 +117,13 @@
     assert_eq!(results, ["b"]);
 }
 
+fn software() -> Software {
+    Software { service: "llm".into(), version: "v1".into() }
+}
+
 fn text(version: u64) -> Progress {
     let mut progress = Progress::default();
+    assert!(progress.continue_with(&software()));
     progress.append(&event(1, "x"), Some(version)).unwrap();
     progress
 }
@@ -132,6 +140,38 @@
     assert_eq!(carried, [true, false], "a repeated group is carried over in any case");
 }
 
+/// Guards against a text of an earlier release, whose software version is not known, that goes
+/// on at any target.
+#[test]
+fn text_of_unknown_software_is_not_continued() {
+    let mut job = job_with_one_item();
+    let mut unknown = Progress::default();
+    unknown.append(&event(1, "x"), Some(9)).unwrap();
+    job.restore("a", unknown.clone(), false);
+    assert_eq!(job.items[0].progress.event_count(), 0);
+    unknown.mark_complete();
+    job.restore("a", unknown, false);
+    assert_eq!(job.items[0].progress.event_count(), 1, "a complete text needs no target");
+}
+
+/// Guards against an item that waits for targets of a software version that is gone, or for
+/// longer than its text is worth, and against one that loses its text although no other target
+/// has room.
+#[test]
+fn a_text_is_discarded_when_waiting_costs_more() {
+    let held = |waits: &[(Room, u64)]| {
+        let mut job = job_with_one_item();
+        job.restore("a", text(9), false);
+        waits.iter().position(|(room, now)| job.hold(0, *room, at(*now)))
+    };
+    assert_eq!(held(&[(Room::Never, 1_000)]), Some(0));
+    let elsewhere = [1_000, 1_020, 1_034, 1_035].map(|now| (Room::Elsewhere, now));
+    assert_eq!(held(&elsewhere), Some(3));
+    assert_eq!(held(&[(Room::Later, 1_000), (Room::Later, 60_000)]), None);
+    let full = [(Room::Elsewhere, 1_000), (Room::Later, 1_020), (Room::Elsewhere, 1_060)];
+    assert_eq!(held(&full), None, "the time during which all targets were full");
+}
+
 /// Guards against runs that start while a job is handed over: their text would be lost.
 #[test]
 fn a_job_that_is_handed_over_starts_nothing() {
--- a/crates/tamarackdock_gateway/src/batch/tests/placement.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/placement.rs
@@ -4,7 +4,10 @@
 use rand::Rng as _;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
 
-use crate::batch::placement::{PlacementTarget, WaitingItem, assign_items};
+use crate::{
+    batch::placement::{PlacementTarget, WaitingItem, assign_items},
+    target::Software,
+};
 
 const SEEDS: u64 = 40;
 const GROUPS: usize = 28;
@@ -27,6 +30,7 @@
         id: format!("t{id}").as_str().into(),
         running: 0,
         slots: SLOTS,
+        software: software("v1"),
         event_interval_ms: Some(EVENT_INTERVALS_MS[id]),
         allowed_starts: u32::MAX,
         is_avoided: false,
@@ -35,6 +39,10 @@
     }
 }
 
+fn software(version: &str) -> Software {
+    Software { service: "llm".into(), version: version.into() }
+}
+
 fn normal(rng: &mut ChaCha8Rng) -> f64 {
     (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0
 }
@@ -97,6 +105,7 @@
             item: index,
             carried: false,
             remaining_tokens: items[index].1,
+            made_by: None,
         });
         for (item, target) in policy(waiting.collect(), &mut targets) {
             started[item.item] = true;
@@ -135,7 +144,7 @@
 }
 
 fn waiting(item: usize, job: usize, carried: bool, remaining_tokens: u64) -> WaitingItem {
-    WaitingItem { job, item, carried, remaining_tokens }
+    WaitingItem { job, item, carried, remaining_tokens, made_by: None }
 }
 
 fn order(items: Vec<WaitingItem>) -> Vec<usize> {
@@ -169,6 +178,19 @@
     assert!(assign(vec![waiting(0, 0, false, 1)], &mut unusable.clone()).is_empty());
 }
 
+/// Guards against a text that goes on at a target of another software version.
+#[test]
+fn a_text_goes_on_at_the_software_that_began_it() {
+    let item =
+        |made_by: &str| WaitingItem { made_by: Some(software(made_by)), ..waiting(0, 0, false, 1) };
+    let faster = PlacementTarget { event_interval_ms: Some(1.0), ..placement_target(0) };
+    let newer = PlacementTarget { software: software("v2"), ..placement_target(1) };
+    let mut targets = [faster, newer];
+    assert_eq!(assign(vec![item("v2")], &mut targets), [(item("v2"), 1)]);
+    let assignment = assign_items(vec![item("v3")], &mut targets);
+    assert_eq!((assignment.placed, assignment.unplaced), (Vec::new(), vec![item("v3")]));
+}
+
 /// Guards against starting more items on a cold target than are allowed.
 #[test]
 fn a_cold_target_gets_no_more_than_allowed() {
--- a/crates/tamarackdock_gateway/src/batch/tests/progress.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/progress.rs
@@ -2,13 +2,21 @@
 use tamarackdock_platform::table::Row;
 
 use super::event;
-use crate::batch::{
-    progress::{Progress, join_segments},
-    rows,
+use crate::{
+    batch::{
+        progress::{Progress, join_segments},
+        rows,
+    },
+    target::Software,
 };
 
+fn software(version: &str) -> Software {
+    Software { service: "llm".into(), version: version.into() }
+}
+
 fn text(data: &[(&str, u64)]) -> Progress {
     let mut progress = Progress::default();
+    assert!(progress.continue_with(&software("v1")));
     for (id, (data, version)) in (1..).zip(data) {
         progress.append(&event(id, data), Some(*version)).unwrap();
     }
@@ -86,6 +94,26 @@
     assert_eq!(read(&store), Some(("a".into(), Some(1), vec![5])));
 }
 
+/// Guards against a text that targets of two software versions have made: the next owner
+/// does not know the version, or a text that was begun again is bound to the old one.
+#[test]
+fn only_the_software_that_began_a_text_continues_it() {
+    let mut store = Vec::new();
+    let mut progress = text(&[("a", 5)]);
+    assert!(!progress.continue_with(&software("v2")) && progress.continue_with(&software("v1")));
+    save(&mut progress, &mut store, 1);
+    let mut stored = join_segments("j", &store).remove("i").unwrap();
+    assert_eq!(stored.made_by(), Some(&software("v1")));
+    assert!(!stored.continue_with(&software("v2")));
+    stored.restart();
+    assert_eq!(stored.made_by(), None);
+    assert!(stored.continue_with(&software("v2")));
+    stored.append(&event(1, "b"), Some(5)).unwrap();
+    save(&mut stored, &mut store, 2);
+    let stored = join_segments("j", &store).remove("i").unwrap();
+    assert_eq!(stored.made_by(), Some(&software("v2")));
+}
+
 /// Guards against a complete text that the next owner generates again: its scoring call may
 /// have been sent.
 #[test]
--- a/crates/tamarackdock_gateway/src/target.rs
+++ b/crates/tamarackdock_gateway/src/target.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
+use serde::{Deserialize, Serialize};
 use tamarackdock_types::clock::Instant;
 
 use crate::deployment::Name;
@@ -33,6 +34,24 @@
     pub reclaimable: bool,
 }
 
+/// The targets of a service that run the same version of its software. Only they can continue
+/// a text that one of them began: what two versions write does not fit together.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Software {
+    /// Name of the service.
+    pub service: Name,
+    /// Version of the software.
+    pub version: Name,
+}
+
+impl Registration {
+    /// Returns the software that the target runs.
+    #[must_use]
+    pub fn runs(&self) -> Software {
+        Software { service: self.service.clone(), version: self.software.clone() }
+    }
+}
+
 /// A registered target and the times that this node derives for it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Target {
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -10,3 +10,5 @@
 mod single_faults;
 #[path = "gateway/soak.rs"]
 mod soak;
+#[path = "gateway/software.rs"]
+mod software;
