Send one last-event field with a stream that goes on

What callers saw: a caller that took a stream up got events twice when the target broke the stream off again: the request to the next target had the caller's last-event field and a second one.

Change: a stream begins with the caller's last event, and its requests have that field only.

--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -123,10 +123,14 @@
         let fields = node.wire_format.fields();
         let source = &self.request.head.headers;
         let replaced = [fields.key, fields.account, fields.expected_target, fields.deadline];
+        // That of a stream moves on with the events that were sent.
+        let is_stream = matches!(self.route.kind, CallKind::Stream { .. });
+        let replaced_event = if is_stream { fields.last_event } else { "" };
         let mut headers = Headers::default();
         for (name, value) in source.iter() {
             let dropped = is_hop_by_hop(source, name)
-                || replaced.iter().any(|field| field.eq_ignore_ascii_case(name));
+                || replaced.iter().any(|field| field.eq_ignore_ascii_case(name))
+                || replaced_event.eq_ignore_ascii_case(name);
             if !dropped {
                 headers.push(name, value);
             }
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -21,11 +21,11 @@
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
 /// The part of a stream that the caller has received.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Progress {
     /// Whether the head of the response was sent.
     began: bool,
-    /// Id of the last event that was sent.
+    /// Id of the last event that was sent, in this response or an earlier one.
     last_event: Option<u64>,
 }
 
@@ -46,7 +46,10 @@
 /// stream, another target continues it after the last event that was sent.
 pub(crate) async fn serve(node: &Rc<Node>, call: &Call, writer: &mut Writer) -> Outcome {
     let resumable = call.route.kind == CallKind::Stream { resumable: true };
-    let mut progress = Progress::default();
+    let fields = node.wire_format.fields();
+    // A caller that takes a stream up names the last event that it has.
+    let last_event = call.request.head.headers.number(fields.last_event);
+    let mut progress = Progress { began: false, last_event };
     let mut tried: Vec<Name> = Vec::new();
     let mut last = Attempt::NotRun(None);
     let mut may_have_run = false;
--- a/crates/tamarackdock_node/tests/gateway/software.rs
+++ b/crates/tamarackdock_node/tests/gateway/software.rs
@@ -6,21 +6,21 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::Engine;
+use platform_standin::{BREAKING_STREAM, Client, Engine, expected_stream};
 
-use crate::cluster::{Cluster, Trainer, Violations};
+use crate::cluster::{Cluster, KEY, Trainer, Violations};
 
 /// Seed of the engines' faults: streams that break in the middle of an event, and refusals.
 const SEED: u64 = 7;
 
-/// Returns the ids of requests of which a run went on after an event that another software
+/// Returns the ids of first requests of texts of which a run went on after an event that another software
 /// version had made, and the number of runs that went on.
 fn mixed<'a>(targets: impl Iterator<Item = &'a Engine>) -> (Vec<String>, usize) {
     let mut runs: BTreeMap<String, Vec<(Instant, &str, bool)>> = BTreeMap::new();
     for target in targets {
         for run in target.runs() {
-            let run = (run.id, (run.started_at, target.software(), run.resumed));
-            runs.entry(run.0).or_default().push(run.1);
+            let part = (run.started_at, target.software(), run.resumed);
+            runs.entry(run.first).or_default().push(part);
         }
     }
     let mut resumed = 0;
@@ -64,3 +64,46 @@
     assert!(resumed > 0, "no run went on");
     assert_eq!(violations.all(), Vec::<String>::new());
 }
+
+/// Most attempts of a client for one stream: each brings at least three of 64 events.
+const ATTEMPTS: usize = 30;
+
+/// Receives a stream to its end, with attempts at one node after the other. Returns its bytes,
+/// and the number of attempts that the nodes refused.
+fn receive(cluster: &Cluster, path: &str, first: &str) -> (Vec<u8>, usize) {
+    let nodes = cluster.addresses();
+    let mut client = Client::new(KEY, Duration::from_secs(2));
+    let mut received = client.stream(nodes[0], path, first, None);
+    let mut refused = 0;
+    for attempt in 1..ATTEMPTS {
+        if received.is_complete {
+            break;
+        }
+        let last = received.last_event().unwrap_or_else(|| panic!("{first}: {received:?}"));
+        let node = nodes[attempt % nodes.len()];
+        let id = format!("{first}-{attempt}");
+        let next = client.stream(node, path, &id, Some((first, last)));
+        match next.status {
+            200 => {
+                received.body.extend(next.body);
+                received.is_complete = next.is_complete;
+            }
+            _ => refused += 1,
+        }
+    }
+    (received.body, refused)
+}
+
+/// Guards against events that come again when a caller has taken a stream up and its target
+/// breaks it off.
+#[test]
+fn a_stream_that_was_taken_up_repeats_no_event() {
+    let cluster = Cluster::start("taken-up", 2, 0);
+    for number in 0..6 {
+        let first = format!("taken-up-{number}");
+        let (received, refused) = receive(&cluster, BREAKING_STREAM, &first);
+        let expected = expected_stream(&first);
+        assert_eq!(String::from_utf8(received), String::from_utf8(expected), "{first}");
+        assert_eq!(refused, 0);
+    }
+}
