Continue streams only at the software version that began them

A taken-up stream went to any target, as its new id had no tie to the first attempt.

Change: the node that sends a stream's first event remembers its version for 2 min and tells three other nodes, chosen by a hash of the stream, which any node asks when a caller takes it up. Within one answer only targets of that version continue. If nobody knows, a stream goes on only where one version has served for 2 min, and is refused as not run otherwise.

Ruled out: a row in the store for each stream (a write before the first event, and no new streams while the store is down).

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     deployment::{Name, Service},
-    target::{Registration, Target},
+    target::{Registration, Software, Target},
 };
 
 /// Time for which a target is used only as a last choice after the connection of a
@@ -217,6 +217,8 @@
     pub(crate) service: &'a str,
     /// Data centre of the node.
     pub(crate) data_centre: &'a str,
+    /// The only software that may run the call, if it goes on with a stream.
+    pub(crate) software: Option<&'a Software>,
     /// Targets that the call was already sent to.
     pub(crate) tried: &'a [Name],
     /// Slots of each target that the call leaves free. A call that leaves any is not sent to
@@ -244,6 +246,7 @@
         let entry = &target.registration;
         *entry.service == *requirements.service
             && !entry.draining
+            && requirements.software.is_none_or(|software| *software.version == *entry.software)
             && !requirements.tried.contains(&entry.id)
             && !is_evacuated(&entry.data_centre)
             && (requirements.reserved_slots == 0
--- a/crates/tamarackdock_gateway/src/batch/takeover.rs
+++ b/crates/tamarackdock_gateway/src/batch/takeover.rs
@@ -77,9 +77,14 @@
 /// node runs them all, takes all of them into account when it places their items, and
 /// keeps its connections to targets from step to step.
 pub(crate) fn candidates(key: &str, live: &[NodeRun]) -> Vec<NodeRun> {
+    first_candidates(key, live, MAX_ASKED)
+}
+
+/// Returns the first `count` candidates for a key.
+pub(crate) fn first_candidates(key: &str, live: &[NodeRun], count: usize) -> Vec<NodeRun> {
     let mut live: Vec<_> = live.iter().collect();
     live.sort_by_cached_key(|run| candidate_hash(key, run));
-    live.into_iter().take(MAX_ASKED).cloned().collect()
+    live.into_iter().take(count).cloned().collect()
 }
 
 /// Returns the node that is to run a new job: the first candidate that answers. They are
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -15,7 +15,7 @@
     origin::Origin,
     reply::Reply,
     server::Request,
-    target::Registration,
+    target::{Registration, Software},
 };
 
 /// `Retry-After` of a refusal where no target gives one.
@@ -149,9 +149,27 @@
 
     /// Chooses a target that the call was not sent to before.
     pub(crate) fn choose(&self, node: &Node, tried: &[Name]) -> Option<Registration> {
+        self.choose_of(node, None, tried)
+    }
+
+    /// Chooses a target that the call was not sent to before. If the call goes on with a stream,
+    /// only targets of the software that began it are considered.
+    pub(crate) fn choose_of(
+        &self,
+        node: &Node,
+        software: Option<&Software>,
+        tried: &[Name],
+    ) -> Option<Registration> {
         let now = BootClock.now();
         let deployment = node.view.deployment();
-        let name = pick_service(&self.route, &self.id);
+        let name = match software {
+            // A caller that takes a stream up has a new id, which may pick another service.
+            Some(software) => {
+                let mut services = self.route.services.iter().map(|(name, _)| name);
+                services.find(|name| **name == software.service)?.clone()
+            }
+            None => pick_service(&self.route, &self.id),
+        };
         let service = deployment.services.get(&name)?;
         let targets = node.view.targets.borrow();
         let evacuated = node.view.evacuated.borrow();
@@ -161,6 +179,7 @@
         let requirements = Requirements {
             service: &name,
             data_centre: &node.data_centre,
+            software,
             tried,
             reserved_slots: self.origin.reserved_slots(),
             node_rank: &|target| takeover::caller_rank(target, &node.members.own, &live),
--- /dev/null
+++ b/crates/tamarackdock_gateway/src/continuation.rs
@@ -0,0 +1,156 @@
+//! Which software version began each stream, so that callers can take a stream up at any node.
+//!
+//! The load that this is made for is streams of some seconds, whose callers come to another node
+//! after a node or a target has failed. A row in the store for each stream would cost a write
+//! before its first event, and streams could not begin while the store is down. So the node that
+//! serves the first event tells some other nodes, chosen by a hash of the stream, which the next
+//! node asks.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+
+use tamarackdock_types::clock::{BootClock, Clock, Instant};
+
+use crate::{
+    batch::takeover,
+    call::{Call, fingerprint, pick_service},
+    deployment::Name,
+    node::Node,
+    peer::{self, PeerError, PeerRequest, PeerResponse},
+    target::Software,
+};
+
+/// Number of nodes that are told of a stream.
+const HOLDERS: usize = 3;
+/// Time for which a stream is remembered after it was last begun or taken up.
+const KEEP_FOR: Duration = Duration::from_mins(2);
+/// Most streams that a node remembers, about 3 MB.
+const MAX_STREAMS: usize = 20_000;
+
+/// Hash of a client account and the id of the attempt that brought a stream's first event.
+pub(crate) type Key = u64;
+
+/// The streams that this node knows of.
+#[derive(Debug, Default)]
+pub(crate) struct Beginnings {
+    software: BTreeMap<Key, (Software, Instant)>,
+    /// Streams in the order in which they were recorded. One that was recorded again is there
+    /// more than once.
+    order: VecDeque<(Key, Instant)>,
+}
+
+impl Beginnings {
+    /// Records which software began a stream. Forgets old streams, and the oldest ones beyond
+    /// [`MAX_STREAMS`].
+    pub(crate) fn record(&mut self, stream: Key, software: Software, now: Instant) {
+        self.software.insert(stream, (software, now));
+        self.order.push_back((stream, now));
+        while let Some((oldest, at)) = self.order.front().copied()
+            && (self.order.len() > MAX_STREAMS || now.since(at) >= KEEP_FOR)
+        {
+            self.order.pop_front();
+            if self.software.get(&oldest).is_some_and(|(_, recorded)| *recorded == at) {
+                self.software.remove(&oldest);
+            }
+        }
+    }
+
+    /// Returns which software began a stream, if this node knows it.
+    pub(crate) fn get(&self, stream: Key, now: Instant) -> Option<Software> {
+        let known = self.software.get(&stream).filter(|(_, at)| now.since(*at) < KEEP_FOR);
+        known.map(|(software, _)| software.clone())
+    }
+}
+
+/// A call's place in its stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Place {
+    pub(crate) stream: Key,
+    /// Id of the last event that the caller has, if it takes the stream up.
+    pub(crate) last_event: Option<u64>,
+}
+
+impl Place {
+    /// Returns the place of a call by its header fields.
+    pub(crate) fn of(node: &Node, call: &Call) -> Self {
+        let fields = node.wire_format.fields();
+        let headers = &call.request.head.headers;
+        let last_event = headers.number(fields.last_event).filter(|last| *last > 0);
+        let first = headers.get(fields.taken_up).filter(|_| last_event.is_some());
+        let first = first.unwrap_or(&call.id);
+        let stream = fingerprint(format!("{:?}/{first}", call.account).as_bytes());
+        Self { stream, last_event }
+    }
+}
+
+/// Remembers which software began a stream, here and at other nodes.
+pub(crate) fn announce(node: &Rc<Node>, stream: Key, software: &Software) {
+    node.beginnings.borrow_mut().record(stream, software.clone(), BootClock.now());
+    for (_, address) in holders(node, stream) {
+        let request = PeerRequest::Began { stream, software: software.clone() };
+        let node = node.clone();
+        monoio::spawn(async move {
+            if let Err(error) = peer::ask(address, &request, Duration::ZERO).await {
+                slog::info!(node.log, "stream: beginning not told"; "stream" => stream,
+                    "peer" => %address, "error" => %error);
+            }
+        });
+    }
+}
+
+/// Returns which software began a stream, or `None` if no node knows it and targets of several
+/// versions may have done so.
+pub(crate) async fn find(node: &Rc<Node>, call: &Call, place: Place) -> Option<Software> {
+    let known = node.beginnings.borrow().get(place.stream, BootClock.now());
+    let (software, source) = match known {
+        Some(software) => (Some(software), "memory"),
+        None => match ask_holders(node, place.stream).await {
+            Some(software) => (Some(software), "peer"),
+            None => (only_software(node, call), "only_version"),
+        },
+    };
+    slog::info!(node.log, "stream: taken up"; "id" => &call.id, "stream" => place.stream,
+        "last_event" => place.last_event, "source" => source,
+        "software" => software.as_ref().map(|software| software.version.to_string()));
+    software
+}
+
+/// Returns the other nodes that are told of a stream, with their addresses.
+fn holders(node: &Node, stream: Key) -> Vec<(Name, std::net::SocketAddr)> {
+    let live = node.members.live();
+    let first = takeover::first_candidates(&stream.to_string(), &live, HOLDERS);
+    let others = first.into_iter().filter(|run| *run != node.members.own);
+    others.filter_map(|run| Some((run.host.clone(), node.members.address(&run)?))).collect()
+}
+
+async fn ask_holders(node: &Node, stream: Key) -> Option<Software> {
+    for (host, address) in holders(node, stream) {
+        let answer = peer::ask(address, &PeerRequest::WhoBegan { stream }, Duration::ZERO).await;
+        match answer {
+            Ok(PeerResponse::Beginning(Some(software))) => return Some(software),
+            Ok(PeerResponse::Beginning(None)) => {}
+            answer => {
+                let error = answer.err().unwrap_or(PeerError::Malformed);
+                slog::info!(node.log, "stream: holder does not respond"; "stream" => stream,
+                    "host" => &*host, "error" => %error);
+            }
+        }
+    }
+    None
+}
+
+/// Returns the software of a call's service if all targets run the same version, and did as long
+/// as this node remembers streams.
+fn only_software(node: &Node, call: &Call) -> Option<Software> {
+    let service = pick_service(&call.route, &call.id);
+    let is_split = call.route.services.len() > 1;
+    let targets = node.view.targets.borrow();
+    let versions: Vec<Name> = targets.software(&service, KEEP_FOR, BootClock.now()).collect();
+    match &versions[..] {
+        [version] if !is_split => Some(Software { service, version: version.clone() }),
+        _ => None,
+    }
+}
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod balance;
 mod call;
+mod continuation;
 mod crash;
 mod dispatch;
 mod dump;
--- a/crates/tamarackdock_gateway/src/peer.rs
+++ b/crates/tamarackdock_gateway/src/peer.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     batch::{self, Page, index::VersionedHead, rows::JobHead},
+    continuation,
     deployment::Name,
     forward::{self, ForwardedCall, ForwardedResponse},
     http::{Connection, ExchangeError, Headers, send_message},
@@ -17,6 +18,7 @@
     relay::{StoreAnswer, StoreCall},
     reply::Reply,
     server::Request,
+    target::Software,
     wire_format::OutgoingRequest,
 };
 
@@ -64,6 +66,18 @@
     },
     /// Asks for permits for requests to a target that limits them.
     Permits(PermitRequest),
+    /// Says which software began a stream.
+    Began {
+        /// Hash of the stream.
+        stream: continuation::Key,
+        /// Software of the target that made its first event.
+        software: Software,
+    },
+    /// Asks which software began a stream.
+    WhoBegan {
+        /// Hash of the stream.
+        stream: continuation::Key,
+    },
 }
 
 /// A response to another node.
@@ -83,6 +97,8 @@
     Runs(bool),
     /// The permits that the node grants.
     Permits(PermitResponse),
+    /// Which software began the stream, if the node knows it.
+    Beginning(Option<Software>),
 }
 
 /// The reason why a peer gave no usable response.
@@ -147,6 +163,13 @@
         }
         Ok(PeerRequest::Runs { job }) => PeerResponse::Runs(batch::takeover::runs(node, &job)),
         Ok(PeerRequest::Permits(request)) => PeerResponse::Permits(permits::serve(node, &request)),
+        Ok(PeerRequest::Began { stream, software }) => {
+            node.beginnings.borrow_mut().record(stream, software, BootClock.now());
+            PeerResponse::Done
+        }
+        Ok(PeerRequest::WhoBegan { stream }) => {
+            PeerResponse::Beginning(node.beginnings.borrow().get(stream, BootClock.now()))
+        }
         Ok(PeerRequest::Store(call)) => PeerResponse::Store(node.relay.serve(call).await),
         Err(error) => {
             slog::warn!(node.log, "peer: can't decode the request"; "error" => %error);
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -1,11 +1,12 @@
 //! Forwards streams of events from targets to callers.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use tamarackdock_types::clock::{BootClock, Clock};
 
 use crate::{
     call::{Attempt, Call, classify_answer, end_to_end_headers, final_reply, timeout_at},
+    continuation::{self, Place},
     deployment::{CallKind, Name},
     event::EventParser,
     hedge::PERMIT_WAIT_SHARE,
@@ -13,11 +14,14 @@
     limit::permits,
     node::Node,
     pool::Reuse,
+    reply::Reply,
     server::Outcome,
 };
 
 /// Largest response that is not a stream, in bytes: an error with its text.
 const MAX_ERROR: usize = 256 * 1024;
+/// `Retry-After` of a stream that can't go on because no node knows which software began it.
+const RETRY_UNKNOWN: Duration = Duration::from_secs(1);
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
 /// The part of a stream that the caller has received.
@@ -25,6 +29,8 @@
 struct Progress {
     /// Whether the head of the response was sent.
     began: bool,
+    /// Whether an event was sent.
+    has_events: bool,
     /// Id of the last event that was sent, in this response or an earlier one.
     last_event: Option<u64>,
 }
@@ -46,22 +52,31 @@
 /// stream, another target continues it after the last event that was sent.
 pub(crate) async fn serve(node: &Rc<Node>, call: &Call, writer: &mut Writer) -> Outcome {
     let resumable = call.route.kind == CallKind::Stream { resumable: true };
-    let fields = node.wire_format.fields();
-    // A caller that takes a stream up names the last event that it has.
-    let last_event = call.request.head.headers.number(fields.last_event);
-    let mut progress = Progress { began: false, last_event };
+    let place = Place::of(node, call);
+    let mut software = None;
+    if place.last_event.is_some() {
+        software = continuation::find(node, call, place).await;
+        if software.is_none() {
+            let message = "no node knows which targets began this stream; nothing has run";
+            return Outcome::Reply(Reply::not_run(message, RETRY_UNKNOWN));
+        }
+    }
+    let mut progress = Progress { began: false, has_events: false, last_event: place.last_event };
     let mut tried: Vec<Name> = Vec::new();
     let mut last = Attempt::NotRun(None);
     let mut may_have_run = false;
     let mut withheld = 0;
     let attempts = call.route.attempts.max(1) as usize;
     while tried.len() - withheld < attempts && BootClock.now() < call.give_up_at {
-        let Some(target) = call.choose(node, &tried) else { break };
+        let Some(target) = call.choose_of(node, software.as_ref(), &tried) else { break };
         tried.push(target.id.clone());
         let began = BootClock.now();
         let guard = node.start_request(&target.id, began);
         let ended = run(node, call, &target, &mut progress, writer).await;
         drop(guard);
+        if progress.has_events && software.is_none() {
+            software = Some(target.runs());
+        }
         if !matches!(ended, Ended::NoStream(Attempt::NotRun(_) | Attempt::Withheld(_)))
             && let Some(account) = &call.account
         {
@@ -173,6 +188,9 @@
                     return Ended::Broken;
                 }
             };
+            if !std::mem::replace(&mut progress.has_events, true) {
+                continuation::announce(node, Place::of(node, call).stream, &target.runs());
+            }
             let mut chunk = format!("{:x}\r\n", event.raw.len()).into_bytes();
             chunk.extend_from_slice(&event.raw);
             chunk.extend_from_slice(b"\r\n");
--- a/crates/tamarackdock_gateway/src/tests/balance.rs
+++ b/crates/tamarackdock_gateway/src/tests/balance.rs
@@ -22,6 +22,7 @@
     let requirements = Requirements {
         service: "app",
         data_centre: "x",
+        software: None,
         tried,
         reserved_slots: 0,
         node_rank: &|_| ALONE,
@@ -129,6 +130,7 @@
         let requirements = Requirements {
             service: "app",
             data_centre: "x",
+            software: None,
             tried: &[],
             reserved_slots,
             node_rank: &|_| ALONE,
--- a/crates/tamarackdock_gateway/src/wire_format.rs
+++ b/crates/tamarackdock_gateway/src/wire_format.rs
@@ -36,6 +36,8 @@
     pub limit: &'static str,
     /// Id of the last event of a stream that the sender of the request has received.
     pub last_event: &'static str,
+    /// Id of the attempt that brought the first event of the stream that a caller takes up.
+    pub taken_up: &'static str,
     /// Weight version of a response, or of the following events of a stream.
     pub weight_version: &'static str,
     /// Estimated output tokens of an item.
--- a/crates/tamarackdock_node/tests/gateway/software.rs
+++ b/crates/tamarackdock_node/tests/gateway/software.rs
@@ -65,6 +65,8 @@
     assert_eq!(violations.all(), Vec::<String>::new());
 }
 
+/// Number of streams in a test.
+const STREAMS: usize = 24;
 /// Most attempts of a client for one stream: each brings at least three of 64 events.
 const ATTEMPTS: usize = 30;
 
@@ -107,3 +109,32 @@
         assert_eq!(refused, 0);
     }
 }
+
+/// Guards against streams that hold events of two software versions: when their target breaks
+/// off, and when callers take them up at other nodes, some of which have been killed meanwhile.
+#[test]
+fn streams_go_on_at_the_software_version_that_began_them() {
+    let mut cluster = Cluster::start("software-streams", 4, 0);
+    cluster.services[1].install("v2");
+    cluster.services[3].install("v2");
+    // Entries are written again, and the nodes know each other.
+    thread::sleep(Duration::from_secs(1));
+    let mut refused = 0;
+    for number in 0..STREAMS {
+        let path = if number % 2 == 0 { "/stream/resumed" } else { BREAKING_STREAM };
+        let first = format!("stream-{number}");
+        let (received, refusals) = receive(&cluster, path, &first);
+        refused += refusals;
+        let expected = expected_stream(&first);
+        assert_eq!(String::from_utf8(received), String::from_utf8(expected), "{first}");
+        if number % 6 == 5 {
+            let node = number / 6 % cluster.nodes.len();
+            cluster.nodes[node].restart();
+            thread::sleep(Duration::from_millis(700));
+        }
+    }
+    let (mixed, resumed) = mixed(cluster.services.iter());
+    assert_eq!(mixed, Vec::<String>::new());
+    assert!(resumed >= STREAMS, "only {resumed} runs went on");
+    assert_eq!(refused, 0);
+}
