Never quarantine samples of steps because targets crashed under them

What trainers saw: after a burst of crashes a step waited for a minute although all targets were well again: samples that two targets had run when they crashed were refused as requests that crash their targets.

Cause: the quarantine of the node's own interface took samples for calls of callers. The gateway has no such fault: its record of crashing requests holds calls of callers only, and a broken item waits for at most 4 s.

Change: samples have no fingerprint, so that they neither count as crashing targets nor are refused.

--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -26,6 +26,15 @@
     );
 }
 
+/// Guards against samples that are never placed again because targets crashed under them.
+#[test]
+fn samples_outlive_a_burst_of_crashes() {
+    run_and_compare(
+        "samples_outlive_a_burst_of_crashes",
+        include_str!("../scenarios/samples_outlive_a_burst_of_crashes.rhai"),
+    );
+}
+
 #[test]
 fn key_withdrawn() {
     run_and_compare("key_withdrawn", include_str!("../scenarios/key_withdrawn.rhai"));
--- a/crates/tamarackdock_node/src/caller/plain.rs
+++ b/crates/tamarackdock_node/src/caller/plain.rs
@@ -86,7 +86,7 @@
                 service: self.service.name.clone(),
                 level: Level::App,
                 prefix: fingerprint(self.request.path().as_bytes()),
-                fingerprint: self.request_fingerprint(),
+                fingerprint: Some(self.request_fingerprint()),
                 tried: tried.clone(),
                 is_retry: !tried.is_empty(),
                 deadline,
--- a/crates/tamarackdock_node/src/engine/generation.rs
+++ b/crates/tamarackdock_node/src/engine/generation.rs
@@ -103,7 +103,7 @@
                 service: self.service.clone(),
                 level: self.level,
                 prefix: self.prefix(),
-                fingerprint: self.fingerprint(),
+                fingerprint: Some(self.fingerprint()),
                 tried: tried.clone(),
                 is_retry,
                 deadline,
@@ -170,7 +170,7 @@
     }
 
     /// Returns the hash of the service and the prompt, by which a repeated request is recognized.
-    pub(crate) fn fingerprint(&self) -> u64 {
+    fn fingerprint(&self) -> u64 {
         let service = fingerprint(self.service.as_str().as_bytes());
         service ^ fingerprint(self.prompt.as_bytes())
     }
--- a/crates/tamarackdock_node/src/router/crash.rs
+++ b/crates/tamarackdock_node/src/router/crash.rs
@@ -55,7 +55,7 @@
         let reports = record.reports;
         let new = || Suspect { requests: Vec::new(), since: now, restart_id };
         let suspect = self.suspects.0.entry(name.clone()).or_insert_with(new);
-        suspect.requests.push((end.fingerprint, started));
+        suspect.requests.extend(end.fingerprint.map(|fingerprint| (fingerprint, started)));
         if reports {
             self.refresh_state(end.key);
             self.poll(end.key, now);
--- a/crates/tamarackdock_node/src/router/message.rs
+++ b/crates/tamarackdock_node/src/router/message.rs
@@ -30,8 +30,9 @@
     /// Hash of the start of the prompt.
     pub(crate) prefix: u64,
     /// Hash by which the quarantine recognises a repeated request. For a generation, it covers
-    /// the service and the prompt.
-    pub(crate) fingerprint: u64,
+    /// the service and the prompt. `None` for samples of a step, which are owed even if targets
+    /// crashed while they ran them.
+    pub(crate) fingerprint: Option<u64>,
     /// Targets that are excluded, such as those of the call's earlier attempts.
     pub(crate) tried: Vec<TargetName>,
     /// Whether the attempt counts against the retry budget.
@@ -54,7 +55,7 @@
 pub(crate) struct AttemptEnd {
     pub(crate) attempt: u64,
     pub(crate) key: Key,
-    pub(crate) fingerprint: u64,
+    pub(crate) fingerprint: Option<u64>,
     pub(crate) outcome: Outcome,
 }
 
--- a/crates/tamarackdock_node/src/router/placement.rs
+++ b/crates/tamarackdock_node/src/router/placement.rs
@@ -6,7 +6,7 @@
 use tamarackdock_config::deployment::Role;
 use tamarackdock_route::{Key, State, policy::Call};
 use tamarackdock_types::{
-    DataCentreName, ServiceName,
+    DataCentreName, ServiceName, TargetName,
     clock::Instant,
     refusal::{Code, Refusal},
 };
@@ -62,7 +62,7 @@
                 continue;
             }
             if let Some(pending) = self.try_place(pending, now) {
-                let is_suspect = self.suspects.contains_request(pending.query.fingerprint);
+                let is_suspect = self.is_suspect(&pending.query);
                 if pending.query.tried.is_empty() && !is_suspect {
                     saturated.insert(service_level);
                 }
@@ -75,7 +75,7 @@
     fn must_wait(&self, pending: &PendingAttempt, now: Instant) -> bool {
         now < pending.query.deadline
             && !pending.reply.is_canceled()
-            && !self.quarantine.is_quarantined(pending.query.fingerprint, now)
+            && !self.is_quarantined(&pending.query, now)
     }
 
     /// Places or refuses an attempt, or returns it if it has to wait.
@@ -83,9 +83,9 @@
         let query = &pending.query;
         let answer = match () {
             () if pending.reply.is_canceled() => return None,
-            () if self.quarantine.is_quarantined(query.fingerprint, now) => Err(quarantined()),
+            () if self.is_quarantined(query, now) => Err(quarantined()),
             // The next load poll shows whether the request crashed its last target.
-            () if self.suspects.contains_request(query.fingerprint) && now < query.deadline => {
+            () if self.is_suspect(query) && now < query.deadline => {
                 return Some(pending);
             }
             () => match self.place(query, now) {
@@ -100,6 +100,24 @@
         None
     }
 
+    fn is_quarantined(&self, query: &Query, now: Instant) -> bool {
+        let fingerprint = query.fingerprint;
+        fingerprint.is_some_and(|fingerprint| self.quarantine.is_quarantined(fingerprint, now))
+    }
+
+    /// Returns whether a target on which the connection of the same request broke may have
+    /// crashed.
+    fn is_suspect(&self, query: &Query) -> bool {
+        let fingerprint = query.fingerprint;
+        fingerprint.is_some_and(|fingerprint| self.suspects.contains_request(fingerprint))
+    }
+
+    fn finish_request(&mut self, end: &AttemptEnd, target: &TargetName) {
+        if let Some(fingerprint) = end.fingerprint {
+            self.quarantine.finish(fingerprint, target);
+        }
+    }
+
     fn place(&mut self, query: &Query, now: Instant) -> Option<Permit> {
         let key = self.candidate(query, now)?;
         let record = self.records.get_mut(&key)?;
@@ -109,7 +127,9 @@
         }
         let target = record.target.clone();
         self.table.start(key);
-        self.quarantine.start(query.fingerprint, &target.name, now);
+        if let Some(fingerprint) = query.fingerprint {
+            self.quarantine.start(fingerprint, &target.name, now);
+        }
         let credit_expired = Flag::new();
         let attempt = self.next_id();
         self.attempts.insert(
@@ -222,16 +242,16 @@
         match end.outcome {
             Outcome::ConnectionLost => self.suspect_crash(end, attempt.started, now),
             Outcome::Unreachable => {
-                self.quarantine.finish(end.fingerprint, &name);
+                self.finish_request(&end, &name);
                 self.record_connect_failure(end.key, now);
                 self.poll(end.key, now);
             }
             Outcome::TimedOut => {
-                self.quarantine.finish(end.fingerprint, &name);
+                self.finish_request(&end, &name);
                 self.mark_unresponsive(end.key, now);
             }
             Outcome::Answered { .. } | Outcome::Failed | Outcome::Cancelled => {
-                self.quarantine.finish(end.fingerprint, &name);
+                self.finish_request(&end, &name);
             }
         }
         self.refresh_state(end.key);
--- a/crates/tamarackdock_node/src/step/attempt.rs
+++ b/crates/tamarackdock_node/src/step/attempt.rs
@@ -82,7 +82,7 @@
             service: self.generation.service.clone(),
             level: Level::Batch,
             prefix: self.generation.prefix(),
-            fingerprint: self.generation.fingerprint(),
+            fingerprint: None,
             tried: self.avoid.iter().cloned().collect(),
             is_retry: false,
             deadline,
