--- a/crates/tamarackdock_node/tests/gateway/soak.rs
+++ b/crates/tamarackdock_node/tests/gateway/soak.rs
@@ -11,9 +11,12 @@
 use rand::Rng as _;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
 
-use crate::cluster::{
-    CallRecord, Cluster, KEY, KEY_WITHDRAWAL_BOUND, OLD_KEY, StopFlag, Trainer, Violations,
-    call_until,
+use crate::{
+    cluster::{
+        CallRecord, Cluster, KEY, KEY_WITHDRAWAL_BOUND, OLD_KEY, StopFlag, Trainer, Violations,
+        call_until,
+    },
+    software::mixed,
 };
 
 /// Nodes of a run unless `SOAK_NODES` says otherwise.
@@ -31,6 +34,10 @@
 const MAX_DELAY_MS: u64 = 1500;
 /// Largest number of writes to batch jobs in a row whose connections are cut.
 const MAX_CUTS: u64 = 4;
+/// Software version of one engine and one service; the others run another one.
+const NEWER_SOFTWARE: &str = "v2";
+/// Limits that targets name for a while, in requests a second.
+const LIMITS: std::ops::Range<f64> = 1.0..20.0;
 /// Longest time for a planned stop.
 const STOP_TIME: Duration = Duration::from_secs(8);
 
@@ -61,6 +68,10 @@
 
 fn soak(seed: u64, nodes: usize, time: Duration) -> Vec<String> {
     let mut cluster = Cluster::start(&format!("soak-{seed}"), nodes, seed);
+    cluster.engines[1].install(NEWER_SOFTWARE);
+    cluster.services[1].install(NEWER_SOFTWARE);
+    // Entries are written again in the meantime.
+    sleep(Duration::from_millis(600));
     let (violations, stop) = (Violations::default(), StopFlag::default());
     let caller = |key: &'static str, path: &'static str, name: &'static str| {
         let (stop, violations, nodes) = (stop.clone(), violations.clone(), cluster.addresses());
@@ -88,6 +99,9 @@
         cluster.check_scores(step, &violations);
     }
     cluster.check_runs(&violations);
+    for text in mixed(cluster.engines.iter()).0 {
+        violations.add(format!("`{text}` was made by two software versions"));
+    }
     check_calls(&cluster, &calls.1, &calls.2, withdrawn, &violations);
     if !calls.0.iter().any(|call| call.status == 200) {
         violations.add("no call was served".into());
@@ -121,6 +135,8 @@
 /// withdrawn.
 fn inject(cluster: &mut Cluster, seed: u64, time: Duration, violations: &Violations) -> Instant {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    // A generator of its own keeps the other faults of the regression seeds.
+    let mut limit_rng = ChaCha8Rng::seed_from_u64(!seed);
     let until = Instant::now() + time;
     let half = Instant::now() + time / 2;
     let mut withdrawn = None;
@@ -130,6 +146,13 @@
             cluster.configure(false);
             withdrawn = Some(Instant::now());
         }
+        if limit_rng.random_range(0..4) == 0 {
+            let targets = cluster.engines.iter().chain(&cluster.services);
+            let count = cluster.engines.len() + cluster.services.len();
+            let target = targets.cycle().nth(limit_rng.random_range(0..count));
+            let limit = limit_rng.random_bool(0.5).then(|| limit_rng.random_range(LIMITS));
+            target.expect("there are targets").name_limit(limit);
+        }
         let node = rng.random_range(0..cluster.nodes.len());
         match rng.random_range(0..13) {
             0 => cluster.nodes[node].kill(),
@@ -179,6 +202,8 @@
     if let Some(node) = paused {
         cluster.nodes[node].resume();
     }
+    let targets = cluster.engines.iter().chain(&cluster.services);
+    targets.for_each(|target| target.name_limit(None));
     cluster.store.delay_answers(Duration::ZERO);
     cluster.store.drop_job_writes(0);
     cluster.proxies.iter().for_each(|proxy| proxy.set(ProxyMode::Open));
--- a/crates/tamarackdock_node/tests/gateway/software.rs
+++ b/crates/tamarackdock_node/tests/gateway/software.rs
@@ -15,7 +15,7 @@
 
 /// Returns the ids of first requests of texts of which a run went on after an event that another software
 /// version had made, and the number of runs that went on.
-fn mixed<'a>(targets: impl Iterator<Item = &'a Engine>) -> (Vec<String>, usize) {
+pub(crate) fn mixed<'a>(targets: impl Iterator<Item = &'a Engine>) -> (Vec<String>, usize) {
     let mut runs: BTreeMap<String, Vec<(Instant, &str, bool)>> = BTreeMap::new();
     for target in targets {
         for run in target.runs() {
