Keep limits of targets without a row, and bound the attempts that limits withhold

Cause (from reading the diff): a target's limit was forgotten after a second without its row, as in an outage of the store, so that nodes that had read it sent freely until the next answer. A call whose service is limited everywhere asked for each of its targets in turn, with a log line each.

Change: limits are kept for 10 min without a row. A call tries at most three targets whose limiters refuse it, and prefers a suspected target to one that is known to refuse. Registration::software is renamed to software_version, beside software() with the service.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -230,8 +230,8 @@
     pub(crate) limit: &'a dyn Fn(&Registration) -> LimitState,
 }
 
-/// Returns the best target for a call. Targets that are not avoided come first, then those
-/// for which permits can be had, then those with free slots, then those without a limit, then
+/// Returns the best target for a call. Targets for which permits can be had come first, then
+/// those that are not avoided, then those with free slots, then those without a limit, then
 /// those in the node's own data centre, then those with the fewest requests of this node
 /// relative to their slots.
 pub(crate) fn choose<'a>(
@@ -246,7 +246,9 @@
         let entry = &target.registration;
         *entry.service == *requirements.service
             && !entry.draining
-            && requirements.software.is_none_or(|software| *software.version == *entry.software)
+            && requirements
+                .software
+                .is_none_or(|software| *software.version == *entry.software_version)
             && !requirements.tried.contains(&entry.id)
             && !is_evacuated(&entry.data_centre)
             && (requirements.reserved_slots == 0
@@ -261,6 +263,6 @@
         let full = load.running >= entry.slots;
         let LimitState { is_withheld, is_spared } = (requirements.limit)(entry);
         let relative_load = load.running * 1000 / entry.slots.max(1);
-        (load.is_avoided(now), is_withheld, full, is_spared, !near, relative_load)
+        (is_withheld, load.is_avoided(now), full, is_spared, !near, relative_load)
     })
 }
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -45,7 +45,7 @@
         let job = job.borrow();
         let item = &job.items[index];
         slog::info!(node.log, "item: run ended"; "job" => &*job.id, "item" => &*item.request.id,
-            "target" => &*target.id, "software" => &*target.software, "after" => after,
+            "target" => &*target.id, "software" => &*target.software_version, "after" => after,
             "outcome" => label, "events" => item.progress.event_count(),
             "expected" => item.request.estimated_tokens(), "ms" => now.since(began).as_millis());
     }
@@ -200,7 +200,7 @@
         let load = loads.get(&other.id);
         other.service == target.service
             && !other.draining
-            && other.software == target.software
+            && other.software_version == target.software_version
             && load.running < other.slots
             && !limits.is_limited(other)
             && schedule::can_serve(job, other, None)
@@ -255,7 +255,7 @@
     target: &Registration,
 ) -> Option<ItemRequest> {
     let fields = node.wire_format.fields();
-    if !job.borrow_mut().items[index].progress.continue_with(&target.runs()) {
+    if !job.borrow_mut().items[index].progress.continue_with(&target.software()) {
         return None;
     }
     let job = job.borrow();
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -143,7 +143,7 @@
         let load = loads.get(&registration.id);
         usable.push(PlacementTarget {
             id: registration.id.clone(),
-            software: registration.runs(),
+            software: registration.software(),
             running: load.running,
             slots: registration.slots,
             event_interval_ms: load.event_interval_ms,
--- a/crates/tamarackdock_gateway/src/continuation.rs
+++ b/crates/tamarackdock_gateway/src/continuation.rs
@@ -8,6 +8,7 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -119,7 +120,7 @@
 }
 
 /// Returns the other nodes that are told of a stream, with their addresses.
-fn holders(node: &Node, stream: Key) -> Vec<(Name, std::net::SocketAddr)> {
+fn holders(node: &Node, stream: Key) -> Vec<(Name, SocketAddr)> {
     let live = node.members.live();
     let first = takeover::first_candidates(&stream.to_string(), &live, HOLDERS);
     let others = first.into_iter().filter(|run| *run != node.members.own);
@@ -148,7 +149,8 @@
     let service = pick_service(&call.route, &call.id);
     let is_split = call.route.services.len() > 1;
     let targets = node.view.targets.borrow();
-    let versions: Vec<Name> = targets.software(&service, KEEP_FOR, BootClock.now()).collect();
+    let versions: Vec<Name> =
+        targets.software_versions(&service, KEEP_FOR, BootClock.now()).collect();
     match &versions[..] {
         [version] if !is_split => Some(Software { service, version: version.clone() }),
         _ => None,
--- a/crates/tamarackdock_gateway/src/dump.rs
+++ b/crates/tamarackdock_gateway/src/dump.rs
@@ -17,7 +17,9 @@
             let load = loads.get(&entry.id);
             json!({
                 "id": &*entry.id, "service": &*entry.service, "data_centre": &*entry.data_centre,
-                "software": &*entry.software, "draining": entry.draining, "cold_ms": target.cold_until.since(now).as_millis(),
+                "software": &*entry.software_version, "draining": entry.draining,
+                "cold_ms": target.cold_until.since(now).as_millis(),
+                "limited": node.limits.borrow().is_limited(entry),
                 "versions": entry.versions.iter().map(|(model, version)| (model.to_string(), *version))
                     .collect::<std::collections::BTreeMap<_, _>>(),
                 "running": load.running, "avoided": load.is_avoided(now),
--- a/crates/tamarackdock_gateway/src/hedge.rs
+++ b/crates/tamarackdock_gateway/src/hedge.rs
@@ -28,6 +28,9 @@
 /// Share of the latency objective for which an attempt waits for a permit: less than the time
 /// after which a call is hedged, and short enough for the objective to be kept.
 pub(crate) const PERMIT_WAIT_SHARE: f64 = 0.25;
+/// Most targets whose limiters refuse a permit for a call. Those that are known to refuse come
+/// last, so that the others hardly have more room.
+pub(crate) const MAX_WITHHELD: usize = 3;
 
 /// What came of the attempts of a call, until a target answered or they were used up.
 pub(crate) struct Summary {
@@ -61,7 +64,9 @@
     let mut withheld = 0;
     loop {
         let attempts_left = tried.len() - withheld < call.route.attempts.max(1) as usize;
-        let may_start = attempts_left && (may_repeat || (running.is_empty() && !may_have_run));
+        let may_start = attempts_left
+            && withheld < MAX_WITHHELD
+            && (may_repeat || (running.is_empty() && !may_have_run));
         if may_start && let Some(target) = call.choose(node, &tried) {
             tried.push(target.id.clone());
             running.push(attempt(node, call, target, tried.len() == 1));
--- a/crates/tamarackdock_gateway/src/limit/mod.rs
+++ b/crates/tamarackdock_gateway/src/limit/mod.rs
@@ -25,6 +25,8 @@
 /// Age of an answer with a limit after which the target is no longer used last: its limit may
 /// have ended.
 const RECHECK_MS: i64 = 2_000;
+/// Time for which the limit of a target without a row is remembered.
+const KEEP_MS: i64 = 10 * 60 * 1_000;
 /// Time after which an unused permit is void. The limiter counts it as used.
 const PERMIT_TTL: Duration = Duration::from_millis(300);
 /// Shortest pause between two requests for permits for one target.
@@ -216,8 +218,10 @@
         }
     }
 
-    /// Removes the limits of targets that are gone.
-    pub(crate) fn sweep(&mut self, in_use: impl Fn(&str) -> bool) {
-        self.0.retain(|target, _| in_use(target));
+    /// Removes the limits of targets that have been gone for a while. The row of a target can
+    /// be gone for some seconds only.
+    pub(crate) fn sweep(&mut self, in_use: impl Fn(&str) -> bool, store_ms: i64) {
+        self.0
+            .retain(|target, known| in_use(target) || store_ms - known.observation.at_ms < KEEP_MS);
     }
 }
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -423,7 +423,9 @@
         let in_use = |id: &str| targets.get(id).is_some_and(|target| !target.registration.draining);
         node.pool.sweep(in_use);
         node.target_loads.borrow_mut().sweep(|id| targets.get(id).is_some());
-        node.limits.borrow_mut().sweep(|id| targets.get(id).is_some());
+        if let Some(store_ms) = node.store_clock.millis(BootClock.now()) {
+            node.limits.borrow_mut().sweep(|id| targets.get(id).is_some(), store_ms);
+        }
         node.limiter.sweep(|id| targets.get(id).is_some());
         node.metrics
             .deployment
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -9,7 +9,7 @@
     continuation::{self, Place},
     deployment::{CallKind, Name},
     event::EventParser,
-    hedge::PERMIT_WAIT_SHARE,
+    hedge::{MAX_WITHHELD, PERMIT_WAIT_SHARE},
     http::{Exchange, Writer, response_head},
     limit::permits,
     node::Node,
@@ -67,7 +67,10 @@
     let mut may_have_run = false;
     let mut withheld = 0;
     let attempts = call.route.attempts.max(1) as usize;
-    while tried.len() - withheld < attempts && BootClock.now() < call.give_up_at {
+    while tried.len() - withheld < attempts
+        && withheld < MAX_WITHHELD
+        && BootClock.now() < call.give_up_at
+    {
         let Some(target) = call.choose_of(node, software.as_ref(), &tried) else { break };
         tried.push(target.id.clone());
         let began = BootClock.now();
@@ -75,7 +78,7 @@
         let ended = run(node, call, &target, &mut progress, writer).await;
         drop(guard);
         if progress.has_events && software.is_none() {
-            software = Some(target.runs());
+            software = Some(target.software());
         }
         if !matches!(ended, Ended::NoStream(Attempt::NotRun(_) | Attempt::Withheld(_)))
             && let Some(account) = &call.account
@@ -101,7 +104,7 @@
                 may_have_run = true;
                 node.target_loads.borrow_mut().mark_suspect(&target.id, BootClock.now());
                 slog::info!(node.log, "stream: broken"; "id" => &call.id,
-                    "target" => &*target.id, "software" => &*target.software,
+                    "target" => &*target.id, "software" => &*target.software_version,
                     "last_event" => progress.last_event);
                 if !resumable {
                     break;
@@ -189,7 +192,7 @@
                 }
             };
             if !std::mem::replace(&mut progress.has_events, true) {
-                continuation::announce(node, Place::of(node, call).stream, &target.runs());
+                continuation::announce(node, Place::of(node, call).stream, &target.software());
             }
             let mut chunk = format!("{:x}\r\n", event.raw.len()).into_bytes();
             chunk.extend_from_slice(&event.raw);
--- a/crates/tamarackdock_gateway/src/target.rs
+++ b/crates/tamarackdock_gateway/src/target.rs
@@ -15,7 +15,7 @@
     /// Service to which the target belongs.
     pub service: Name,
     /// Version of its software. Several versions can serve at the same time.
-    pub software: Name,
+    pub software_version: Name,
     /// Address that accepts its requests.
     pub address: SocketAddr,
     /// Data centre of its host.
@@ -47,8 +47,8 @@
 impl Registration {
     /// Returns the software that the target runs.
     #[must_use]
-    pub fn runs(&self) -> Software {
-        Software { service: self.service.clone(), version: self.software.clone() }
+    pub fn software(&self) -> Software {
+        Software { service: self.service.clone(), version: self.software_version.clone() }
     }
 }
 
@@ -115,7 +115,7 @@
             }
             None => {}
         }
-        self.software_seen.insert(registration.runs(), now);
+        self.software_seen.insert(registration.software(), now);
         let cold_until = now + registration.cold_left;
         let known = self.targets.get(&registration.id);
         let presumed_cold_until =
@@ -181,7 +181,7 @@
 
     /// Returns the software versions of a service of which a target was registered within a
     /// time, in ascending order.
-    pub fn software(
+    pub fn software_versions(
         &self,
         service: &str,
         within: Duration,
--- a/crates/tamarackdock_gateway/src/tests/balance.rs
+++ b/crates/tamarackdock_gateway/src/tests/balance.rs
@@ -121,6 +121,38 @@
     assert_eq!(loads.get("near").event_interval_ms, Some(40.0));
 }
 
+/// Guards against calls that need permits, or wait for them in vain, while other targets have
+/// room, and against calls that wait in vain while a suspected target could take them.
+#[test]
+fn limited_targets_are_used_last() {
+    let list = list(
+        ["far", "near", "other"].map(|id| registration(id, if id == "near" { "x" } else { "y" })),
+    );
+    let chosen = |withheld: &[&str], spared: &[&str], loads: &TargetLoads| {
+        let requirements = Requirements {
+            service: "app",
+            data_centre: "x",
+            software: None,
+            tried: &["other".into()],
+            reserved_slots: 0,
+            node_rank: &|_| ALONE,
+            limit: &|target| LimitState {
+                is_withheld: withheld.contains(&&*target.id),
+                is_spared: spared.contains(&&*target.id),
+            },
+        };
+        let service = Service::default();
+        let target = choose(&requirements, list.iter(), loads, &service, |_| false, at(1))?;
+        Some(target.registration.id.to_string())
+    };
+    let mut loads = TargetLoads::default();
+    assert_eq!(chosen(&[], &["near"], &loads).as_deref(), Some("far"));
+    assert_eq!(chosen(&["near"], &["far"], &loads).as_deref(), Some("far"));
+    loads.start(&"far".into(), at(0));
+    loads.mark_suspect("far", at(0));
+    assert_eq!(chosen(&["near"], &["far"], &loads).as_deref(), Some("far"));
+}
+
 /// Guards against scoring calls that take the last slots of targets from urgent calls.
 #[test]
 fn calls_that_leave_slots_free_are_not_sent_to_a_target_without_one() {
--- a/crates/tamarackdock_gateway/src/tests/continuation.rs
+++ b/crates/tamarackdock_gateway/src/tests/continuation.rs
@@ -39,7 +39,7 @@
 /// others are farther, slower or suspected.
 #[test]
 fn a_stream_goes_on_at_the_software_that_began_it() {
-    let newer = Registration { software: "v2".into(), ..registration("near", "x") };
+    let newer = Registration { software_version: "v2".into(), ..registration("near", "x") };
     let list = list([newer, registration("far", "y")]);
     let mut loads = TargetLoads::default();
     loads.start(&"far".into(), at(0));
@@ -67,11 +67,13 @@
 fn versions_are_remembered_after_their_targets_are_gone() {
     let mut list = list([registration("old", "x")]);
     list.remove("old", false, at(10));
-    let newer = Registration { software: "v2".into(), ..registration("new", "x") };
+    let newer = Registration { software_version: "v2".into(), ..registration("new", "x") };
     list.register(newer, at(60_000));
     let versions = |now| {
         let within = Duration::from_mins(2);
-        list.software("app", within, at(now)).map(|name| name.to_string()).collect::<Vec<_>>()
+        list.software_versions("app", within, at(now))
+            .map(|name| name.to_string())
+            .collect::<Vec<_>>()
     };
     assert_eq!(versions(60_000), ["v1", "v2"]);
     assert_eq!(versions(125_000), ["v2"]);
--- a/crates/tamarackdock_gateway/src/tests/limit.rs
+++ b/crates/tamarackdock_gateway/src/tests/limit.rs
@@ -85,6 +85,21 @@
     assert!(!limits.is_limited(&target));
 }
 
+/// Guards against a limit that is forgotten while the store has lost the target's row, and
+/// against limits of targets that are gone for good.
+#[test]
+fn limits_outlast_the_rows_of_their_targets() {
+    let target = registration(ID, "x");
+    let mut limits = TargetLimits::default();
+    limits.record(&target.id, None, Observation::named(2.0, 1_000).unwrap());
+    limits.sweep(|_| false, 60_000);
+    assert!(limits.is_limited(&target));
+    limits.sweep(|_| true, 700_000);
+    assert!(limits.is_limited(&target));
+    limits.sweep(|_| false, 700_000);
+    assert!(!limits.is_limited(&target));
+}
+
 /// Guards against permits for items that are used twice, or long after they were granted.
 #[test]
 fn permits_for_items_are_used_once_and_expire() {
--- a/crates/tamarackdock_gateway/src/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/tests/mod.rs
@@ -27,7 +27,7 @@
     Registration {
         id: id.into(),
         service: "app".into(),
-        software: "v1".into(),
+        software_version: "v1".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: data_centre.into(),
         slots: 4,
--- a/crates/tamarackdock_gateway/src/view.rs
+++ b/crates/tamarackdock_gateway/src/view.rs
@@ -260,7 +260,7 @@
                         slog::info!(self.log, "targets: entry added or changed"; "target" => &*registration.id,
                             "data_centre" => &*registration.data_centre,
                             "draining" => registration.draining,
-                            "software" => &*registration.software,
+                            "software" => &*registration.software_version,
                             "cold_ms" => registration.cold_left.as_millis(),
                             "reclaimable" => registration.reclaimable,
                             "versions" => ?registration.versions);
