Skip the order of nodes while no target has named a limit

A stream's place was also derived twice from its header fields.

Change: without limits the list is not made; the stream's key is kept with its progress. Behaviour is the same.

Result: fmt, clippy, 126 unit tests and the 6 gateway tests of limits, software versions and resumed streams pass.

--- a/crates/tamarackdock_gateway/src/limit/mod.rs
+++ b/crates/tamarackdock_gateway/src/limit/mod.rs
@@ -150,6 +150,11 @@
         .collect()
     }
 
+    /// Returns whether no target has named a limit.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Returns whether requests to a target need permits.
     pub(crate) fn is_limited(&self, target: &Registration) -> bool {
         let observation = self.observation(&target.id, target.started);
--- a/crates/tamarackdock_gateway/src/limit/permits.rs
+++ b/crates/tamarackdock_gateway/src/limit/permits.rs
@@ -189,6 +189,10 @@
 /// Returns what this node tells the others: the limits of the targets for which it is the
 /// first limiter.
 pub(crate) fn own_notices(node: &Node) -> Vec<Notice> {
+    // Called whenever a job changes. The order of nodes is not needed while there are no limits.
+    if node.limits.borrow().is_empty() {
+        return Vec::new();
+    }
     let live = node.members.live();
     let is_own = |target: &Name| takeover::rank(target, &node.members.own, &live) == 0;
     node.limits.borrow().notices(is_own)
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -27,6 +27,7 @@
 /// The part of a stream that the caller has received.
 #[derive(Debug)]
 struct Progress {
+    stream: continuation::Key,
     /// Whether the head of the response was sent.
     began: bool,
     /// Whether an event was sent.
@@ -61,7 +62,12 @@
             return Outcome::Reply(Reply::not_run(message, RETRY_UNKNOWN));
         }
     }
-    let mut progress = Progress { began: false, has_events: false, last_event: place.last_event };
+    let mut progress = Progress {
+        stream: place.stream,
+        began: false,
+        has_events: false,
+        last_event: place.last_event,
+    };
     let mut tried: Vec<Name> = Vec::new();
     let mut last = Attempt::NotRun(None);
     let mut may_have_run = false;
@@ -192,7 +198,7 @@
                 }
             };
             if !std::mem::replace(&mut progress.has_events, true) {
-                continuation::announce(node, Place::of(node, call).stream, &target.software());
+                continuation::announce(node, progress.stream, &target.software());
             }
             let mut chunk = format!("{:x}\r\n", event.raw.len()).into_bytes();
             chunk.extend_from_slice(&event.raw);
