Log why connections to targets and runs of items fail

Change: lines `target: connection failed` and `item: run broken`, and the counter `failed_connections_total`.

--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -110,8 +110,14 @@
     target: &Registration,
 ) -> RunOutcome {
     let fields = node.wire_format.fields();
+    let broken = |reason: &'static str| {
+        let job = job.borrow();
+        slog::info!(node.log, "item: run broken"; "job" => &*job.id,
+            "item" => &*job.items[index].request.id, "target" => &*target.id, "reason" => reason);
+        RunOutcome::Broken
+    };
     let Ok((mut connection, was_used)) = node.pool.connect(target, Reuse::Oldest).await else {
-        return RunOutcome::Broken;
+        return broken("not connected");
     };
     let Some(request) = prepare_request(node, job, index, target) else {
         return RunOutcome::Refused;
@@ -123,14 +129,17 @@
         Ok(Ok(exchange)) => exchange,
         // The target may have closed the idle connection without notice.
         Ok(Err(ExchangeError::ConnectionLost)) if was_used => return RunOutcome::Stale,
-        Ok(Err(_)) | Err(_) => return RunOutcome::Broken,
+        Ok(Err(_)) => return broken("no answer"),
+        Err(_) => return broken("no answer in time"),
     };
     let head = exchange.head().clone();
     node.observe_answer(target, &head, &request.id, sent_at);
     let is_own = head.headers.get(fields.request_id) == Some(&*request.id);
     if head.status != 200 || !is_own {
         let collected = timeout(FIRST_EVENT_TIMEOUT, exchange.collect(MAX_ERROR_BYTES)).await;
-        let Ok(Ok((response, is_reusable))) = collected else { return RunOutcome::Broken };
+        let Ok(Ok((response, is_reusable))) = collected else {
+            return broken("answer incomplete");
+        };
         // After an answer to another request, the one to this request may follow.
         if is_reusable && is_own {
             node.pool.put(&target.id, connection, &response.head.headers);
@@ -147,16 +156,17 @@
     loop {
         let data = match timeout_at(event_due, exchange.next()).await {
             Some(Ok(Some(data))) => data,
-            Some(Ok(None)) if events.has_partial_event() => return RunOutcome::Broken,
+            Some(Ok(None)) if events.has_partial_event() => return broken("event incomplete"),
             Some(Ok(None)) => break,
-            Some(Err(_)) | None => return RunOutcome::Broken,
+            Some(Err(_)) => return broken("connection lost"),
+            None => return broken("no event in time"),
         };
         events.push(&data);
         loop {
             let event = match events.next() {
                 Ok(Some(event)) => event,
                 Ok(None) => break,
-                Err(_) => return RunOutcome::Broken,
+                Err(_) => return broken("malformed event"),
             };
             version = event.version.or(version);
             let now = BootClock.now();
@@ -181,7 +191,7 @@
     // If the end of the connection marks the end of the answer, a truncated answer looks
     // complete. So the item is run again from the last event.
     if head.framing == crate::http::Framing::UntilClose {
-        return RunOutcome::Broken;
+        return broken("no length");
     }
     if exchange.is_reusable() {
         node.pool.put(&target.id, connection, &head.headers);
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -158,7 +158,11 @@
         let memory_mb = usize::try_from(settings.limits.memory_mb).unwrap_or(usize::MAX);
         let memory = memory_mb.saturating_mul(1024 * 1024);
         Ok(Rc::new(Self {
-            pool: Pool::new(metrics.connections.clone()),
+            pool: Pool::new(
+                metrics.connections.clone(),
+                metrics.failed_connections.clone(),
+                log.clone(),
+            ),
             data_centre: settings.data_centre.clone(),
             wire_format,
             store: relay.clone(),
--- a/crates/tamarackdock_gateway/src/pool.rs
+++ b/crates/tamarackdock_gateway/src/pool.rs
@@ -8,6 +8,7 @@
 };
 
 use prometheus::IntCounterVec;
+use slog::Logger;
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
@@ -47,12 +48,15 @@
 pub(crate) struct Pool {
     idle: RefCell<BTreeMap<Name, VecDeque<Idle>>>,
     opened: IntCounterVec,
+    failed: IntCounterVec,
+    log: Logger,
 }
 
 impl Pool {
-    /// Creates an empty pool that counts the connections it opens by service.
-    pub(crate) fn new(opened: IntCounterVec) -> Self {
-        Self { idle: RefCell::default(), opened }
+    /// Creates an empty pool that counts by service the connections that it opens and those
+    /// that can't be opened.
+    pub(crate) fn new(opened: IntCounterVec, failed: IntCounterVec, log: Logger) -> Self {
+        Self { idle: RefCell::default(), opened, failed, log }
     }
 
     /// Returns an idle connection to a target, or opens one. Also returns whether the
@@ -65,8 +69,21 @@
         if let Some(connection) = self.take(&target.id, reuse) {
             return Ok((connection, true));
         }
+        self.open(target).await.map(|connection| (connection, false))
+    }
+
+    /// Opens a connection to a target.
+    async fn open(&self, target: &Registration) -> io::Result<Connection> {
         self.opened.with_label_values(&[&*target.service]).inc();
-        Ok((Connection::open(target.address, CONNECT_TIMEOUT).await?, false))
+        let began = BootClock.now();
+        let opened = Connection::open(target.address, CONNECT_TIMEOUT).await;
+        if let Err(error) = &opened {
+            self.failed.with_label_values(&[&*target.service]).inc();
+            slog::info!(self.log, "target: connection failed"; "target" => &*target.id,
+                "data_centre" => &*target.data_centre, "error" => %error.kind(),
+                "ms" => BootClock.now().since(began).as_millis());
+        }
+        opened
     }
 
     /// Returns whether there is an idle connection to a target that has not expired.
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -108,6 +108,8 @@
     pub(crate) attempts: IntCounterVec,
     /// Connections opened to targets by service.
     pub(crate) connections: IntCounterVec,
+    /// Connections to targets that could not be opened, by service.
+    pub(crate) failed_connections: IntCounterVec,
     /// Runs of batch items, by outcome.
     pub(crate) runs: IntCounterVec,
     /// Scoring calls by outcome.
@@ -139,6 +141,12 @@
                 "Connections opened to targets.",
                 &["service"],
             )?,
+            failed_connections: counter_vec(
+                &registry,
+                "failed_connections",
+                "Connections to targets that could not be opened.",
+                &["service"],
+            )?,
             runs: counter_vec(&registry, "item_runs", "Runs of batch items.", &["outcome"])?,
             scores: counter_vec(
                 &registry,
