Add failing tests of nodes that lose their paths to all targets

Change: proxies between each node and each target of the stand-ins, which hang, reset or refuse connections; the store names their addresses to the node. Two more tests guard the return to own paths and a target that is dead for all; they pass on the present code.

--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -2,6 +2,8 @@
 
 #[path = "gateway/cluster.rs"]
 mod cluster;
+#[path = "gateway/cut_hosts.rs"]
+mod cut_hosts;
 #[path = "gateway/endless.rs"]
 mod endless;
 #[path = "gateway/limits.rs"]
--- a/crates/tamarackdock_node/tests/gateway/cluster.rs
+++ b/crates/tamarackdock_node/tests/gateway/cluster.rs
@@ -14,7 +14,7 @@
 };
 
 use platform_standin::{
-    Client, Engine, Node, Outcome, Proxy, Score, Store, expected_events, scoring_call,
+    Client, Engine, Node, Outcome, Proxy, ProxyMode, Score, Store, expected_events, scoring_call,
     scoring_fails,
 };
 use serde_json::Value;
@@ -35,6 +35,8 @@
     pub(crate) services: Vec<Engine>,
     pub(crate) proxies: Vec<Proxy>,
     pub(crate) nodes: Vec<Node>,
+    /// The proxies between each node and the targets, if there are any.
+    gates: Vec<Vec<Proxy>>,
     directory: PathBuf,
     version: u64,
 }
@@ -42,6 +44,15 @@
 impl Cluster {
     /// Starts nodes and fakes. A `seed` other than 0 turns on faults of the engines.
     pub(crate) fn start(name: &str, nodes: usize, seed: u64) -> Self {
+        Self::start_with(name, nodes, seed, false)
+    }
+
+    /// Starts nodes that reach the targets through proxies, so that single ones can be cut off.
+    pub(crate) fn start_gated(name: &str, nodes: usize) -> Self {
+        Self::start_with(name, nodes, 0, true)
+    }
+
+    fn start_with(name: &str, nodes: usize, seed: u64, gated: bool) -> Self {
         let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         // An earlier run may have left logs.
         let _ = fs::remove_dir_all(&directory);
@@ -52,8 +63,9 @@
         let mut cluster = Self {
             engines: (0..3).map(engine).collect(),
             services: (0..4).map(service).collect(),
-            proxies: (0..nodes).map(|_| Proxy::start(store.address())).collect(),
+            proxies: Vec::new(),
             nodes: Vec::new(),
+            gates: Vec::new(),
             store,
             directory,
             version: 0,
@@ -61,6 +73,16 @@
         cluster.configure(true);
         let targets = cluster.engines.iter().chain(&cluster.services);
         targets.for_each(|target| target.keep_registered(&cluster.store));
+        for _ in 0..nodes {
+            let targets = cluster.engines.iter().chain(&cluster.services).filter(|_| gated);
+            let gates: Vec<Proxy> =
+                targets.clone().map(|target| Proxy::start(target.address())).collect();
+            let addresses = targets.zip(&gates);
+            let addresses = addresses.map(|(target, gate)| (target.id.clone(), gate.address()));
+            let store = cluster.store.with_engine_addresses(addresses.collect());
+            cluster.proxies.push(Proxy::start(store.address()));
+            cluster.gates.push(gates);
+        }
         let program = Path::new(env!("CARGO_BIN_EXE_tamarackdock"));
         cluster.nodes = (0..nodes)
             .map(|index| {
@@ -79,6 +101,16 @@
         self.store.configure(self.version, keys);
     }
 
+    /// Changes the paths from a node to all targets.
+    pub(crate) fn cut(&self, node: usize, mode: ProxyMode) {
+        self.gates[node].iter().for_each(|gate| gate.set(mode));
+    }
+
+    /// Changes the paths from all nodes to one of the engines or services, in this order.
+    pub(crate) fn cut_target(&self, target: usize, mode: ProxyMode) {
+        self.gates.iter().for_each(|gates| gates[target].set(mode));
+    }
+
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         self.nodes.iter().map(|node| node.callers).collect()
     }
--- a/crates/tamarackdock_node/tests/gateway/software.rs
+++ b/crates/tamarackdock_node/tests/gateway/software.rs
@@ -72,7 +72,7 @@
 
 /// Receives a stream to its end, with attempts at one node after the other. Returns its bytes,
 /// and the number of attempts that the nodes refused.
-fn receive(cluster: &Cluster, path: &str, first: &str) -> (Vec<u8>, usize) {
+pub(crate) fn receive(cluster: &Cluster, path: &str, first: &str) -> (Vec<u8>, usize) {
     let nodes = cluster.addresses();
     let mut client = Client::new(KEY, Duration::from_secs(2));
     let mut received = client.stream(nodes[0], path, first, None);
