Leave the duties to others while own paths are lost

Cause: the lease of the duties depends on the store only, so that a holder without targets keeps it.

Change: a node without paths releases the lease and is no candidate, also for as long after their return as the duties must not go from one holder to another and back.

Result: `a_holder_that_is_cut_off_leaves_the_duties_to_others` failed before (version not loaded after 8 s) and passes.

--- a/crates/tamarackdock_gateway/src/duty/lease.rs
+++ b/crates/tamarackdock_gateway/src/duty/lease.rs
@@ -99,10 +99,18 @@
     let mut inputs = Vec::new();
     let mut wake: Option<Instant> = None;
     let mut wanted = false;
+    // A holder that lost its paths to the targets leaves the duties to others for as long as they
+    // must not go from one holder to another and back.
+    let mut not_before = Instant::default();
     loop {
         // A holder keeps the lease when nodes join that rank before it.
         let holds = duties.lease.borrow().held().is_some();
-        let wants = holds || is_candidate(&node.members.own, &node.members.live());
+        if node.paths.are_lost() {
+            not_before = BootClock.now() + node.settings().bounds.lease + TAKEOVER_MARGIN;
+        }
+        let is_candidate =
+            || is_candidate(&node.members.own, &node.members.live_with_paths(|_| true));
+        let wants = BootClock.now() >= not_before && (holds || is_candidate());
         if wants != wanted && !duties.released.get() {
             wanted = wants;
             inputs.push(if wants { Input::Acquire } else { Input::Release });
