Open one connection for most checks of the paths

Cause: a check opened two connections at once, although nearly all checks find the paths open with the first one, and connections are what targets pay for. Two dead targets, or a dead target and a dead data centre, also made a host take its paths for lost.

Change: a check begins with one target, and adds two after 40 ms and two after 80 ms until one opens. It ends with the first connection. Five targets must fail for a loss.

--- a/crates/tamarackdock_gateway/src/path/check.rs
+++ b/crates/tamarackdock_gateway/src/path/check.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use futures_util::future::join_all;
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use monoio::time::sleep;
 use tamarackdock_path::{Doubt, PROBE_INTERVAL};
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
@@ -13,11 +13,14 @@
     target::Registration,
 };
 
-/// Time within which a connection must open. A round trip takes a few milliseconds, and a lost
-/// packet of one of two connections is no loss of the paths.
+/// Time within which a connection must open. A round trip takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Targets to which a check opens connections. One alone may be dead.
-const TARGETS: usize = 2;
+/// When a check begins each of its connections, unless one has opened before. A single target, or
+/// a whole data centre of them, can be dead; and most checks end with the first connection, which
+/// is expensive for targets.
+const CHECK_DELAYS_MS: [u64; 5] = [0, 40, 40, 80, 80];
+/// The same for an attempt to get lost paths back.
+const PROBE_DELAYS_MS: [u64; 2] = [0, 0];
 
 /// Begins a check of the paths unless other observations speak against the doubt.
 pub(crate) fn doubt(node: &Rc<Node>, doubt: Doubt) {
@@ -42,9 +45,9 @@
 
 async fn check(node: Rc<Node>, doubt: Doubt) {
     let began = BootClock.now();
-    let (targets, opened) = open_some(&node).await;
+    let (targets, opened) = open_any(&node, &CHECK_DELAYS_MS).await;
     let now = BootClock.now();
-    let is_lost = node.paths.paths.borrow_mut().checked(opened > 0 || targets == 0, now);
+    let is_lost = node.paths.paths.borrow_mut().checked(opened || targets == 0, now);
     slog::info!(node.log, "paths: checked"; "doubt" => ?doubt, "targets" => targets,
         "opened" => opened, "lost" => is_lost, "ms" => now.since(began).as_millis());
     if is_lost {
@@ -64,7 +67,7 @@
 async fn probe(node: Rc<Node>, lost: Instant) {
     while node.paths.are_lost() {
         sleep(PROBE_INTERVAL).await;
-        open_some(&node).await;
+        open_any(&node, &PROBE_DELAYS_MS).await;
     }
     node.paths.probing.set(false);
     slog::warn!(node.log, "paths: back"; "lost_ms" => BootClock.now().since(lost).as_millis());
@@ -73,41 +76,41 @@
     node.jobs.changed.notify_all();
 }
 
-/// Opens connections to some targets, which later requests use. Returns the number of targets
-/// and of connections.
-async fn open_some(node: &Rc<Node>) -> (usize, usize) {
-    let targets = choose(node);
-    let opened = join_all(targets.iter().map(async |target| {
-        let opened = Connection::open(target.address, CONNECT_TIMEOUT).await;
-        if let Ok(connection) = opened {
-            node.paths.opened(&target.id);
-            node.pool.put(&target.id, connection, &Headers::default());
-            return 1;
-        }
-        0
-    }));
-    (targets.len(), opened.await.into_iter().sum())
+/// Opens a connection to one of several targets, which later requests use. Begins one for each of
+/// the delays until one has opened. Returns the number of targets and whether one has opened.
+async fn open_any(node: &Rc<Node>, delays_ms: &[u64]) -> (usize, bool) {
+    let targets = choose(node, delays_ms.len());
+    let mut opening: FuturesUnordered<_> = targets
+        .iter()
+        .zip(delays_ms)
+        .map(async |(target, delay)| {
+            sleep(Duration::from_millis(*delay)).await;
+            (target, Connection::open(target.address, CONNECT_TIMEOUT).await)
+        })
+        .collect();
+    while let Some((target, opened)) = opening.next().await {
+        let Ok(connection) = opened else { continue };
+        node.paths.opened(&target.id);
+        node.pool.put(&target.id, connection, &Headers::default());
+        return (targets.len(), true);
+    }
+    (targets.len(), false)
 }
 
-/// Returns targets in different data centres, as far as there are such. A whole data centre can
-/// be dead.
-fn choose(node: &Node) -> Vec<Registration> {
+/// Returns up to `count` targets, in different data centres as far as there are such.
+fn choose(node: &Node, count: usize) -> Vec<Registration> {
     let targets = node.view.targets.borrow();
     let evacuated = node.view.evacuated.borrow();
     let usable = targets.iter().map(|target| &target.registration);
     let usable = usable.filter(|it| !it.draining && !evacuated.contains(&it.data_centre));
     let mut usable: Vec<&Registration> = usable.collect();
-    if usable.is_empty() {
-        return Vec::new();
-    }
-    let start = usize::try_from(rand::random::<u32>()).unwrap_or_default() % usable.len();
-    usable.rotate_left(start);
-    let mut chosen = vec![usable.remove(0)];
-    while chosen.len() < TARGETS && !usable.is_empty() {
-        let elsewhere = usable
-            .iter()
-            .position(|it| chosen.iter().all(|known| known.data_centre != it.data_centre));
-        chosen.push(usable.remove(elsewhere.unwrap_or_default()));
+    let mut chosen: Vec<Registration> = Vec::new();
+    while chosen.len() < count && !usable.is_empty() {
+        let start = usize::try_from(rand::random::<u32>()).unwrap_or_default() % usable.len();
+        usable.rotate_left(start);
+        let known = |it: &&Registration| chosen.iter().any(|one| one.data_centre == it.data_centre);
+        let next = usable.iter().position(|it| !known(it)).unwrap_or_default();
+        chosen.push(usable.remove(next).clone());
     }
-    chosen.into_iter().cloned().collect()
+    chosen
 }
