Send nothing on after a pause, and test what a node forwards

Cause: the age of a forwarded request was checked when it arrived. A process that was paused while it opened the connection to the target sent it on all the same, seconds later. Found by reading; the calls that share connections had it before.

Change: a request has a time after which it must not be sent, which is checked after the connection is open. What a node refuses to forward is decided by `forward::admission` from its knowledge alone, without a network.

Tests: unit tests of the admission (leaving and unknown targets, evacuations, withdrawn and unproved keys, routes that are gone, late requests, capacity, lost paths); gateway tests of callers that leave, of limits while limiters are cut off, and of hosts that find others whose paths come back.

--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -134,6 +134,7 @@
         headers: &|now| request.headers(fields.deadline, now),
         body: &request.body,
         permission: Permission::Job,
+        send_by: sent_at + FIRST_EVENT_TIMEOUT,
         give_up_at: sent_at + FIRST_EVENT_TIMEOUT,
         can_repeat: true,
     };
--- a/crates/tamarackdock_gateway/src/forward/mod.rs
+++ b/crates/tamarackdock_gateway/src/forward/mod.rs
@@ -5,6 +5,7 @@
 //! largest cost of such calls, so that one node for each target and data centre carries them all.
 //! And any request of a node that has lost its own paths to the targets.
 
+pub(crate) mod admission;
 pub(crate) mod ask;
 mod serve;
 
@@ -30,19 +31,19 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ForwardedRequest {
     /// Id of the target.
-    target: Name,
-    method: String,
-    path: String,
+    pub(crate) target: Name,
+    pub(crate) method: String,
+    pub(crate) path: String,
     /// Header fields for the target.
-    headers: Headers,
-    body: Vec<u8>,
-    permission: Permission,
+    pub(crate) headers: Headers,
+    pub(crate) body: Vec<u8>,
+    pub(crate) permission: Permission,
     /// Store time at which it was sent to the other node, in milliseconds.
-    sent_ms: i64,
+    pub(crate) sent_ms: i64,
     /// Time in milliseconds after which the sender gives it up.
-    give_up_ms: u64,
+    pub(crate) give_up_ms: u64,
     /// Whether the sender can make another attempt when the paths of the other node are lost.
-    can_repeat: bool,
+    pub(crate) can_repeat: bool,
 }
 
 /// What a node has done with a request that it was to forward.
--- a/crates/tamarackdock_gateway/src/forward/serve.rs
+++ b/crates/tamarackdock_gateway/src/forward/serve.rs
@@ -1,36 +1,28 @@
-//! The node that forwards a request. It checks by its own knowledge whether the request may still
-//! be sent, so that a node that was paused, or knows less, sends nothing on that must not run.
+//! The node that forwards a request.
 
-use std::rc::Rc;
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use tamarackdock_path::Refusal;
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
-use super::{ForwardedRequest, OUTCOME, Outcome, UNTIL_CLOSE};
+use super::{
+    ForwardedRequest, OUTCOME, Outcome, UNTIL_CLOSE,
+    admission::{Admission, Knowledge},
+};
 use crate::{
     call::end_to_end_headers,
-    deployment::Authorization,
     http::{ExchangeError, Framing, Headers, Writer, response_head},
     node::Node,
-    path::{self, Link, Permission, Request},
+    path::{self, Link, Request},
     pool::Reuse,
     reply::Reply,
     server,
-    target::Registration,
 };
 
 /// Path of requests to forward.
 pub(crate) const PATH: &str = "/forward";
-/// Longest time from the sending of a request to this node until it is sent on. A process that
-/// was paused meanwhile must not send a request whose caller may have given up.
-const MAX_DELAY_MS: i64 = 400;
 /// Largest response that is sent to the other node in one piece, in bytes.
 const MAX_WHOLE_BYTES: u64 = 64 * 1024;
-/// Requests that a node forwards at the same time: a number of streams that uses about a quarter
-/// of the processor, for each core and as the least.
-const REQUESTS_PER_CORE: f64 = 150.0;
-const MIN_REQUESTS: usize = 8;
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
 /// Counts a request as being forwarded until it is dropped.
@@ -42,12 +34,6 @@
     }
 }
 
-/// Returns how many requests a node forwards at the same time.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-pub(crate) fn capacity(cores: f64) -> usize {
-    (cores.max(0.0) * REQUESTS_PER_CORE) as usize + MIN_REQUESTS
-}
-
 /// Sends a request of another node to its target, unless this node knows that it must not.
 pub(crate) async fn serve(
     node: &Rc<Node>,
@@ -65,7 +51,7 @@
     };
     let fields = node.wire_format.fields();
     let id = forwarded.headers.get(fields.request_id).unwrap_or_default().to_owned();
-    let (target, age) = match admit(node, &forwarded, BootClock.now()) {
+    let Admission { target, age, send_within } = match admit(node, &forwarded, BootClock.now()) {
         Ok(admitted) => admitted,
         Err((refusal, reason)) => {
             slog::info!(node.log, "forward: not sent"; "id" => id, "target" => &*forwarded.target,
@@ -95,6 +81,7 @@
         headers: &headers,
         body: &body,
         permission: forwarded.permission.clone(),
+        send_by: received + send_within,
         give_up_at: received + Duration::from_millis(forwarded.give_up_ms),
         can_repeat: forwarded.can_repeat,
     };
@@ -122,57 +109,28 @@
     }
 }
 
-/// Returns the target of a request and the request's age, or why it is not sent.
+/// Returns the target of a request, or why it is not sent.
 fn admit(
     node: &Node,
     request: &ForwardedRequest,
     now: Instant,
-) -> Result<(Registration, Duration), (Refusal, &'static str)> {
-    let age = node.store_clock.millis(now).map(|store| store - request.sent_ms);
+) -> Result<Admission, (Refusal, &'static str)> {
     let targets = node.view.targets.borrow();
     let target = targets.get(&request.target).map(|target| &target.registration);
-    let evacuated = node.view.evacuated.borrow();
-    match (target, age) {
-        _ if node.paths.are_lost() => Err((Refusal::Lost, "paths lost")),
-        _ if node.forwarding.get() >= capacity(node.settings().limits.cores) => {
-            Err((Refusal::Full, "full"))
-        }
-        _ if node.is_leaving() => Err((Refusal::Declined, "planned stop")),
-        (_, age) if age.is_none_or(|age| age > MAX_DELAY_MS) => Err((Refusal::Declined, "late")),
-        (None, _) => Err((Refusal::Declined, "target unknown")),
-        (Some(target), _) if target.draining || evacuated.contains(&target.data_centre) => {
-            Err((Refusal::Declined, "target leaves or is evacuated"))
-        }
-        (Some(target), _) if !is_permitted(node, request, target, now) => {
-            Err((Refusal::Declined, "not permitted"))
-        }
-        (Some(target), age) => {
-            let age = u64::try_from(age.unwrap_or_default()).unwrap_or_default();
-            Ok((target.clone(), Duration::from_millis(age)))
-        }
-    }
-}
-
-/// Returns whether the configuration of this node lets a request go to its target.
-fn is_permitted(
-    node: &Node,
-    request: &ForwardedRequest,
-    target: &Registration,
-    now: Instant,
-) -> bool {
     let deployment = node.view.deployment();
-    let host = request.headers.get("host").unwrap_or_default();
-    let path = request.path.split('?').next().unwrap_or_default();
-    let named = request.headers.get(node.wire_format.fields().account);
-    let route = match &request.permission {
-        Permission::Job => deployment.route(host, path),
-        Permission::Key(_) if !node.view.freshness.borrow().allows_keys(now) => None,
-        Permission::Key(key) => match deployment.authorize(host, path, key.as_deref()) {
-            Authorization::Allowed { route, account } if account.as_deref() == named => Some(route),
-            _ => None,
-        },
+    let knowledge = Knowledge {
+        paths_lost: node.paths.are_lost(),
+        forwarding: node.forwarding.get(),
+        cores: node.settings().limits.cores,
+        is_leaving: node.is_leaving(),
+        age_ms: node.store_clock.millis(now).map(|store| store - request.sent_ms),
+        target,
+        evacuated: &node.view.evacuated.borrow(),
+        deployment: &deployment,
+        allows_keys: node.view.freshness.borrow().allows_keys(now),
+        account_field: node.wire_format.fields().account,
     };
-    route.is_some_and(|route| route.services.iter().any(|(name, _)| *name == target.service))
+    knowledge.admit(request)
 }
 
 fn outcome_reply(outcome: Outcome) -> Reply {
--- a/crates/tamarackdock_gateway/src/path/link.rs
+++ b/crates/tamarackdock_gateway/src/path/link.rs
@@ -59,7 +59,9 @@
     pub(crate) headers: &'a dyn Fn(Instant) -> Headers,
     pub(crate) body: &'a Bytes,
     pub(crate) permission: Permission,
-    /// Time at which it is given up.
+    /// Time after which it must not be sent any more.
+    pub(crate) send_by: Instant,
+    /// Time until which the head of the response must arrive.
     pub(crate) give_up_at: Instant,
     /// Whether another attempt can follow when the paths are lost while nothing comes.
     pub(crate) can_repeat: bool,
@@ -138,7 +140,12 @@
         Ok(connected) => connected,
         Err(error) => return Sent::directly(Err(error), false),
     };
-    let headers = (request.headers)(BootClock.now());
+    let now = BootClock.now();
+    // The process may have been paused while the connection was opened.
+    if now > request.send_by {
+        return Sent::directly(Err(ExchangeError::NotSent), false);
+    }
+    let headers = (request.headers)(now);
     let sent = Exchange::begin(connection, request.method, request.path, &headers, request.body);
     node.paths.waiting.set(node.paths.waiting.get() + 1);
     let waiting = Waiting(node.clone());
--- a/crates/tamarackdock_gateway/src/tests/deployment.rs
+++ b/crates/tamarackdock_gateway/src/tests/deployment.rs
@@ -21,7 +21,7 @@
     }
 }
 
-fn deployment() -> Deployment {
+pub(super) fn deployment() -> Deployment {
     let mut deployment = Deployment { requires_key: true, ..Deployment::default() };
     deployment.add_route(route("short", "H.example", "/a/", false));
     deployment.add_route(route("long", "h.example", "/a/b/", false));
--- a/crates/tamarackdock_gateway/src/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/tests/mod.rs
@@ -5,6 +5,7 @@
 mod crash;
 mod deployment;
 mod event;
+mod forward;
 mod freshness;
 mod limit;
 mod malformed;
--- a/crates/tamarackdock_node/tests/gateway/cluster.rs
+++ b/crates/tamarackdock_node/tests/gateway/cluster.rs
@@ -48,8 +48,8 @@
     }
 
     /// Starts nodes that reach the targets through proxies, so that single ones can be cut off.
-    pub(crate) fn start_gated(name: &str, nodes: usize) -> Self {
-        Self::start_with(name, nodes, 0, true)
+    pub(crate) fn start_gated(name: &str, nodes: usize, seed: u64) -> Self {
+        Self::start_with(name, nodes, seed, true)
     }
 
     fn start_with(name: &str, nodes: usize, seed: u64, gated: bool) -> Self {
@@ -103,7 +103,11 @@
 
     /// Changes the paths from some nodes to all targets.
     pub(crate) fn cut(&self, nodes: &[usize], mode: ProxyMode) {
-        nodes.iter().flat_map(|node| &self.gates[*node]).for_each(|gate| gate.set(mode));
+        thread::scope(|scope| {
+            for gate in nodes.iter().flat_map(|node| &self.gates[*node]) {
+                scope.spawn(|| gate.set(mode));
+            }
+        });
     }
 
     /// Changes the paths from all nodes to one of the engines or services, in this order.
--- a/crates/tamarackdock_node/tests/gateway/cut_hosts.rs
+++ b/crates/tamarackdock_node/tests/gateway/cut_hosts.rs
@@ -5,10 +5,13 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::{BREAKING_STREAM, Client, ProxyMode, expected_stream};
+use platform_standin::{
+    BREAKING_STREAM, Client, Engine, ProxyMode, SLOW_STREAM, expected_events, expected_stream,
+};
 
 use crate::{
     cluster::{CallRecord, Cluster, KEY, StopFlag, Trainer, Violations, call_until},
+    limits::{NOTICE as LIMITS_NOTICE, WINDOW, WINDOW_S, bound, busiest_window},
     software::receive,
 };
 
@@ -48,7 +51,7 @@
 /// all targets, although other nodes reach them.
 #[test]
 fn callers_of_cut_hosts_are_served_through_others() {
-    let cluster = Cluster::start_gated("cut-callers", 4);
+    let cluster = Cluster::start_gated("cut-callers", 4, 0);
     thread::sleep(Duration::from_secs(1));
     let violations = Violations::default();
     for mode in MODES {
@@ -82,7 +85,7 @@
 /// targets, before the step or in its middle.
 #[test]
 fn a_step_goes_on_while_its_owner_is_cut_off() {
-    let cluster = Cluster::start_gated("cut-owner", 4);
+    let cluster = Cluster::start_gated("cut-owner", 4, 0);
     thread::sleep(Duration::from_secs(1));
     let violations = Violations::default();
     let mut trainer = trainer(&cluster, &violations);
@@ -117,7 +120,7 @@
 /// on there after the target broke them.
 #[test]
 fn streams_of_cut_hosts_begin_and_go_on_through_others() {
-    let cluster = Cluster::start_gated("cut-streams", 3);
+    let cluster = Cluster::start_gated("cut-streams", 3, 0);
     thread::sleep(Duration::from_secs(1));
     for mode in MODES {
         cluster.cut(&[0, 1], mode);
@@ -137,7 +140,7 @@
 /// paths to the targets and keeps the duties.
 #[test]
 fn a_holder_that_is_cut_off_leaves_the_duties_to_others() {
-    let cluster = Cluster::start_gated("cut-holder", 4);
+    let cluster = Cluster::start_gated("cut-holder", 4, 0);
     thread::sleep(Duration::from_secs(1));
     let violations = Violations::default();
     let mut trainer = trainer(&cluster, &violations);
@@ -166,7 +169,7 @@
 /// that open many connections at once then.
 #[test]
 fn own_paths_are_used_again_after_a_cut() {
-    let cluster = Cluster::start_gated("cut-return", 4);
+    let cluster = Cluster::start_gated("cut-return", 4, 0);
     thread::sleep(Duration::from_secs(1));
     let mut client = Client::new(KEY, Duration::from_secs(1));
     for mode in MODES {
@@ -192,7 +195,7 @@
 /// Guards against calls that all take a detour, or fail, because one target is dead for all nodes.
 #[test]
 fn a_dead_target_sends_no_call_on_a_detour() {
-    let cluster = Cluster::start_gated("dead-target", 3);
+    let cluster = Cluster::start_gated("dead-target", 3, 0);
     thread::sleep(Duration::from_secs(1));
     let mut client = Client::new(KEY, Duration::from_secs(2));
     for mode in MODES {
@@ -212,3 +215,111 @@
     let through_others = cluster.log_lines("\"path\":\"peer\"");
     assert!(through_others.len() <= 6, "{through_others:?}");
 }
+
+/// Guards against targets that go on with a request that another node forwards after its caller
+/// has left.
+#[test]
+fn a_caller_that_leaves_ends_a_forwarded_request() {
+    let cluster = Cluster::start_gated("cut-leave", 3, 0);
+    thread::sleep(Duration::from_secs(1));
+    for mode in MODES {
+        cluster.cut(&[0], mode);
+        thread::sleep(NOTICE);
+        // The first one tells the node that its paths are lost.
+        let mut client = Client::new(KEY, Duration::from_secs(2));
+        client.call(cluster.addresses()[0], "/app/", &format!("first-{mode:?}"));
+        let node = cluster.addresses()[0];
+        let mut ids = (0..).map(|number| format!("left-{mode:?}-{number}"));
+        let id = ids.find(|id| expected_events(id).len() > 40).unwrap();
+        assert!(client.leave_stream(node, SLOW_STREAM, &id), "{mode:?}: no stream has begun");
+        thread::sleep(Duration::from_millis(500));
+        let running: u32 = cluster.services.iter().map(Engine::running).sum();
+        assert_eq!(running, 0, "{mode:?}");
+        cluster.cut(&[0], ProxyMode::Open);
+        thread::sleep(RETURN);
+    }
+}
+
+/// Guards against limits of targets that are exceeded, or leave no requests, while the nodes that
+/// grant permits have lost their own paths to the targets.
+#[test]
+fn limits_hold_while_limiters_are_cut_off() {
+    const LIMIT: u32 = 5;
+    let cluster = Cluster::start_gated("cut-limiters", 4, 0);
+    thread::sleep(Duration::from_secs(1));
+    let violations = Violations::default();
+    for service in &cluster.services {
+        service.name_limit(Some(f64::from(LIMIT)));
+    }
+    for mode in MODES {
+        cluster.cut(&CUT_NODES, mode);
+        let stop = StopFlag::default();
+        let caller = |path: &'static str| {
+            let (stop, violations, nodes) = (stop.clone(), violations.clone(), cluster.addresses());
+            let name = format!("limited{}{mode:?}", path.replace('/', "-"));
+            thread::spawn(move || call_until(&stop, &nodes, KEY, path, &name, &violations))
+        };
+        let (repeatable, once) = (caller("/app/"), caller("/once/"));
+        thread::sleep(LIMITS_NOTICE);
+        let from = Instant::now();
+        thread::sleep(WINDOW + WINDOW / 2);
+        stop.set();
+        let until = Instant::now();
+        repeatable.join().unwrap();
+        let once = once.join().unwrap();
+        for service in &cluster.services {
+            let most = busiest_window(service, from, until);
+            assert!(most <= bound(LIMIT), "{mode:?}: `{}` got {most}", service.id);
+            assert!(most >= LIMIT * WINDOW_S / 2, "{mode:?}: `{}` got only {most}", service.id);
+        }
+        assert_eq!(untrue(&cluster, &once), Vec::<String>::new(), "{mode:?}");
+        cluster.cut(&CUT_NODES, ProxyMode::Open);
+        thread::sleep(RETURN);
+    }
+    assert_eq!(violations.all(), Vec::<String>::new());
+}
+
+/// Guards against nodes that never ask another one again once none could forward their requests,
+/// and against requests that wait or run although no node has a path.
+#[test]
+fn hosts_find_others_whose_paths_come_back() {
+    let cluster = Cluster::start_gated("cut-all", 4, 0);
+    thread::sleep(Duration::from_secs(1));
+    let violations = Violations::default();
+    for mode in MODES {
+        let stop = StopFlag::default();
+        let callers: Vec<_> = (0..4)
+            .map(|number| {
+                let (stop, violations) = (stop.clone(), violations.clone());
+                let nodes = vec![cluster.addresses()[number % 2]];
+                let name = format!("all-{mode:?}-{number}");
+                thread::spawn(move || call_until(&stop, &nodes, KEY, "/once/", &name, &violations))
+            })
+            .collect();
+        cluster.cut(&[0, 1, 2, 3], mode);
+        thread::sleep(NOTICE);
+        let mut client = Client::new(KEY, Duration::from_secs(2));
+        let mut call = |name: &str, number: usize| {
+            let id = format!("{name}-{mode:?}-{number}");
+            client.call(cluster.addresses()[number % 2], "/once/", &id).status()
+        };
+        // The other nodes find out that their paths are lost.
+        let _: Vec<u16> = (0..4).map(|number| call("learn", number)).collect();
+        let began = Instant::now();
+        let statuses: Vec<u16> = (0..20).map(|number| call("refused", number)).collect();
+        let took = began.elapsed();
+        assert!(statuses.iter().all(|status| *status == 503), "{mode:?}: {statuses:?}");
+        assert!(took < Duration::from_secs(1), "{mode:?}: refusals took {took:?}");
+        cluster.cut(&[2, 3], ProxyMode::Open);
+        let from = Instant::now() + RETURN;
+        thread::sleep(RETURN + CUT);
+        stop.set();
+        let calls: Vec<_> = callers.into_iter().flat_map(|it| it.join().unwrap()).collect();
+        let (count, failed) = failed(&calls, from, Instant::now());
+        assert!(count > 50 && failed * 50 <= count, "{mode:?}: {failed} of {count} failed");
+        assert_eq!(untrue(&cluster, &calls), Vec::<String>::new(), "{mode:?}");
+        cluster.cut(&[0, 1], ProxyMode::Open);
+        thread::sleep(RETURN);
+    }
+    assert_eq!(violations.all(), Vec::<String>::new());
+}
--- a/crates/tamarackdock_node/tests/gateway/limits.rs
+++ b/crates/tamarackdock_node/tests/gateway/limits.rs
@@ -13,15 +13,15 @@
 const ENGINE_LIMIT: u32 = 2;
 const SERVICE_LIMIT: u32 = 5;
 /// Time after the naming of a limit from which it binds.
-const NOTICE: Duration = Duration::from_secs(3);
+pub(crate) const NOTICE: Duration = Duration::from_secs(3);
 /// Time over which requests are counted.
-const WINDOW_S: u32 = 4;
-const WINDOW: Duration = Duration::from_secs(4);
+pub(crate) const WINDOW_S: u32 = 4;
+pub(crate) const WINDOW: Duration = Duration::from_secs(4);
 /// Time during which targets name their limits.
 const LIMITED_FOR: Duration = Duration::from_secs(9);
 
 /// Returns the most requests in a window that begin from `from` to `until`.
-fn busiest_window(target: &Engine, from: Instant, until: Instant) -> u32 {
+pub(crate) fn busiest_window(target: &Engine, from: Instant, until: Instant) -> u32 {
     let runs: Vec<Instant> = target.runs().iter().map(|run| run.started_at).collect();
     let counted: Vec<Instant> = runs.into_iter().filter(|at| *at >= from && *at < until).collect();
     let in_window = |start: &Instant| {
@@ -32,7 +32,7 @@
 }
 
 /// Returns one and a half times what a limit allows in a window, and five more.
-fn bound(limit: u32) -> u32 {
+pub(crate) fn bound(limit: u32) -> u32 {
     limit * WINDOW_S * 3 / 2 + 5
 }
 
--- a/crates/tamarackdock_node/tests/gateway/soak.rs
+++ b/crates/tamarackdock_node/tests/gateway/soak.rs
@@ -38,6 +38,14 @@
 const NEWER_SOFTWARE: &str = "v2";
 /// Limits that targets name for a while, in requests a second.
 const LIMITS: std::ops::Range<f64> = 1.0..20.0;
+/// Paths of a node to the targets for a while.
+const CUTS: [ProxyMode; 5] = [
+    ProxyMode::Open,
+    ProxyMode::Open,
+    ProxyMode::Unreachable,
+    ProxyMode::Refusing,
+    ProxyMode::Reset,
+];
 /// Longest time for a planned stop.
 const STOP_TIME: Duration = Duration::from_secs(8);
 
@@ -67,7 +75,7 @@
 }
 
 fn soak(seed: u64, nodes: usize, time: Duration) -> Vec<String> {
-    let mut cluster = Cluster::start(&format!("soak-{seed}"), nodes, seed);
+    let mut cluster = Cluster::start_gated(&format!("soak-{seed}"), nodes, seed);
     cluster.engines[1].install(NEWER_SOFTWARE);
     cluster.services[1].install(NEWER_SOFTWARE);
     // Entries are written again in the meantime.
@@ -135,8 +143,9 @@
 /// withdrawn.
 fn inject(cluster: &mut Cluster, seed: u64, time: Duration, violations: &Violations) -> Instant {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    // A generator of its own keeps the other faults of the regression seeds.
+    // Generators of their own keep the other faults of the regression seeds.
     let mut limit_rng = ChaCha8Rng::seed_from_u64(!seed);
+    let mut cut_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
     let until = Instant::now() + time;
     let half = Instant::now() + time / 2;
     let mut withdrawn = None;
@@ -153,6 +162,10 @@
             let limit = limit_rng.random_bool(0.5).then(|| limit_rng.random_range(LIMITS));
             target.expect("there are targets").name_limit(limit);
         }
+        if cut_rng.random_range(0..3) == 0 {
+            let node = cut_rng.random_range(0..cluster.nodes.len());
+            cluster.cut(&[node], CUTS[cut_rng.random_range(0..CUTS.len())]);
+        }
         let node = rng.random_range(0..cluster.nodes.len());
         match rng.random_range(0..13) {
             0 => cluster.nodes[node].kill(),
@@ -204,6 +217,8 @@
     }
     let targets = cluster.engines.iter().chain(&cluster.services);
     targets.for_each(|target| target.name_limit(None));
+    let all: Vec<usize> = (0..cluster.nodes.len()).collect();
+    cluster.cut(&all, ProxyMode::Open);
     cluster.store.delay_answers(Duration::ZERO);
     cluster.store.drop_job_writes(0);
     cluster.proxies.iter().for_each(|proxy| proxy.set(ProxyMode::Open));
