Forward streams to their end

What trainers saw: items of an owner without paths were broken off 2.5 s after they began and went on with a new run, which costs targets a connection and reads the prompt again.

Cause: the node that forwards took the time until which the head of a response must arrive for that of the whole response.

Change: after the head it waits until the request's deadline. The node that asked decides how long it waits for events, and closes its connection.

Result: `long_texts_are_forwarded_to_their_end` fails without the change (32 runs that were broken off and went on, of 24 items) and passes.

--- a/crates/tamarackdock_gateway/src/forward/serve.rs
+++ b/crates/tamarackdock_gateway/src/forward/serve.rs
@@ -23,6 +23,8 @@
 pub(crate) const PATH: &str = "/forward";
 /// Largest response that is sent to the other node in one piece, in bytes.
 const MAX_WHOLE_BYTES: u64 = 64 * 1024;
+/// Time after the deadline of a request by which the other node has closed its connection.
+const CLOSE_MARGIN: Duration = Duration::from_secs(1);
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
 /// Counts a request as being forwarded until it is dropped.
@@ -90,7 +92,11 @@
         Err(ExchangeError::ConnectionLost) if sent.was_used => Err(path::broken(node).await),
         Ok(link) => {
             node.observe_answer(&target, link.head(), &id, received);
-            answer(node, link, &id, outgoing.give_up_at, writer).await
+            // The other node decides how long it waits for events, and closes its connection.
+            let deadline = Duration::from_millis(
+                forwarded.headers.number(fields.deadline).unwrap_or(forwarded.give_up_ms),
+            );
+            answer(node, link, &id, received + deadline + CLOSE_MARGIN, writer).await
         }
         Err(error) => Err(error),
     };
--- a/crates/tamarackdock_node/tests/gateway/cut_hosts.rs
+++ b/crates/tamarackdock_node/tests/gateway/cut_hosts.rs
@@ -323,3 +323,28 @@
     }
     assert_eq!(violations.all(), Vec::<String>::new());
 }
+
+/// Guards against items and streams that a forwarding node cuts after the time that their first
+/// event may take, although events go on to come.
+#[test]
+fn long_texts_are_forwarded_to_their_end() {
+    let cluster = Cluster::start_gated("cut-long", 3, 0);
+    thread::sleep(Duration::from_secs(1));
+    let violations = Violations::default();
+    let mut trainer = trainer(&cluster, &violations);
+    cluster.engines.iter().for_each(|engine| engine.slow_down(true));
+    for (number, cut) in (0..).zip([[0, 1], [1, 2], [2, 0]]) {
+        cluster.cut(&cut, ProxyMode::Reset);
+        thread::sleep(Duration::from_millis(100));
+        let mut step = trainer.submit(number, 8);
+        trainer.finish(&mut step);
+        trainer.end(&step);
+        cluster.cut(&cut, ProxyMode::Open);
+        thread::sleep(RETURN);
+    }
+    let resumed: Vec<_> = cluster.engines.iter().flat_map(Engine::runs).collect();
+    let resumed: Vec<&str> =
+        resumed.iter().filter(|run| run.resumed).map(|run| run.id.as_str()).collect();
+    assert_eq!(resumed, Vec::<&str>::new(), "items that were broken off and went on");
+    assert_eq!(violations.all(), Vec::<String>::new());
+}
