Check the paths anew for each connection that broke

What callers could see: a request whose connection broke when the paths were lost was recorded as crashing its target, for all hosts; three such records refuse it for 45 s.

Cause: a check that had begun shortly before the break, and found the paths open, was taken as its answer. Seen once in a test whose connections were all reset (`crash: recorded` on a cut host).

Change: only a check that began after the break answers it. Many breaks at once share one.

--- a/crates/tamarackdock_gateway/src/path/check.rs
+++ b/crates/tamarackdock_gateway/src/path/check.rs
@@ -32,9 +32,9 @@
 /// Returns whether this node has lost its paths, after a connection to a target did not open or
 /// broke. Waits for the end of a check.
 pub(crate) async fn is_lost_after(node: &Rc<Node>, observation: Doubt) -> bool {
-    doubt(node, observation);
     let state = &node.paths;
     loop {
+        doubt(node, observation);
         let seen = state.changed.count();
         if !state.paths.borrow().are_checked() {
             return state.are_lost();
--- a/crates/tamarackdock_gateway/src/path/link.rs
+++ b/crates/tamarackdock_gateway/src/path/link.rs
@@ -179,7 +179,8 @@
 
 /// Returns the reason why a direct connection broke, after a check of the paths.
 pub(crate) async fn broken(node: &Rc<Node>) -> ExchangeError {
-    let is_lost = check::is_lost_after(node, Doubt::Broken).await;
+    let at = BootClock.now();
+    let is_lost = check::is_lost_after(node, Doubt::Broken { at }).await;
     if is_lost { ExchangeError::PathLost } else { ExchangeError::ConnectionLost }
 }
 
--- a/crates/tamarackdock_path/src/paths.rs
+++ b/crates/tamarackdock_path/src/paths.rs
@@ -34,7 +34,10 @@
         began: Instant,
     },
     /// An open connection broke.
-    Broken,
+    Broken {
+        /// When it broke.
+        at: Instant,
+    },
     /// No byte has come from a target for [`SILENCE`], although one is due.
     Silent,
 }
@@ -57,9 +60,11 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Paths {
     state: State,
-    /// Whether a check is in progress.
-    checking: bool,
-    /// End of the last check that found the paths open.
+    /// Beginning of the check in progress.
+    checking: Option<Instant>,
+    /// Beginning of the last check that found the paths open.
+    open_from: Option<Instant>,
+    /// End of that check.
     found_open: Option<Instant>,
     /// Checks in a row that found the paths open although targets were silent.
     in_vain: u32,
@@ -71,7 +76,8 @@
     fn default() -> Self {
         Self {
             state: State::Open,
-            checking: false,
+            checking: None,
+            open_from: None,
             found_open: None,
             in_vain: 0,
             last_opened: None,
@@ -157,32 +163,36 @@
     pub fn begin_check(&mut self, doubt: Doubt, now: Instant) -> bool {
         let is_refuted = match doubt {
             Doubt::Unopened { began } => self.last_opened.is_some_and(|opened| opened >= began),
-            Doubt::Broken => false,
+            // A check that began before says nothing of it.
+            Doubt::Broken { at } => self.open_from.is_some_and(|began| began >= at),
             Doubt::Silent => self.last_contact().is_some_and(|at| now.since(at) < SILENCE),
         };
         let pause = match doubt {
             Doubt::Silent => CHECK_PAUSE * 2_u32.pow(self.in_vain.min(MAX_DOUBLINGS)),
-            Doubt::Unopened { .. } | Doubt::Broken => CHECK_PAUSE,
+            Doubt::Unopened { .. } => CHECK_PAUSE,
+            // What it says of the target is recorded for all hosts, so that it needs a check.
+            Doubt::Broken { .. } => Duration::ZERO,
         };
         let is_recent = self.found_open.is_some_and(|at| now.since(at) < pause);
-        if is_refuted || is_recent || self.checking || self.are_lost() {
+        if is_refuted || is_recent || self.are_checked() || self.are_lost() {
             return false;
         }
-        self.checking = true;
+        self.checking = Some(now);
         true
     }
 
     /// Returns whether a check is in progress.
     #[must_use]
     pub fn are_checked(&self) -> bool {
-        self.checking
+        self.checking.is_some()
     }
 
     /// Records the end of a check, and whether any connection has opened. Returns whether the
     /// paths are now known to be lost.
     pub fn checked(&mut self, opened: bool, now: Instant) -> bool {
-        self.checking = false;
+        let began = self.checking.take();
         if opened {
+            self.open_from = began;
             self.found_open = Some(now);
             self.in_vain += 1;
         } else {
