Open a connection for calls that run once, after a silence

What callers saw: a call that may run only once, at a host that had no traffic since its paths were lost, waited until its deadline and failed. Seen in 2 of 8 runs of `callers_of_cut_hosts_are_served_through_others` (1 of 2 calls failed, connections that hang): the host got its first call 2 s after the cut and sent it over an idle connection.

Cause: an idle connection says nothing of its path, and a request that was sent can't be sent again.

Change: without a contact with any target in the last second, such a request opens a connection. If that does not open, nothing was sent, and the request is forwarded.

--- a/crates/tamarackdock_gateway/src/duty/weight_loads.rs
+++ b/crates/tamarackdock_gateway/src/duty/weight_loads.rs
@@ -203,7 +203,7 @@
     // Orders are never sent through another node: for a target, its address tells who holds the
     // duties.
     let exchange = async {
-        let (connection, _) = path::connect(node, target, Reuse::Newest).await.ok()?;
+        let (connection, _) = path::connect(node, target, Some(Reuse::Newest)).await.ok()?;
         let sent = send_message(connection, &message, target.address, MAX_REPORT).await;
         let (response, connection) = sent.ok()?;
         node.paths.responded(&target.id);
--- a/crates/tamarackdock_gateway/src/path/link.rs
+++ b/crates/tamarackdock_gateway/src/path/link.rs
@@ -136,6 +136,7 @@
     request: &Request<'_>,
     reuse: Reuse,
 ) -> Sent {
+    let reuse = (request.can_repeat || node.paths.are_proven()).then_some(reuse);
     let (connection, was_used) = match connect(node, target, reuse).await {
         Ok(connected) => connected,
         Err(error) => return Sent::directly(Err(error), false),
@@ -194,14 +195,14 @@
     }
 }
 
-/// Opens a connection to a target over this node's own path, or takes an idle one. Also returns
-/// whether it had been idle.
+/// Opens a connection to a target over this node's own path, or takes an idle one if it may be
+/// reused. Also returns whether it had been idle.
 pub(crate) async fn connect(
     node: &Rc<Node>,
     target: &Registration,
-    reuse: Reuse,
+    reuse: Option<Reuse>,
 ) -> Result<(Connection, bool), ExchangeError> {
-    if let Some(connection) = node.pool.take(&target.id, reuse) {
+    if let Some(connection) = reuse.and_then(|reuse| node.pool.take(&target.id, reuse)) {
         return Ok((connection, true));
     }
     node.metrics.connections.with_label_values(&[&*target.service]).inc();
--- a/crates/tamarackdock_gateway/src/path/mod.rs
+++ b/crates/tamarackdock_gateway/src/path/mod.rs
@@ -53,6 +53,11 @@
         self.waiting.get() > 0 && !self.paths.borrow().has_contact_since(since)
     }
 
+    /// Returns whether an open connection may carry a request that can't be sent again.
+    fn are_proven(&self) -> bool {
+        self.paths.borrow().are_proven(BootClock.now())
+    }
+
     /// Records that a byte has come over this node's own paths.
     fn heard(&self) {
         self.paths.borrow_mut().heard(BootClock.now());
--- a/crates/tamarackdock_path/src/paths.rs
+++ b/crates/tamarackdock_path/src/paths.rs
@@ -12,6 +12,9 @@
 /// Most times that this pause is doubled, while targets are silent although their paths are open,
 /// as when they load weights.
 const MAX_DOUBLINGS: u32 = 4;
+/// Age of the last contact with a target up to which an open connection is good enough for a
+/// request that can't be sent again.
+const PROOF_AGE: Duration = Duration::from_secs(1);
 /// Time after the return of the paths during which only one connection at a time is opened to a
 /// target that was not reached since.
 const RETURN_TIME: Duration = Duration::from_secs(1);
@@ -151,6 +154,14 @@
         self.last_contact().is_some_and(|at| at >= since)
     }
 
+    /// Returns whether an open connection may carry a request that can't be sent again. Without a
+    /// recent contact the connection may hang, and only a new one tells before the request is
+    /// sent.
+    #[must_use]
+    pub fn are_proven(&self, now: Instant) -> bool {
+        self.last_contact().is_some_and(|at| now.since(at) < PROOF_AGE)
+    }
+
     fn last_contact(&self) -> Option<Instant> {
         self.last_heard.max(self.last_opened)
     }
--- a/crates/tamarackdock_path/src/tests.rs
+++ b/crates/tamarackdock_path/src/tests.rs
@@ -72,6 +72,16 @@
     assert!(!paths.begin_check(Doubt::Broken { at: MS(1_003) }, MS(1_010)));
 }
 
+/// Guards against a request that can't be sent again and hangs on an idle connection, at a host
+/// that had no traffic since its paths were lost.
+#[test]
+fn only_a_recent_contact_proves_an_open_connection() {
+    let mut paths = Paths::default();
+    assert!(!paths.are_proven(MS(0)));
+    paths.heard(MS(100));
+    assert!(paths.are_proven(MS(1_099)) && !paths.are_proven(MS(1_100)));
+}
+
 /// Guards against a loss that goes unnoticed because open connections live on while new ones are
 /// refused.
 #[test]
