--- a/crates/tamarackdock_gateway/src/forward/serve.rs
+++ b/crates/tamarackdock_gateway/src/forward/serve.rs
@@ -44,7 +44,7 @@
 ) -> server::Outcome {
     // A planned stop waits for the end of the request.
     let _guard = node.start_call();
-    let forwarded: ForwardedRequest = match rmp_serde::from_slice(&request.body) {
+    let mut forwarded: ForwardedRequest = match rmp_serde::from_slice(&request.body) {
         Ok(forwarded) => forwarded,
         Err(error) => {
             slog::warn!(node.log, "forward: can't decode the request"; "error" => %error);
@@ -65,7 +65,7 @@
     let _forwarding = Forwarding(node.clone());
     let received = BootClock.now();
     let guard = node.start_request(&target.id, received);
-    let body = forwarded.body.clone().into();
+    let body = std::mem::take(&mut forwarded.body).into();
     let headers = |now: Instant| {
         let late = age + now.since(received);
         let left = forwarded.headers.number::<u64>(fields.deadline).map(Duration::from_millis);
