Encode the bodies of forwarded requests as bytes

What callers could see: a large body that is not text was not forwarded by a host without paths. The node that was asked refused it as too large, and was avoided for 5 s as if it did not respond.

Cause: `rmp-serde` encodes a `Vec<u8>` as a sequence of numbers, of two bytes each from 128 on.

Change: the body is encoded as bytes by the adapter of `serde_with`.

Result: `the_encoding_adds_little_to_a_body` fails without the change (2,097,220 bytes for 1,048,576) and passes.

--- a/crates/tamarackdock_gateway/src/forward/mod.rs
+++ b/crates/tamarackdock_gateway/src/forward/mod.rs
@@ -10,6 +10,7 @@
 mod serve;
 
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 use tamarackdock_path::Refusal;
 
 pub(crate) use self::{
@@ -28,6 +29,7 @@
 const UNTIL_CLOSE: &str = "Forward-Until-Close";
 
 /// A request as it is sent to the node that forwards it.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ForwardedRequest {
     /// Id of the target.
@@ -36,6 +38,8 @@
     pub(crate) path: String,
     /// Header fields for the target.
     pub(crate) headers: Headers,
+    /// One element for each byte, as a sequence has, would double the size.
+    #[serde_as(as = "serde_with::Bytes")]
     pub(crate) body: Vec<u8>,
     pub(crate) permission: Permission,
     /// Store time at which it was sent to the other node, in milliseconds.
--- a/crates/tamarackdock_gateway/src/server.rs
+++ b/crates/tamarackdock_gateway/src/server.rs
@@ -28,7 +28,7 @@
 
 /// Bytes that the encoding of a forwarded request adds to a client's body: mostly its header
 /// fields.
-const FORWARDING_BYTES: usize = 256 * 1024;
+pub(crate) const FORWARDING_BYTES: usize = 256 * 1024;
 
 /// The kind of client that a listener serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/tamarackdock_gateway/src/tests/forward.rs
+++ b/crates/tamarackdock_gateway/src/tests/forward.rs
@@ -11,6 +11,7 @@
     },
     http::Headers,
     path::Permission,
+    server::FORWARDING_BYTES,
     target::Registration,
 };
 
@@ -113,3 +114,14 @@
     assert_eq!(refusal(Knowledge { paths_lost: true, ..all() }), Refusal::Lost);
     assert_eq!([0.0, 0.12, 0.5, 1.0].map(capacity), [8, 26, 83, 158]);
 }
+
+/// Guards against a request that is too large for the node that forwards it because of its
+/// encoding: that node allows for a client's largest body and some more.
+#[test]
+fn the_encoding_adds_little_to_a_body() {
+    let body = vec![0xff; 1024 * 1024];
+    let request = ForwardedRequest { body: body.clone(), ..by_key() };
+    let encoded = rmp_serde::to_vec(&request).unwrap();
+    assert!(encoded.len() < body.len() + FORWARDING_BYTES, "{} bytes", encoded.len());
+    assert_eq!(rmp_serde::from_slice::<ForwardedRequest>(&encoded).unwrap(), request);
+}
