--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -142,7 +142,7 @@
     let mut link = match sent.result {
         Ok(link) => link,
         // The target may have closed the idle connection without notice.
-        Err(ExchangeError::ConnectionLost) if sent.was_used => return RunOutcome::Stale,
+        Err(_) if sent.is_stale => return RunOutcome::Stale,
         Err(error) => return broken(error),
     };
     let head = link.head().clone();
--- a/crates/tamarackdock_gateway/src/dispatch.rs
+++ b/crates/tamarackdock_gateway/src/dispatch.rs
@@ -32,7 +32,7 @@
     ) -> Outcome {
         match (listener, request.head.path()) {
             (ListenerKind::Callers, _) => {
-                let guard = self.start_call();
+                let guard = self.calls.begin();
                 let outcome = self.handle_caller(request, writer).await;
                 drop(guard);
                 outcome
@@ -52,12 +52,6 @@
         }
     }
 
-    /// Counts a call as in progress until the returned guard is dropped.
-    pub(crate) fn start_call(self: &Rc<Self>) -> CallGuard {
-        self.calls.set(self.calls.get() + 1);
-        CallGuard(self.clone())
-    }
-
     /// Answers a health check of the balancer.
     fn health(&self) -> Reply {
         let ready = !self.is_leaving()
@@ -177,12 +171,3 @@
         Some(Reply::not_run(message, left))
     }
 }
-
-/// Decrements the number of calls in progress when it is dropped.
-pub(crate) struct CallGuard(Rc<Node>);
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        self.0.calls.set(self.0.calls.get() - 1);
-    }
-}
--- a/crates/tamarackdock_gateway/src/dump.rs
+++ b/crates/tamarackdock_gateway/src/dump.rs
@@ -52,7 +52,7 @@
         "live": live,
         "targets": targets,
         "jobs": jobs,
-        "connections": node.connections.get(),
+        "connections": node.connections.count(),
     });
     state.to_string().into_bytes()
 }
--- a/crates/tamarackdock_gateway/src/forward/ask.rs
+++ b/crates/tamarackdock_gateway/src/forward/ask.rs
@@ -1,6 +1,6 @@
 //! The node that asks another one to forward a request.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc};
 
 use tamarackdock_path::Refusal;
 use tamarackdock_types::clock::{BootClock, Clock};
@@ -13,26 +13,16 @@
     members::NodeRun,
     node::Node,
     path::{Link, Request},
+    peer,
     pool::Reuse,
     target::Registration,
 };
 
-/// Time limit for connecting to another node.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Largest body that is forwarded to share connections. Larger ones cost more than a connection.
 const MAX_SHARED_BYTES: usize = 16 * 1024;
 /// Candidates of one data centre that are considered. Some may be avoided.
 const MAX_CANDIDATES: usize = 8;
 
-/// Why a request is forwarded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Purpose {
-    /// So that few connections carry the calls of all nodes.
-    Sharing,
-    /// Since this node's own path is lost or in doubt.
-    Path,
-}
-
 /// Why a node has not brought a response.
 enum Failure {
     /// The request has certainly not run.
@@ -40,45 +30,70 @@
     Failed(ExchangeError),
 }
 
-/// Sends a request through another node. Fails with [`ExchangeError::NoPath`] if no byte was sent
-/// to the target since no node could forward it.
+/// Sends a request through another node, since this node's own path is lost or in doubt. Fails
+/// with [`ExchangeError::NoPath`] if no byte was sent to the target since no node could forward it.
 pub(crate) async fn send(
     node: &Rc<Node>,
     target: &Registration,
     request: &Request<'_>,
-    purpose: Purpose,
 ) -> Result<Link, ExchangeError> {
-    let is_shared = purpose == Purpose::Sharing;
-    if is_shared && (request.body.len() > MAX_SHARED_BYTES || node.pool.has_idle(&target.id)) {
-        return Err(ExchangeError::NoPath);
-    }
-    if !is_shared && node.paths.forwarders.borrow().are_exhausted(BootClock.now()) {
+    if node.paths.forwarders.borrow().are_exhausted(BootClock.now()) {
         return Err(ExchangeError::NoPath);
     }
     for near in [true, false] {
-        for run in candidates(node, target, purpose, near) {
-            let Some(address) = node.members.address(&run) else { continue };
-            let refusal = match ask(node, target, request, &run, address).await {
-                Ok(link) => return Ok(link),
-                Err(Failure::Failed(error)) => {
-                    slog::info!(node.log, "forward: failed"; "id" => request.id,
-                        "target" => &*target.id, "host" => &*run.host, "error" => %error);
-                    return Err(error);
-                }
-                Err(Failure::Refused(refusal)) => refusal,
-            };
-            slog::info!(node.log, "forward: refused"; "id" => request.id, "target" => &*target.id,
-                "host" => &*run.host, "reason" => ?refusal);
-            node.paths.forwarders.borrow_mut().refused(&run.host, refusal, BootClock.now());
-        }
-        if is_shared {
-            return Err(ExchangeError::NoPath);
+        let runs = candidates(node, target, near);
+        if let Some(result) = ask_in_turn(node, target, request, runs).await {
+            return result;
         }
     }
     node.paths.forwarders.borrow_mut().exhausted(BootClock.now());
     Err(ExchangeError::NoPath)
 }
 
+/// Sends a request through the node that keeps connections to the target for all nodes of the data
+/// centre. Fails with [`ExchangeError::NoPath`] if that is this node itself, or if this node's own
+/// path is better.
+pub(crate) async fn send_shared(
+    node: &Rc<Node>,
+    target: &Registration,
+    request: &Request<'_>,
+) -> Result<Link, ExchangeError> {
+    if request.body.len() > MAX_SHARED_BYTES || node.pool.has_idle(&target.id) {
+        return Err(ExchangeError::NoPath);
+    }
+    let live = node.members.live_with_paths(|it| *it == node.data_centre);
+    let now = BootClock.now();
+    let first = choose(&target.id, &node.members.own, &live)
+        .filter(|run| !node.paths.forwarders.borrow().is_avoided(&run.host, now));
+    let result = ask_in_turn(node, target, request, first).await;
+    result.unwrap_or(Err(ExchangeError::NoPath))
+}
+
+/// Asks nodes in turn to forward a request. Returns `None` if all of them have refused it.
+async fn ask_in_turn(
+    node: &Rc<Node>,
+    target: &Registration,
+    request: &Request<'_>,
+    runs: impl IntoIterator<Item = NodeRun>,
+) -> Option<Result<Link, ExchangeError>> {
+    for run in runs {
+        let Some(address) = node.members.address(&run) else { continue };
+        let refusal = match ask(node, target, request, &run, address).await {
+            Ok(link) => return Some(Ok(link)),
+            Err(Failure::Failed(error)) => {
+                slog::info!(node.log, "forward: failed"; "id" => request.id,
+                    "target" => &*target.id, "host" => &*run.host, "error" => %error);
+                return Some(Err(error));
+            }
+            Err(Failure::Refused(refusal)) => refusal,
+        };
+        slog::info!(node.log, "forward: refused"; "id" => request.id, "target" => &*target.id,
+            "host" => &*run.host, "reason" => ?refusal);
+        node.paths.forwarders.borrow_mut().refused(&run.host, refusal, BootClock.now());
+    }
+    None
+}
+
 /// Returns the node that carries the calls for a target from one data centre, or `None` if this
 /// node itself does. `live` are the live nodes of the data centre.
 pub(crate) fn choose(target: &str, own: &NodeRun, live: &[NodeRun]) -> Option<NodeRun> {
@@ -86,24 +101,14 @@
     (first.host != own.host).then_some(first)
 }
 
-/// Returns the nodes to ask in turn. All nodes derive the same order for a target, so that few
-/// connections lead to it.
-fn candidates(node: &Node, target: &Registration, purpose: Purpose, near: bool) -> Vec<NodeRun> {
-    let now = BootClock.now();
-    let forwarders = node.paths.forwarders.borrow();
+/// Returns the nodes to ask in turn, in this data centre (`near`) or in others. All nodes derive
+/// the same order for a target, so that few connections lead to it.
+fn candidates(node: &Node, target: &Registration, near: bool) -> Vec<NodeRun> {
     let live = node.members.live_with_paths(|it| (*it == node.data_centre) == near);
-    let own = &node.members.own;
-    match purpose {
-        Purpose::Sharing => {
-            let first = choose(&target.id, own, &live).into_iter();
-            first.filter(|run| !forwarders.is_avoided(&run.host, now)).collect()
-        }
-        Purpose::Path => {
-            let ordered = takeover::first_candidates(&target.id, &live, MAX_CANDIDATES);
-            let others = ordered.into_iter().filter(|run| run != own);
-            forwarders.choose(others, near, |run| &run.host, now)
-        }
-    }
+    let ordered = takeover::first_candidates(&target.id, &live, MAX_CANDIDATES);
+    let others = ordered.into_iter().filter(|run| *run != node.members.own);
+    let forwarders = node.paths.forwarders.borrow();
+    forwarders.choose(others, near, |run| &run.host, BootClock.now())
 }
 
 async fn ask(
@@ -119,7 +124,7 @@
         let was_used = idle.is_some();
         let connection = match idle {
             Some(connection) => connection,
-            None => Connection::open(address, CONNECT_TIMEOUT)
+            None => Connection::open(address, peer::CONNECT_TIMEOUT)
                 .await
                 .map_err(|_| Failure::Refused(Refusal::Failed))?,
         };
@@ -163,15 +168,15 @@
                 }
                 head.headers.remove(OUTCOME);
                 head.headers.remove(UNTIL_CLOSE);
-                return Ok(Link::forwarded(exchange, target, run.host.clone()));
+                return Ok(Link::forwarded(exchange, run.host.clone()));
+            }
+            Some(Outcome::Refused(refusal)) => {
+                Link::forwarded(exchange, run.host.clone()).keep(node);
+                return Err(Failure::Refused(refusal));
             }
-            Some(outcome) => {
-                Link::forwarded(exchange, target, run.host.clone()).keep(node);
-                return Err(match outcome {
-                    Outcome::Refused(refusal) => Failure::Refused(refusal),
-                    Outcome::Failed(error) => Failure::Failed(error),
-                    Outcome::Answered => declined(),
-                });
+            Some(Outcome::Failed(error)) => {
+                Link::forwarded(exchange, run.host.clone()).keep(node);
+                return Err(Failure::Failed(error));
             }
             // A node of an earlier release does not know the path.
             None => return Err(Failure::Refused(Refusal::Failed)),
--- a/crates/tamarackdock_gateway/src/forward/mod.rs
+++ b/crates/tamarackdock_gateway/src/forward/mod.rs
@@ -14,7 +14,7 @@
 use tamarackdock_path::Refusal;
 
 pub(crate) use self::{
-    ask::{Purpose, send},
+    ask::{send, send_shared},
     serve::{PATH, serve},
 };
 use crate::{
--- a/crates/tamarackdock_gateway/src/forward/serve.rs
+++ b/crates/tamarackdock_gateway/src/forward/serve.rs
@@ -11,7 +11,7 @@
 };
 use crate::{
     call::end_to_end_headers,
-    http::{ExchangeError, Framing, Headers, Writer, response_head},
+    http::{ExchangeError, Framing, Headers, LAST_CHUNK, Writer, chunk, response_head},
     node::Node,
     path::{self, Link, Request},
     pool::Reuse,
@@ -25,16 +25,6 @@
 const MAX_WHOLE_BYTES: u64 = 64 * 1024;
 /// Time after the deadline of a request by which the other node has closed its connection.
 const CLOSE_MARGIN: Duration = Duration::from_secs(1);
-const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
-
-/// Counts a request as being forwarded until it is dropped.
-struct Forwarding(Rc<Node>);
-
-impl Drop for Forwarding {
-    fn drop(&mut self) {
-        self.0.forwarding.set(self.0.forwarding.get() - 1);
-    }
-}
 
 /// Sends a request of another node to its target, unless this node knows that it must not.
 pub(crate) async fn serve(
@@ -43,7 +33,7 @@
     writer: &mut Writer,
 ) -> server::Outcome {
     // A planned stop waits for the end of the request.
-    let _guard = node.start_call();
+    let _call = node.calls.begin();
     let mut forwarded: ForwardedRequest = match rmp_serde::from_slice(&request.body) {
         Ok(forwarded) => forwarded,
         Err(error) => {
@@ -61,10 +51,9 @@
             return server::Outcome::Reply(outcome_reply(Outcome::Refused(refusal)));
         }
     };
-    node.forwarding.set(node.forwarding.get() + 1);
-    let _forwarding = Forwarding(node.clone());
+    let _forwarding = node.forwarding.begin();
     let received = BootClock.now();
-    let guard = node.start_request(&target.id, received);
+    let _running = node.start_request(&target.id, received);
     let body = std::mem::take(&mut forwarded.body).into();
     let headers = |now: Instant| {
         let late = age + now.since(received);
@@ -88,8 +77,7 @@
         can_repeat: forwarded.can_repeat,
     };
     let sent = path::send_directly(node, &target, &outgoing, Reuse::Newest).await;
-    let answered = match sent.result {
-        Err(ExchangeError::ConnectionLost) if sent.was_used => Err(path::broken(node).await),
+    let answered = match sent.checked(node).await {
         Ok(link) => {
             node.observe_answer(&target, link.head(), &id, received);
             // The other node decides how long it waits for events, and closes its connection.
@@ -100,7 +88,6 @@
         }
         Err(error) => Err(error),
     };
-    drop(guard);
     match answered {
         Ok(outcome) => outcome,
         Err(error) => {
@@ -126,7 +113,7 @@
     let deployment = node.view.deployment();
     let knowledge = Knowledge {
         paths_lost: node.paths.are_lost(),
-        forwarding: node.forwarding.get(),
+        forwarding: node.forwarding.count(),
         cores: node.settings().limits.cores,
         is_leaving: node.is_leaving(),
         age_ms: node.store_clock.millis(now).map(|store| store - request.sent_ms),
@@ -199,21 +186,16 @@
         return false;
     }
     loop {
-        let chunk = match link.next(node, due).await {
+        let bytes = match link.next(node, due).await {
             Ok(Some(data)) if data.is_empty() => continue,
-            Ok(Some(data)) => {
-                let mut chunk = format!("{:x}\r\n", data.len()).into_bytes();
-                chunk.extend_from_slice(&data);
-                chunk.extend_from_slice(b"\r\n");
-                chunk
-            }
+            Ok(Some(data)) => chunk(&data),
             Ok(None) => return writer.send(LAST_CHUNK).await.is_ok(),
             Err(error) => {
                 slog::info!(node.log, "forward: response broke off"; "error" => %error);
                 return false;
             }
         };
-        if writer.send(chunk).await.is_err() {
+        if writer.send(bytes).await.is_err() {
             return false;
         }
     }
--- a/crates/tamarackdock_gateway/src/hedge.rs
+++ b/crates/tamarackdock_gateway/src/hedge.rs
@@ -191,11 +191,8 @@
     };
     let sent = path::send(node, target, &request, choice, call.origin.reuse()).await;
     is_forwarded.set(sent.is_forwarded);
-    let link = match sent.result {
+    let link = match sent.checked(node).await {
         Ok(link) => link,
-        Err(ExchangeError::ConnectionLost) if sent.was_used => {
-            return Attempt::Unknown(path::broken(node).await);
-        }
         Err(ExchangeError::NotSent) => return Attempt::NotRun(None),
         Err(ExchangeError::NoPath) => return Attempt::NoPath,
         Err(error) => return Attempt::Unknown(error),
--- a/crates/tamarackdock_gateway/src/http/body.rs
+++ b/crates/tamarackdock_gateway/src/http/body.rs
@@ -8,6 +8,17 @@
 /// Longest trailer section, in bytes.
 const MAX_TRAILERS: usize = 8 * 1024;
 
+/// The end of a body that consists of chunks.
+pub(crate) const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// Encodes a chunk of a body. Empty data would end the body.
+pub(crate) fn chunk(data: &[u8]) -> Vec<u8> {
+    let mut chunk = format!("{:x}\r\n", data.len()).into_bytes();
+    chunk.extend_from_slice(data);
+    chunk.extend_from_slice(b"\r\n");
+    chunk
+}
+
 /// How a receiver finds the end of a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
--- a/crates/tamarackdock_gateway/src/http/exchange.rs
+++ b/crates/tamarackdock_gateway/src/http/exchange.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Body, Budget, Connection, Headers, ResponseHead, head};
+use super::{Body, Connection, Headers, ResponseHead, head};
 use crate::wire_format::OutgoingRequest;
 
 /// Largest response head, in bytes. Targets send far smaller ones.
@@ -195,40 +195,25 @@
     /// Returns the [`ExchangeError`], which is [`ExchangeError::TooLarge`] if the body
     /// has more than `limit` bytes.
     pub async fn collect(
-        self,
-        limit: usize,
-    ) -> Result<(Response, Option<Connection>), ExchangeError> {
-        self.collect_within(limit, &Budget::new(limit)).await
-    }
-
-    /// Reads the body to its end, as [`Self::collect`] does, while the budget that it shares
-    /// with other responses lasts.
-    ///
-    /// # Errors
-    ///
-    /// Returns the [`ExchangeError`], which is [`ExchangeError::TooLarge`] if the body has more
-    /// than `limit` bytes or the budget is used up.
-    pub async fn collect_within(
         mut self,
         limit: usize,
-        budget: &Budget,
     ) -> Result<(Response, Option<Connection>), ExchangeError> {
         let mut body = Vec::new();
-        let mut reservation = budget.reservation();
         while let Some(data) = self.next().await? {
-            if body.len() + data.len() > limit || !reservation.grow(data.len()) {
+            if body.len() + data.len() > limit {
                 return Err(ExchangeError::TooLarge);
             }
             body.extend_from_slice(&data);
         }
-        let head = self.head.clone();
-        Ok((Response { head, body: body.into() }, self.into_connection()))
+        let (head, connection) = self.into_parts();
+        Ok((Response { head, body: body.into() }, connection))
     }
 
-    /// Returns the connection if it can carry another request.
+    /// Returns the head of the response, and the connection if it can carry another request.
     #[must_use]
-    pub fn into_connection(self) -> Option<Connection> {
+    pub fn into_parts(self) -> (ResponseHead, Option<Connection>) {
         let in_sync = self.body.is_done() && self.connection.reader.buffer.is_empty();
-        (in_sync && self.sent_completely && self.head.keep_alive).then_some(self.connection)
+        let is_reusable = in_sync && self.sent_completely && self.head.keep_alive;
+        (self.head, is_reusable.then_some(self.connection))
     }
 }
--- a/crates/tamarackdock_gateway/src/http/mod.rs
+++ b/crates/tamarackdock_gateway/src/http/mod.rs
@@ -8,6 +8,7 @@
 mod head;
 
 pub use body::{Body, Framing, FramingError};
+pub(crate) use body::{LAST_CHUNK, chunk};
 pub use budget::{Budget, Reservation};
 pub use connection::Connection;
 pub(crate) use connection::{Reader, Writer};
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod balance;
 mod call;
 mod continuation;
+mod counter;
 mod crash;
 mod dispatch;
 mod dump;
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -23,6 +23,7 @@
     batch::{self, index::JobIndex},
     clock::{StoreClock, unix_millis},
     continuation::Beginnings,
+    counter::Counter,
     crash::{self, SuspectRequests},
     deployment::Name,
     duty::{self, lease::DutyLease, usage::UsageCounter, weight_loads::LoadOrders},
@@ -91,7 +92,7 @@
     pub(crate) peer_pool: Pool,
     pub(crate) paths: PathState,
     /// Requests of other nodes that this node forwards.
-    pub(crate) forwarding: Cell<usize>,
+    pub(crate) forwarding: Counter,
     pub(crate) beginnings: RefCell<Beginnings>,
     pub(crate) target_loads: RefCell<TargetLoads>,
     pub(crate) limits: RefCell<TargetLimits>,
@@ -112,9 +113,9 @@
     /// Bytes of responses of targets that are being received.
     pub(crate) response_budget: Budget,
     /// Open connections of all listeners.
-    pub(crate) connections: Cell<usize>,
+    pub(crate) connections: Counter,
     /// Calls of callers in progress.
-    pub(crate) calls: Cell<usize>,
+    pub(crate) calls: Counter,
     leaving: Cell<bool>,
     closing: Cell<bool>,
     stop: Notify,
@@ -166,7 +167,7 @@
             pool: Pool::default(),
             peer_pool: Pool::default(),
             paths: PathState::default(),
-            forwarding: Cell::new(0),
+            forwarding: Counter::default(),
             data_centre: settings.data_centre.clone(),
             wire_format,
             store: relay.clone(),
@@ -188,8 +189,8 @@
             output,
             request_budget: Budget::new(memory / REQUEST_BUDGET_DIVISOR),
             response_budget: Budget::new(memory / RESPONSE_BUDGET_DIVISOR),
-            connections: Cell::new(0),
-            calls: Cell::new(0),
+            connections: Counter::default(),
+            calls: Counter::default(),
             leaving: Cell::new(false),
             closing: Cell::new(false),
             stop: Notify::default(),
--- a/crates/tamarackdock_gateway/src/path/check.rs
+++ b/crates/tamarackdock_gateway/src/path/check.rs
@@ -1,4 +1,4 @@
-//! Checks of the paths: connections to some targets, opened at the same time.
+//! Checks of the paths, by connections to some targets, and attempts to get lost paths back.
 
 use std::{rc::Rc, time::Duration};
 
--- a/crates/tamarackdock_gateway/src/path/link.rs
+++ b/crates/tamarackdock_gateway/src/path/link.rs
@@ -16,7 +16,7 @@
 use crate::{
     call::timeout_at,
     deployment::Name,
-    forward::{self, Purpose},
+    forward,
     http::{Connection, Exchange, ExchangeError, Headers, Response, ResponseHead},
     node::Node,
     pool::Reuse,
@@ -70,29 +70,41 @@
 /// A request that was sent to a target, whose response is read incrementally.
 pub(crate) struct Link {
     exchange: Exchange,
-    target: Registration,
-    /// Host of the node that forwards the request.
-    forwarder: Option<Name>,
+    /// Whose requests the connection can carry.
+    kept_for: Endpoint,
     can_repeat: bool,
 }
 
+/// The other end of a connection.
+enum Endpoint {
+    /// A target, by its id.
+    Target(Name),
+    /// A node that forwards requests, by its host.
+    Node(Name),
+}
+
 /// The result of sending a request to a target.
 pub(crate) struct Sent {
     pub(crate) result: Result<Link, ExchangeError>,
     /// Whether another node was asked to forward it.
     pub(crate) is_forwarded: bool,
-    /// Whether a connection was used that had been idle, so that the target may have closed it
-    /// without notice. If that broke and the request can be repeated, the paths were not checked.
-    pub(crate) was_used: bool,
+    /// Whether an idle connection broke, which the target may have closed without notice. The
+    /// paths were not checked: a request that can be repeated may just be sent again.
+    pub(crate) is_stale: bool,
 }
 
 impl Sent {
     fn forwarded(result: Result<Link, ExchangeError>) -> Self {
-        Self { result, is_forwarded: true, was_used: false }
+        Self { result, is_forwarded: true, is_stale: false }
+    }
+
+    fn directly(result: Result<Link, ExchangeError>) -> Self {
+        Self { result, is_forwarded: false, is_stale: false }
     }
 
-    fn directly(result: Result<Link, ExchangeError>, was_used: bool) -> Self {
-        Self { result, is_forwarded: false, was_used }
+    /// Returns the result, after a check of the paths if an idle connection broke.
+    pub(crate) async fn checked(self, node: &Rc<Node>) -> Result<Link, ExchangeError> {
+        if self.is_stale { Err(broken(node).await) } else { self.result }
     }
 }
 
@@ -106,14 +118,12 @@
     reuse: Reuse,
 ) -> Sent {
     let route = node.paths.route(&target.id);
-    let purpose = match (route, choice) {
-        (Route::Forwarded, _) | (Route::Direct, Choice::Detour) => Some(Purpose::Path),
-        (Route::Direct, Choice::Shared) => Some(Purpose::Sharing),
-        (Route::Direct, Choice::Own) => None,
-    };
-    let forwarded = match purpose {
-        Some(purpose) => forward::send(node, target, request, purpose).await,
-        None => Err(ExchangeError::NoPath),
+    let forwarded = match (route, choice) {
+        (Route::Forwarded, _) | (Route::Direct, Choice::Detour) => {
+            forward::send(node, target, request).await
+        }
+        (Route::Direct, Choice::Shared) => forward::send_shared(node, target, request).await,
+        (Route::Direct, Choice::Own) => Err(ExchangeError::NoPath),
     };
     match forwarded {
         Err(ExchangeError::NoPath) if route == Route::Direct => {}
@@ -121,9 +131,7 @@
     }
     let sent = send_directly(node, target, request, reuse).await;
     match sent.result {
-        Err(ExchangeError::NoPath) => {
-            Sent::forwarded(forward::send(node, target, request, Purpose::Path).await)
-        }
+        Err(ExchangeError::NoPath) => Sent::forwarded(forward::send(node, target, request).await),
         _ => sent,
     }
 }
@@ -139,47 +147,35 @@
     let reuse = (request.can_repeat || node.paths.are_proven()).then_some(reuse);
     let (connection, was_used) = match connect(node, target, reuse).await {
         Ok(connected) => connected,
-        Err(error) => return Sent::directly(Err(error), false),
+        Err(error) => return Sent::directly(Err(error)),
     };
     let now = BootClock.now();
     // The process may have been paused while the connection was opened.
     if now > request.send_by {
-        return Sent::directly(Err(ExchangeError::NotSent), false);
+        return Sent::directly(Err(ExchangeError::NotSent));
     }
     let headers = (request.headers)(now);
     let sent = Exchange::begin(connection, request.method, request.path, &headers, request.body);
-    node.paths.waiting.set(node.paths.waiting.get() + 1);
-    let waiting = Waiting(node.clone());
+    let waiting = node.paths.waiting.begin();
     let ended = wait(node, request.give_up_at, request.can_repeat, sent).await;
     drop(waiting);
-    let sent = match ended {
+    match ended {
         Wait::Done(Ok(exchange)) => {
             node.paths.responded(&target.id);
-            Ok(Link {
-                exchange,
-                target: target.clone(),
-                forwarder: None,
-                can_repeat: request.can_repeat,
-            })
+            let kept_for = Endpoint::Target(target.id.clone());
+            Sent::directly(Ok(Link { exchange, kept_for, can_repeat: request.can_repeat }))
         }
-        // The target may have closed the idle connection without notice.
-        Wait::Done(Err(error)) if was_used && request.can_repeat => Err(error),
-        ended => Err(failure(node, ended).await),
-    };
-    Sent::directly(sent, was_used)
-}
-
-/// Counts a request as waiting for its response until it is dropped.
-struct Waiting(Rc<Node>);
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        self.0.paths.waiting.set(self.0.paths.waiting.get() - 1);
+        Wait::Done(Err(error @ ExchangeError::ConnectionLost))
+            if was_used && request.can_repeat =>
+        {
+            Sent { is_stale: true, ..Sent::directly(Err(error)) }
+        }
+        ended => Sent::directly(Err(failure(node, ended).await)),
     }
 }
 
 /// Returns the reason why a direct connection broke, after a check of the paths.
-pub(crate) async fn broken(node: &Rc<Node>) -> ExchangeError {
+async fn broken(node: &Rc<Node>) -> ExchangeError {
     let at = BootClock.now();
     let is_lost = check::is_lost_after(node, Doubt::Broken { at }).await;
     if is_lost { ExchangeError::PathLost } else { ExchangeError::ConnectionLost }
@@ -242,8 +238,8 @@
 
 impl Link {
     /// Creates the link of a request that another node forwards.
-    pub(crate) fn forwarded(exchange: Exchange, target: &Registration, forwarder: Name) -> Self {
-        Self { exchange, target: target.clone(), forwarder: Some(forwarder), can_repeat: true }
+    pub(crate) fn forwarded(exchange: Exchange, host: Name) -> Self {
+        Self { exchange, kept_for: Endpoint::Node(host), can_repeat: true }
     }
 
     /// Returns the status and header fields of the response.
@@ -251,18 +247,13 @@
         self.exchange.head()
     }
 
-    /// Returns whether another node forwards the request.
-    pub(crate) fn is_forwarded(&self) -> bool {
-        self.forwarder.is_some()
-    }
-
     /// Returns the next part of the body, or `None` at its end.
     pub(crate) async fn next(
         &mut self,
         node: &Rc<Node>,
         due: Instant,
     ) -> Result<Option<Bytes>, ExchangeError> {
-        if self.is_forwarded() {
+        if matches!(self.kept_for, Endpoint::Node(_)) {
             let next = timeout_at(due, self.exchange.next()).await;
             return match next.unwrap_or(Err(ExchangeError::TimedOut)) {
                 Err(ExchangeError::ConnectionLost) => Err(ExchangeError::ForwardingLost),
@@ -299,11 +290,11 @@
 
     /// Keeps the connection for later requests, if it can carry one.
     pub(crate) fn keep(self, node: &Node) {
-        let headers = self.exchange.head().headers.clone();
-        let Some(connection) = self.exchange.into_connection() else { return };
-        match &self.forwarder {
-            Some(host) => node.peer_pool.put(host, connection, &headers),
-            None => node.pool.put(&self.target.id, connection, &headers),
+        let (head, connection) = self.exchange.into_parts();
+        let Some(connection) = connection else { return };
+        match &self.kept_for {
+            Endpoint::Target(id) => node.pool.put(id, connection, &head.headers),
+            Endpoint::Node(host) => node.peer_pool.put(host, connection, &head.headers),
         }
     }
 }
--- a/crates/tamarackdock_gateway/src/path/mod.rs
+++ b/crates/tamarackdock_gateway/src/path/mod.rs
@@ -19,9 +19,9 @@
 
 pub(crate) use self::{
     check::doubt,
-    link::{Choice, Link, Permission, Request, broken, connect, send, send_directly},
+    link::{Choice, Link, Permission, Request, connect, send, send_directly},
 };
-use crate::{deployment::Name, node::Node, notify::Notify};
+use crate::{counter::Counter, deployment::Name, node::Node, notify::Notify};
 
 /// What this node knows of its paths, and of the nodes that forward its requests.
 #[derive(Debug, Default)]
@@ -31,7 +31,7 @@
     /// Whether a task tries the paths at intervals.
     probing: Cell<bool>,
     /// Requests over this node's own paths that wait for the head of their response.
-    waiting: Cell<usize>,
+    waiting: Counter,
     /// Notified when the paths are lost or come back, and at the end of each check.
     changed: Notify,
 }
@@ -50,7 +50,7 @@
     /// Returns whether requests over this node's own paths wait, and nothing has come from any
     /// target since a time.
     pub(crate) fn are_silent_since(&self, since: Instant) -> bool {
-        self.waiting.get() > 0 && !self.paths.borrow().has_contact_since(since)
+        self.waiting.count() > 0 && !self.paths.borrow().has_contact_since(since)
     }
 
     /// Returns whether an open connection may carry a request that can't be sent again.
--- a/crates/tamarackdock_gateway/src/peer.rs
+++ b/crates/tamarackdock_gateway/src/peer.rs
@@ -24,7 +24,7 @@
 /// Path of all peer requests.
 pub(crate) const PATH: &str = "/peer";
 /// Time limit for connecting to a peer.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time limit for a response, in addition to the wait that the request asks for.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(350);
 /// Largest response: a page of results.
--- a/crates/tamarackdock_gateway/src/server.rs
+++ b/crates/tamarackdock_gateway/src/server.rs
@@ -80,9 +80,8 @@
                 Ok((stream, _)) => {
                     let node = node.clone();
                     monoio::spawn(async move {
-                        node.connections.set(node.connections.get() + 1);
+                        let _open = node.connections.begin();
                         serve(&node, Connection::new(stream), kind).await;
-                        node.connections.set(node.connections.get() - 1);
                     });
                 }
                 Err(error) => {
--- a/crates/tamarackdock_gateway/src/stop.rs
+++ b/crates/tamarackdock_gateway/src/stop.rs
@@ -81,7 +81,7 @@
 async fn stop(node: &Rc<Node>) {
     let began = BootClock.now();
     let limit = node.settings().bounds.stop.mul_f64(STOP_SHARE);
-    slog::info!(node.log, "node: planned stop started"; "calls" => node.calls.get(),
+    slog::info!(node.log, "node: planned stop started"; "calls" => node.calls.count(),
         "jobs" => node.jobs.open_jobs().len());
     node.leave();
     node.duties.release(RELEASE_TIMEOUT).await;
@@ -97,13 +97,13 @@
     }
     sleep(LEAVE_TIME.saturating_sub(BootClock.now().since(began))).await;
     node.close();
-    while node.calls.get() > 0 && BootClock.now().since(began) < limit {
+    while node.calls.count() > 0 && BootClock.now().since(began) < limit {
         sleep(DRAIN_INTERVAL).await;
     }
     if let Err(error) = duty::usage::flush(node).await {
         node.store_failed("usage", &error);
     }
-    slog::info!(node.log, "node: stopped"; "calls" => node.calls.get(),
+    slog::info!(node.log, "node: stopped"; "calls" => node.calls.count(),
         "ms" => BootClock.now().since(began).as_millis());
     node.output.flush_now();
 }
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -10,7 +10,7 @@
     deployment::{CallKind, Name},
     event::EventParser,
     hedge::{MAX_WITHHELD, PERMIT_WAIT_SHARE},
-    http::{ExchangeError, Writer, response_head},
+    http::{ExchangeError, LAST_CHUNK, Writer, chunk, response_head},
     limit::permits,
     node::Node,
     path::{self, Choice, Request},
@@ -23,7 +23,6 @@
 const MAX_ERROR: usize = 256 * 1024;
 /// `Retry-After` of a stream that can't go on because no node knows which software began it.
 const RETRY_UNKNOWN: Duration = Duration::from_secs(1);
-const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
 /// The part of a stream that the caller has received.
 #[derive(Debug)]
@@ -163,13 +162,10 @@
         can_repeat: call.route.kind == CallKind::Stream { resumable: true },
     };
     let sent = path::send(node, target, &request, Choice::Own, Reuse::Newest).await;
-    let mut link = match sent.result {
+    let mut link = match sent.checked(node).await {
         Ok(link) => link,
         Err(ExchangeError::NotSent) => return Ended::NoStream(Attempt::NotRun(None)),
         Err(ExchangeError::NoPath) => return Ended::NoStream(Attempt::NoPath),
-        Err(ExchangeError::ConnectionLost) if sent.was_used => {
-            return Ended::Broken(path::broken(node).await);
-        }
         Err(error) => return Ended::Broken(error),
     };
     node.observe_answer(target, link.head(), &call.id, sent_at);
@@ -216,10 +212,7 @@
             if !std::mem::replace(&mut progress.has_events, true) {
                 continuation::announce(node, progress.stream, &target.software());
             }
-            let mut chunk = format!("{:x}\r\n", event.raw.len()).into_bytes();
-            chunk.extend_from_slice(&event.raw);
-            chunk.extend_from_slice(b"\r\n");
-            if writer.send(chunk).await.is_err() {
+            if writer.send(chunk(&event.raw)).await.is_err() {
                 return Ended::CallerGone;
             }
             progress.last_event = event.id.or(progress.last_event);
