--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,9 @@
-"""A request on a streaming route that crashes each engine that begins to run it."""
+"""A planned stop while requests of some seconds are in progress."""
 
 import os
+import signal
 import sys
+import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -11,67 +13,84 @@
     Closed, Cluster, Engine, attempt_id, finish, is_troubled, open_connection, request_bytes,
     run_case, seal)
 
-ENGINES = 4
-DOWN_S = 2.5
-RETRIES = 22
-PAUSE_S = 1.2
+GRACE_S = 8.0
+# The engine's part of graceS in which the pages permit to cut it off.
+LAST_SIXTH_S = GRACE_S * 5 / 6
+# When the engines answer, in seconds after the SIGTERM: inside graceS, before its last sixth.
+ANSWERS_AT_S = [6.50, 6.55, 6.58, 6.60, 6.62]
+REQUEST_LEAD_S = 1.0
 CONTACT_S = 3.0
-MAX_RETRIES = 3
-CRASHING = b"crashing prompt"
 
 
 def main(record):
-    crashes = []
-    reached = []
+    begun = set()
 
     def work(engine, peer, first, fields, body):
-        identity = fields["x-attempt-id"]
-        if body == CRASHING:
-            reached.append((record.now(), identity))
-            record.add(f"engine {engine.name} begins {identity} ({first})")
-        if body == CRASHING and is_troubled():
-            crashes.append(record.now())
-            record.add(f"engine {engine.name} crashes, crash {len(crashes)} of this request")
-            engine.crash(DOWN_S)
-            raise Closed
-        fields = seal(fields) + [("Content-Type", "text/event-stream"),
-                                 ("Transfer-Encoding", "chunked")]
-        lines = ["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in fields]
-        peer.send("\r\n".join(lines).encode() + b"\r\n\r\n")
-        for number in range(1, 6):
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
-            peer.send(b"%x\r\n%s\r\n" % (len(event), event))
-            time.sleep(0.02)
-        peer.send(b"0\r\n\r\n")
+        identity, seconds = fields["x-attempt-id"], float(body)
+        began = record.now()
+        record.add(f"engine {engine.name} begins {identity} ({first}), takes {seconds:.2f} s")
+        begun.add(identity)
+        until = began + seconds
+        while record.now() < until:
+            if peer.is_closed():
+                record.add(f"engine {engine.name}: connection of {identity} closed, work dropped")
+                raise Closed
+            time.sleep(0.005)
+        peer.answer(200, seal(fields), b"done")
+        record.add(f"engine {engine.name} has answered {identity}")
 
     with Cluster() as cluster:
-        route = {"timeoutMs": 5000, "targetLatencyMs": 500, "attempts": 1, "resumable": False}
-        cluster.configure([("/chat/", "streaming", "writer", route)], [{"name": "writer"}])
-        for number in range(ENGINES):
-            zone = cluster.zones[number % len(cluster.zones)]
+        long = {"timeoutMs": 20000, "targetLatencyMs": 15000}
+        cluster.configure([("/draft/", "non_idempotent", "writer", long)], [{"name": "writer"}])
+        for number, zone in enumerate(cluster.zones):
             Engine(cluster.store, f"i-{number}", "writer", zone, work)
         cluster.start()
+        node = cluster.gateways[0]
         time.sleep(CONTACT_S)
-        for number in range(RETRIES):
-            node = cluster.gateways[number % len(cluster.gateways)]
+        outcomes = {}
+
+        def client(answer_at):
             identity = attempt_id()
+            peer = open_connection(node.callers)
+            peer.connection.settimeout(30)
+            body = f"{REQUEST_LEAD_S + answer_at:.3f}".encode()
+            peer.send(request_bytes("POST", "/draft/1", identity, 20000, body))
+            sent = record.now()
+            record.add(f"client sends {identity} to {node.name}")
             try:
-                peer = open_connection(node.callers)
-                peer.connection.settimeout(6)
-                peer.send(request_bytes("POST", "/chat/7", identity, 5000, CRASHING))
-                record.add(f"client sends {identity} to {node.name}")
                 head, fields = peer.head()
-                answer = f"{head} {peer.body(fields)[:80]!r}"
-                peer.connection.close()
+                answer = peer.body(fields)
+                outcomes[identity] = (sent, record.now(), f"{head} {answer!r}")
             except (Closed, OSError) as error:
-                answer = repr(error)
-            record.add(f"client: {identity} ends with {answer}")
-            time.sleep(PAUSE_S)
-        late = 0
-        if len(crashes) >= 3:
-            late = sum(at > crashes[2] + CONTACT_S for at, _ in reached)
-        return finish(record, late > MAX_RETRIES, f"{len(crashes)} crashes; {late} retries reached "
-                      f"engines later than contactMs after the third one, {MAX_RETRIES} may")
+                outcomes[identity] = (sent, record.now(), None)
+                record.add(f"client: connection of {identity} ends without an answer ({error!r})")
+                return
+            record.add(f"client gets the answer to {identity}: {outcomes[identity][2]}")
+
+        clients = [threading.Thread(target=client, args=(at,)) for at in ANSWERS_AT_S]
+        for thread in clients:
+            thread.start()
+        time.sleep(REQUEST_LEAD_S)
+        stopped = record.now()
+        if is_troubled():
+            node.signal(signal.SIGTERM)
+            record.add(f"SIGTERM to {node.name}")
+        for thread in clients:
+            thread.join(30)
+        if is_troubled():
+            node.process.wait(GRACE_S)
+            record.add(f"{node.name} has ended with {node.process.returncode}, "
+                       f"{record.now() - stopped:.2f} s after the SIGTERM")
+        lost = 0
+        for identity, (_, ended, answer) in outcomes.items():
+            # Passed on to an engine that did not break it off, cut before the last sixth of
+            # graceS began.
+            if answer is None and identity in begun and ended - stopped < LAST_SIXTH_S:
+                lost += 1
+            elif answer is not None and not answer.startswith("HTTP/1.1 200"):
+                record.add(f"{identity} was answered with {answer}")
+        return finish(record, lost > 0, f"{lost} of {len(ANSWERS_AT_S)} requests were cut without "
+                      f"an answer before the last sixth of graceS ({LAST_SIXTH_S:.2f} s)")
 
 
 run_case(main, FOLDER)
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -147,6 +147,24 @@
     return listener
 
 
+# What the steady clock of a store shows that has run for a day.
+STORE_UPTIME_MS = 24 * 3600 * 1000
+
+
+class Door:
+    """An address of the store for one machine, which the store can turn away."""
+
+    def __init__(self, store):
+        self.store = store
+        self.is_turned_away = False
+        self.address = serve(self.handle).getsockname()
+
+    def handle(self, peer, first, fields, body):
+        if self.is_turned_away:
+            return peer.answer(503, [("Content-Type", "application/json")], b"{}")
+        return self.store.handle(peer, first, fields, body)
+
+
 class Store:
     """The platform's metadata store."""
 
@@ -193,7 +211,7 @@
             "/-/rows-get": lambda: self.get(query),
             "/-/rows-feed": lambda: self.feed(query),
         }.get(path, lambda: (404, {}))()
-        answer["serverTimeMs"] = int((time.monotonic() - self.began) * 1000)
+        answer["serverTimeMs"] = STORE_UPTIME_MS + int((time.monotonic() - self.began) * 1000)
         peer.answer(status, [("Content-Type", "application/json")], json.dumps(answer).encode())
 
     def transact(self, call):
@@ -239,6 +257,9 @@
         self.work, self.slots, self.models = work, slots, models
         self.born = int(time.time() * 1000)
         self.down = False
+        self.cold_until = 0.0
+        # Set after each write of the entry.
+        self.written = threading.Event()
         self.connections = set()
         self.listener = serve(self.handle, connections=self.connections)
         self.address = self.listener.getsockname()
@@ -248,7 +269,8 @@
     def register(self):
         self.store.put("servers", self.name, {
             "service": self.service, "address": "%s:%d" % self.address, "zone": self.zone,
-            "version": "v1", "slots": self.slots, "state": "ready", "coldLeftMs": 0,
+            "version": "v1", "slots": self.slots, "state": "ready",
+            "coldLeftMs": max(0, int((self.cold_until - time.monotonic()) * 1000)),
             "sequence": 1, "born": self.born,
             "models": [{"name": name, "version": 1, "adapters": []} for name in self.models],
         })
@@ -258,6 +280,7 @@
             time.sleep(1.2)
             if not self.down:
                 self.register()
+                self.written.set()
 
     def crash(self, down_s):
         """Ends the engine at once. It is back under its id and address after some seconds."""
@@ -311,7 +334,7 @@
 class Gateway:
     """A process of the program, started as the deploy file says."""
 
-    def __init__(self, directory, number, zone, store, seeds, memory_mb=130):
+    def __init__(self, directory, number, zone, store, memory_mb=130):
         self.name = f"edge-{zone}-{number}"
         self.directory = directory
         pid = os.getpid()
@@ -319,11 +342,12 @@
         self.callers, self.health, self.peers, self.metrics = (
             f"{self.ip}:{port}" for port in free_ports(self.ip, 4))
         self.settings = os.path.join(directory, f"{self.name}.json")
+        self.door = Door(store)
         self.process = None
         self.starts = 0
         self.fields = {
-            "host": self.name, "data_centre": zone, "store": "%s:%d" % store.address,
-            "seeds": seeds, "orders": None,
+            "host": self.name, "data_centre": zone, "store": "%s:%d" % self.door.address,
+            "orders": None,
             "listen": {"callers": self.callers, "health": self.health, "peers": self.peers,
                        "metrics": self.metrics},
             "bounds": {"strict_keys": True, "withdrawn_key_ms": 5000, "stop_s": 8,
@@ -375,7 +399,7 @@
         else:
             shutil.rmtree(self.directory, ignore_errors=True)
 
-    def configure(self, routes, services, keys=(KEY,)):
+    def configure(self, routes, services, accounts=((ACCOUNT, KEY),)):
         """Writes the next configuration. A route is given by its prefix, kind, service and
         further fields."""
         self.version += 1
@@ -389,17 +413,15 @@
             "version": self.version, "routes": entries, "services": services,
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4000000,
                        "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-            "tenants": [{"name": ACCOUNT, "apiKeys": list(keys)}],
+            "tenants": [{"name": name, "apiKeys": [key]} for name, key in accounts],
         })
 
     def start(self, count=3):
-        seeds = []
         for number in range(count):
             zone = self.zones[number % len(self.zones)]
-            gateway = Gateway(self.directory, number, zone, self.store, seeds[:3])
-            seeds.append(gateway.peers)
-            self.gateways.append(gateway)
+            self.gateways.append(Gateway(self.directory, number, zone, self.store))
         for gateway in self.gateways:
+            gateway.fields["seeds"] = [other.peers for other in self.gateways[:3]]
             gateway.start()
         until = time.monotonic() + 10
         for gateway in self.gateways:
@@ -429,14 +451,50 @@
         return False
 
 
-def request_bytes(method, path, identity, deadline_ms, body=b"", more=()):
+def request_bytes(method, path, identity, deadline_ms, body=b"", more=(), key=KEY):
     lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"X-Attempt-Id: {identity}",
-             f"X-Deadline-Ms: {deadline_ms}", f"Api-Key: {KEY}",
+             f"X-Deadline-Ms: {deadline_ms}", f"Api-Key: {key}",
              f"Content-Length: {len(body)}"]
     lines += [f"{name}: {value}" for name, value in more]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def call(gateway, data, within=5.0):
+    """Sends a request on a new connection. Returns status and body, or `None` and the error."""
+    try:
+        peer = open_connection(gateway.callers)
+        peer.connection.settimeout(within)
+        peer.send(data)
+        first, fields = peer.head()
+        body = peer.body(fields)
+        peer.connection.close()
+        return int(first.split(" ")[1]), body
+    except (OSError, Closed, ValueError) as error:
+        return None, repr(error).encode()
+
+
+def submission(path, items):
+    """Returns the body of a batch job with these ids of items."""
+    prompt = base64.b64encode(b"prompt").decode()
+    headers = {"X-Model": "m0", "X-Token-Counts": "16,200", "X-Prompt-Prefix": "9c2e41:16"}
+    requests = [{"id": item, "path": path + "item", "headers": headers, "body": prompt,
+                 "tokens": 216, "group": item} for item in items]
+    return json.dumps({"requests": requests}).encode()
+
+
+def send_events(peer, fields, count, pause_s):
+    """Answers an item with a stream of events, from the one that the request asks for."""
+    head = seal(fields) + [("Content-Type", "text/event-stream"), ("X-Weight-Versions", "1"),
+                           ("Transfer-Encoding", "chunked")]
+    lines = ["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in head]
+    peer.send("\r\n".join(lines).encode() + b"\r\n\r\n")
+    for number in range(int(fields.get("last-event-id", "0")) + 1, count + 1):
+        time.sleep(pause_s)
+        event = f"id: {number}\ndata: token {number}\n\n".encode()
+        peer.send(b"%x\r\n%s\r\n" % (len(event), event))
+    peer.send(b"0\r\n\r\n")
+
+
 def attempt_id():
     return f"{random.getrandbits(64):016x}"
 
