Learn the store's time from the peer that relays its answers

Cause: only direct answers of the store carry its time. A node that reads the store through a peer had none and wrote an accepted time of 0, so that the owner took the store's uptime for the age of the job. Ruled out: a wrong estimate at the owner (the logged age is the store's uptime) and a route that is gone (`route_gone` is false).

Change: such a node asks the peer for the time before it uses the first relayed answer. While the time is unknown, submissions are refused as not run. Heads of earlier releases without a time count as new, and are dated when they have ended, in place of being removed. Same class: a member's row is no longer written with a clock difference that takes the store's time for 0.

Evidence: `a_node_that_starts_without_the_store_accepts_jobs_that_run` failed before (12 of 12 items aborted) and passes.

--- a/crates/tamarackdock_gateway/src/batch/rows.rs
+++ b/crates/tamarackdock_gateway/src/batch/rows.rs
@@ -2,6 +2,8 @@
 //! part of the tables (the store's unit of transactions), so that one transaction can
 //! change them.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{call::fingerprint, deployment::Name, members::NodeRun};
@@ -33,7 +35,8 @@
     pub(crate) model: Option<Name>,
     /// Number of the trainer's step.
     pub(crate) step: u64,
-    /// Store time of the acceptance in milliseconds.
+    /// Store time of the acceptance in milliseconds. Earlier releases wrote 0 if they did not
+    /// know it, see [`Self::accepted`].
     pub(crate) accepted_ms: i64,
     /// Number of items.
     pub(crate) items: usize,
@@ -51,6 +54,20 @@
 }
 
 impl JobHead {
+    /// Returns the store time of the acceptance in milliseconds, or `None` if it is not known.
+    pub(crate) fn accepted(&self) -> Option<i64> {
+        Some(self.accepted_ms).filter(|millis| *millis > 0)
+    }
+
+    /// Returns how long ago the job was accepted, by the store's time. A job whose age is not
+    /// known counts as new, so that none of its items is given up early.
+    pub(crate) fn age(&self, store_ms: Option<i64>) -> Duration {
+        let millis = store_ms.zip(self.accepted()).map(|(now, accepted)| now - accepted);
+        millis
+            .and_then(|millis| u64::try_from(millis).ok())
+            .map_or(Duration::ZERO, Duration::from_millis)
+    }
+
     /// Returns the value of the row.
     pub(crate) fn encode(&self) -> String {
         serde_json::to_string(self).expect("a head of strings and numbers has a JSON form")
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -49,7 +49,13 @@
         return Reply::error(400, "the batch job is not valid UTF-8");
     };
     let chunks = rows::split_text(text, node.row_bytes());
-    let head = new_head(node, call, &submission, chunks.len()).await;
+    // The time of acceptance decides when items are given up and when the job is removed.
+    let Some(accepted_ms) = node.store_clock.millis(BootClock.now()) else {
+        slog::warn!(node.log, "job: refused, as the store's time is not known"; "job" => &*id);
+        let message = "this node does not know the store's time; the batch job was not accepted";
+        return Reply::not_run(message, RETRY_AFTER);
+    };
+    let head = new_head(node, call, &submission, chunks.len(), accepted_ms).await;
     // The feed may deliver the head before the store's answer to the write arrives.
     let guard = node.jobs.mark_starting(&id);
     match write_job(node, &id, &head, &chunks).await {
@@ -89,7 +95,13 @@
     }
 }
 
-async fn new_head(node: &Node, call: &Call, submission: &Submission, chunks: usize) -> JobHead {
+async fn new_head(
+    node: &Node,
+    call: &Call,
+    submission: &Submission,
+    chunks: usize,
+    accepted_ms: i64,
+) -> JobHead {
     let key = format!("{:?}/{:?}", call.account, submission.model);
     let owner = takeover::choose_owner(node, &key).await;
     JobHead {
@@ -98,7 +110,7 @@
         path: call.request.head.path().into(),
         model: submission.model.clone(),
         step: submission.step,
-        accepted_ms: node.store_clock.millis(BootClock.now()).unwrap_or_default(),
+        accepted_ms,
         items: submission.items.len(),
         chunks,
         work: submission.work(),
@@ -169,8 +181,7 @@
     guard: StartGuard,
 ) -> Rc<RefCell<Job>> {
     let now = BootClock.now();
-    let age = node.store_clock.millis(now).map_or(0, |store| store - head.accepted_ms);
-    let age = Duration::from_millis(u64::try_from(age).unwrap_or_default());
+    let age = head.age(node.store_clock.millis(now));
     let accepted = tamarackdock_types::clock::Instant::from_millis(
         now.as_millis().saturating_sub(u64::try_from(age.as_millis()).unwrap_or_default()),
     );
--- a/crates/tamarackdock_gateway/src/batch/tests/rows.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/rows.rs
@@ -1,7 +1,12 @@
 use proptest::prelude::*;
 use tamarackdock_platform::table::Row;
 
-use crate::batch::{ItemOutcome, ItemResult, commit::join_rows, rows};
+use super::head;
+use crate::batch::{
+    ItemOutcome, ItemResult,
+    commit::join_rows,
+    rows::{self, JobHead},
+};
 
 fn row(key: String, value: &str) -> Row {
     Row { key, revision: 1, value: value.into(), operation: String::new() }
@@ -68,3 +73,14 @@
         prop_assert!(pieces.iter().all(|piece| piece.len() <= row_bytes));
     }
 }
+
+/// Guards against items that are given up early because an earlier release accepted their job
+/// without knowing the store's time, or because this node does not know it.
+#[test]
+fn a_job_of_unknown_age_counts_as_new() {
+    let age = |accepted_ms, store_ms| JobHead { accepted_ms, ..head(1) }.age(store_ms).as_millis();
+    assert_eq!(age(0, Some(3_600_000)), 0);
+    assert_eq!(age(3_500_000, None), 0);
+    assert_eq!(age(3_500_000, Some(3_499_000)), 0);
+    assert_eq!(age(3_500_000, Some(3_600_000)), 100_000);
+}
--- a/crates/tamarackdock_gateway/src/clock.rs
+++ b/crates/tamarackdock_gateway/src/clock.rs
@@ -24,7 +24,7 @@
 }
 
 /// Converts milliseconds to a signed number. Real times are far below its maximum.
-pub(crate) fn signed(millis: u64) -> i64 {
+fn signed(millis: u64) -> i64 {
     i64::try_from(millis).unwrap_or(i64::MAX)
 }
 
--- a/crates/tamarackdock_gateway/src/duty/clear.rs
+++ b/crates/tamarackdock_gateway/src/duty/clear.rs
@@ -7,8 +7,11 @@
 use tamarackdock_types::clock::{BootClock, Clock};
 
 use crate::{
-    batch::{end::split_writes, rows},
-    clock::signed,
+    batch::{
+        end::{self, split_writes},
+        index::VersionedHead,
+        rows::{self, JobHead},
+    },
     deployment::Name,
     node::Node,
 };
@@ -27,17 +30,21 @@
         }
         let Some(now) = node.store_clock.millis(BootClock.now()) else { continue };
         let keep = node.settings().bounds.keep_results + MARGIN;
-        let oldest = now - signed(u64::try_from(keep.as_millis()).unwrap_or(u64::MAX));
-        let old: Vec<Name> = {
+        let ended: Vec<(Name, VersionedHead)> = {
             let heads = node.jobs.heads();
-            let old = |(_, entry): &(&Name, &crate::batch::index::VersionedHead)| {
-                entry.head.ended && entry.head.accepted_ms < oldest
-            };
-            heads.iter().filter(old).map(|(id, _)| id.clone()).collect()
+            let ended = heads.iter().filter(|(_, entry)| entry.head.ended);
+            ended.map(|(id, entry)| (id.clone(), entry.clone())).collect()
         };
-        for id in old {
-            let result = remove(&node, &id).await;
-            slog::info!(node.log, "job: removal finished"; "job" => &*id, "result" => ?result);
+        for (id, VersionedHead { head, revision }) in ended {
+            if head.accepted().is_none() {
+                // It is kept from now on, as nobody knows for how long it has been.
+                let head = JobHead { accepted_ms: now, ..head };
+                let result = end::write_head(&node, &id, &head, revision).await;
+                slog::info!(node.log, "job: dated"; "job" => &*id, "result" => ?result);
+            } else if head.age(Some(now)) > keep {
+                let result = remove(&node, &id).await;
+                slog::info!(node.log, "job: removal finished"; "job" => &*id, "result" => ?result);
+            }
         }
     }
 }
--- a/crates/tamarackdock_gateway/src/members.rs
+++ b/crates/tamarackdock_gateway/src/members.rs
@@ -37,6 +37,9 @@
 /// one they start from zero, as the other nodes may not have reached the store either.
 const MAX_READ_GAP: Duration = Duration::from_secs(2);
 
+/// Time between checks whether the store's time is known, before the first renewal.
+const CLOCK_CHECK: Duration = Duration::from_millis(10);
+
 /// One run of a node's process.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) struct NodeRun {
@@ -281,19 +284,27 @@
     }
 }
 
-/// Renews the row of this node, which announces the time until the next renewal.
+/// Returns the Unix time of this host minus the store's time, in milliseconds. While this node
+/// does not know the store's time, it repeats the median of the others: a wrong value would
+/// move their common time.
+fn own_wall_offset(node: &Node) -> Option<i64> {
+    let store = node.store_clock.millis(BootClock.now());
+    store.map(|store| clock::unix_millis() - store).or_else(|| node.members.wall_offset())
+}
+
+/// Renews the row of this node, which announces the time until the next renewal. Nothing can be
+/// announced before the store's time is known.
 pub(crate) async fn renew(
     node: &Node,
     renewal: Duration,
     limits: Vec<Notice>,
 ) -> Result<(), tamarackdock_platform::Error> {
-    let now = BootClock.now();
-    let store = node.store_clock.millis(now).unwrap_or_default();
+    let wall_offset_ms = own_wall_offset(node).ok_or(tamarackdock_platform::Error::Unreachable)?;
     let row = Row {
         number: node.members.own.number,
         peers: node.settings().listen.peers,
         data_centre: node.data_centre.clone(),
-        wall_offset_ms: clock::unix_millis() - store,
+        wall_offset_ms,
         leaving: node.is_leaving(),
         paths_lost: node.paths.are_lost(),
         renewal,
@@ -307,6 +318,9 @@
 
 /// Renews this node's row whenever it is due. Never returns.
 pub(crate) async fn run_renew(node: Rc<Node>) {
+    while own_wall_offset(&node).is_none() {
+        monoio::time::sleep(CLOCK_CHECK).await;
+    }
     let mut announced = Duration::ZERO;
     let mut renewed = BootClock.now();
     let mut failures = 0;
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -159,7 +159,13 @@
         let members = Rc::new(Members::new(own, seeds, settings.limits.store));
         let platform_tables = [wire_format.orders_table(), wire_format.targets_table()];
         let log = output.logger();
-        let relay = Rc::new(Relay::new(store, members.clone(), platform_tables, log.clone()));
+        let relay = Rc::new(Relay::new(
+            store,
+            store_clock.clone(),
+            members.clone(),
+            platform_tables,
+            log.clone(),
+        ));
         let metrics = Metrics::new()?;
         let memory_mb = usize::try_from(settings.limits.memory_mb).unwrap_or(usize::MAX);
         let memory = memory_mb.saturating_mul(1024 * 1024);
@@ -348,7 +354,7 @@
     /// Takes note of the limit that a target's answer names, if any.
     fn observe_limit(self: &Rc<Self>, target: &Registration, limit: Option<&str>, sent: Instant) {
         let at = if limit.is_some() { BootClock.now() } else { sent };
-        // Targets are known from the store, whose time is known from its first answer.
+        // Targets are known from the store or a peer that relays it, and so is the store's time.
         let at_ms = self.store_clock.millis(at).unwrap_or_default();
         let rate = limit.and_then(|limit| limit.parse::<f64>().ok());
         let observation = match limit {
--- a/crates/tamarackdock_gateway/src/peer.rs
+++ b/crates/tamarackdock_gateway/src/peer.rs
@@ -75,6 +75,8 @@
         /// Hash of the stream.
         stream: continuation::Key,
     },
+    /// Asks for the store's time.
+    StoreTime,
 }
 
 /// A response to another node.
@@ -94,6 +96,8 @@
     Permits(PermitResponse),
     /// Which software began the stream, if the node knows it.
     Beginning(Option<Software>),
+    /// The store's time in milliseconds, if the node knows it.
+    StoreTime(Option<u64>),
 }
 
 /// The reason why a peer gave no usable response.
@@ -160,6 +164,10 @@
         Ok(PeerRequest::WhoBegan { stream }) => {
             PeerResponse::Beginning(node.beginnings.borrow().get(stream, BootClock.now()))
         }
+        Ok(PeerRequest::StoreTime) => {
+            let millis = node.store_clock.millis(BootClock.now());
+            PeerResponse::StoreTime(millis.and_then(|millis| u64::try_from(millis).ok()))
+        }
         Ok(PeerRequest::Store(call)) => PeerResponse::Store(node.relay.serve(call).await),
         Err(error) => {
             slog::warn!(node.log, "peer: can't decode the request"; "error" => %error);
--- a/crates/tamarackdock_gateway/src/relay.rs
+++ b/crates/tamarackdock_gateway/src/relay.rs
@@ -23,9 +23,11 @@
     Call, Error,
     table::{Batch, Commit, FeedResponse, Row, Table, Watch},
 };
+use tamarackdock_types::clock::{BootClock, Clock};
 
 use crate::{
     batch::rows,
+    clock::StoreClock,
     crash,
     members::{self, Members},
     notify::Notify,
@@ -76,6 +78,7 @@
 /// path is down.
 pub(crate) struct Relay {
     direct: Rc<dyn Watch>,
+    clock: Rc<StoreClock>,
     members: Rc<Members>,
     log: Logger,
     /// Names of the tables that nodes watch. Feeds and snapshots of others are rejected.
@@ -95,6 +98,7 @@
 impl Relay {
     pub(crate) fn new(
         direct: Rc<dyn Watch>,
+        clock: Rc<StoreClock>,
         members: Rc<Members>,
         platform_tables: [&'static str; 2],
         log: Logger,
@@ -108,6 +112,7 @@
         ];
         Self {
             direct,
+            clock,
             members,
             log,
             tables,
@@ -238,6 +243,7 @@
             match peer::ask(address, &request, wait + RELAY_TIMEOUT).await {
                 Ok(PeerResponse::Store(Ok(answer))) => {
                     *self.preferred_peer.borrow_mut() = Some(address);
+                    self.learn_time(address).await;
                     return Ok(answer);
                 }
                 Ok(PeerResponse::Store(Err(Error::Unreachable | Error::Refused)))
@@ -251,6 +257,23 @@
         Err(Error::Unreachable)
     }
 
+    /// Asks a peer that reaches the store for the store's time, unless it is known. Only direct
+    /// responses of the store carry it, and a node that starts without a direct path gets none.
+    async fn learn_time(&self, peer: SocketAddr) {
+        if self.clock.millis(BootClock.now()).is_some() {
+            return;
+        }
+        match peer::ask(peer, &PeerRequest::StoreTime, Duration::ZERO).await {
+            Ok(PeerResponse::StoreTime(Some(millis))) => {
+                self.clock.observe(millis, BootClock.now());
+                slog::info!(self.log, "store: time learned from a peer";
+                    "peer" => %peer, "store_ms" => millis);
+            }
+            answer => slog::info!(self.log, "store: time not learned"; "peer" => %peer,
+                "error" => answer.err().map(|error| error.to_string())),
+        }
+    }
+
     /// Returns the peers to ask: the one that relayed a call last, then others from a
     /// random start.
     fn candidates(&self) -> Vec<SocketAddr> {
--- a/crates/tamarackdock_gateway/src/tests/relay.rs
+++ b/crates/tamarackdock_gateway/src/tests/relay.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    clock::StoreClock,
     members::{Members, NodeRun},
     periodic::Rates,
     relay::Relay,
@@ -67,7 +68,7 @@
     let own = NodeRun { host: "a".into(), number: 1 };
     let members = Rc::new(Members::new(own, Vec::new(), Rates::default()));
     let log = Logger::root(Discard, o!());
-    let relay = Relay::new(store.clone(), members, ["x", "y"], log);
+    let relay = Relay::new(store.clone(), Rc::new(StoreClock::default()), members, ["x", "y"], log);
     let results: Vec<_> =
         (0..12).filter_map(|_| relay.read(vec!["k".into()]).now_or_never()).collect();
     let served = results.iter().filter(|result| result.is_ok()).count();
--- a/crates/tamarackdock_node/tests/gateway/cluster.rs
+++ b/crates/tamarackdock_node/tests/gateway/cluster.rs
@@ -90,6 +90,8 @@
                 Node::start(program, &cluster.directory, &name, store, KEY_WITHDRAWAL_BOUND)
             })
             .collect();
+        let seeds: Vec<SocketAddr> = cluster.nodes.iter().map(|node| node.peers).collect();
+        cluster.nodes.iter_mut().for_each(|node| node.set_seeds(&seeds));
         cluster.wait_until_served();
         cluster
     }
@@ -121,7 +123,8 @@
         self.nodes.iter().map(|node| node.callers).collect()
     }
 
-    fn wait_until_served(&self) {
+    /// Waits until all nodes serve calls.
+    pub(crate) fn wait_until_served(&self) {
         let mut client = Client::new(KEY, CLIENT_TIMEOUT);
         let until = Instant::now() + Duration::from_secs(10);
         for (index, address) in self.addresses().into_iter().enumerate() {
--- a/crates/tamarackdock_node/tests/gateway/single_faults.rs
+++ b/crates/tamarackdock_node/tests/gateway/single_faults.rs
@@ -199,6 +199,26 @@
     assert_none(&violations);
 }
 
+/// Guards against the items of a job being aborted at once, because the node that accepted it
+/// started without a path of its own to the store and did not know the store's time.
+#[test]
+fn a_node_that_starts_without_the_store_accepts_jobs_that_run() {
+    let mut cluster = Cluster::start("start-relayed", 3, 0);
+    cluster.nodes[0].kill();
+    cluster.proxies[0].set(ProxyMode::Closed);
+    cluster.nodes[0].restart();
+    cluster.wait_until_served();
+    let violations = Violations::default();
+    let mut trainer = trainer(&cluster, &violations);
+    trainer.nodes.truncate(1);
+    let mut step = trainer.submit(0, 12);
+    trainer.nodes = cluster.addresses();
+    trainer.finish(&mut step);
+    trainer.end(&step);
+    trainer.read_again(&step);
+    assert_none(&violations);
+}
+
 /// Guards against a withdrawn key that keeps working on nodes that can't learn of
 /// the withdrawal, since they have lost the store.
 #[test]
