Wait for calls until shortly before the process is killed

Calls may be cut in the last sixth of the 8 s until the kill, from 6.67 s on.

Cause: the stop waited for 0.8 of that time, a share that was not derived from the rule. Ruled out: limits of the calls (20 s), and the hand-over of jobs (there were none).

Change: the stop waits until 0.5 s before the kill, which leaves time for the last usage counts and log lines. Same class: connections without a request are closed 2.6 s after the signal, also if the hand-over of jobs takes longer, since calls that arrive 3 s after it must not be cut at all.

Evidence: `a_planned_stop_waits_for_long_calls` failed before (3 of 4 calls cut) and passes.

--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -392,6 +392,11 @@
         self.stop.notify_all();
     }
 
+    /// Returns whether connections that wait for a request are closed.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
     /// Closes connections that wait for a request, now and later.
     pub(crate) fn close(&self) {
         self.closing.set(true);
@@ -406,7 +411,7 @@
         }
         loop {
             let seen = self.stop.count();
-            if self.closing.get() {
+            if self.is_closing() {
                 return;
             }
             self.stop.changed_since(seen).await;
--- a/crates/tamarackdock_gateway/src/stop.rs
+++ b/crates/tamarackdock_gateway/src/stop.rs
@@ -1,5 +1,5 @@
-//! Handles operating system signals, reloads changed settings, and performs the
-//! planned stop.
+//! Handles operating system signals, reloads changed settings, and performs the planned stop.
+//! See "Planned stops" in `docs/platform-system.md`.
 
 use std::{
     rc::Rc,
@@ -10,8 +10,9 @@
     time::{Duration, SystemTime},
 };
 
-use monoio::time::sleep;
+use monoio::time::{sleep, timeout};
 use signal_hook::consts::{SIGHUP, SIGTERM};
+use tamarackdock_platform::Error;
 use tamarackdock_types::clock::{BootClock, Clock};
 
 use crate::{batch, duty, limit::permits, members, node::Node, periodic, settings::Settings};
@@ -23,9 +24,14 @@
 /// Time until the balancer has seen two failed health checks, which it sends once
 /// a second. New connections arrive until then.
 const LEAVE_TIME: Duration = Duration::from_millis(2600);
-/// Share of the time until the process is killed after which a planned stop no longer
-/// waits for open calls. Both times run from the start of the stop.
-const STOP_SHARE: f64 = 0.8;
+/// Time before the kill at which a planned stop no longer waits for open calls: the last usage
+/// counts and log lines are written then.
+const EXIT_TIME: Duration = Duration::from_millis(500);
+/// Largest part of the time until the kill that [`EXIT_TIME`] may take. Calls that targets
+/// answer in the first five sixths of that time must not be cut.
+const EXIT_DIVISOR: u32 = 10;
+/// Time in which the last usage counts are written.
+const LAST_FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Share of the remaining time that the hand-over of batch jobs may take.
 const HAND_OVER_SHARE: f64 = 0.7;
 /// Longest time to release the lease.
@@ -78,12 +84,27 @@
     }
 }
 
+/// Returns for how long a planned stop waits for open calls, if the process is killed `kill_after`
+/// the signal. The signal can be noticed late by [`SIGNAL_INTERVAL`].
+pub(crate) fn waiting_time(kill_after: Duration) -> Duration {
+    let exit_time = EXIT_TIME.min(kill_after / EXIT_DIVISOR);
+    kill_after.saturating_sub(exit_time + SIGNAL_INTERVAL)
+}
+
+/// Closes connections without a request once the balancer sends no more callers, however long
+/// the hand-over of jobs takes.
+async fn close_idle(node: Rc<Node>) {
+    sleep(LEAVE_TIME).await;
+    node.close();
+}
+
 async fn stop(node: &Rc<Node>) {
     let began = BootClock.now();
-    let limit = node.settings().bounds.stop.mul_f64(STOP_SHARE);
+    let limit = waiting_time(node.settings().bounds.stop);
     slog::info!(node.log, "node: planned stop started"; "calls" => node.calls.count(),
         "jobs" => node.jobs.open_jobs().len());
     node.leave();
+    monoio::spawn(close_idle(node.clone()));
     node.duties.release(RELEASE_TIMEOUT).await;
     if let Err(error) =
         members::renew(node, periodic::RENEWALS.shortest, permits::own_notices(node)).await
@@ -95,13 +116,13 @@
     if let Err(error) = duty::usage::flush(node).await {
         node.store_failed("usage", &error);
     }
-    sleep(LEAVE_TIME.saturating_sub(BootClock.now().since(began))).await;
-    node.close();
-    while node.calls.count() > 0 && BootClock.now().since(began) < limit {
+    while (node.calls.count() > 0 || !node.is_closing()) && BootClock.now().since(began) < limit {
         sleep(DRAIN_INTERVAL).await;
     }
-    if let Err(error) = duty::usage::flush(node).await {
-        node.store_failed("usage", &error);
+    match timeout(LAST_FLUSH_TIMEOUT, duty::usage::flush(node)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => node.store_failed("usage", &error),
+        Err(_) => node.store_failed("usage", &Error::Unknown),
     }
     slog::info!(node.log, "node: stopped"; "calls" => node.calls.count(),
         "ms" => BootClock.now().since(began).as_millis());
--- a/crates/tamarackdock_gateway/src/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/tests/mod.rs
@@ -12,6 +12,7 @@
 mod members;
 mod periodic;
 mod relay;
+mod stop;
 mod target;
 
 use std::time::Duration;
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -14,3 +14,5 @@
 mod soak;
 #[path = "gateway/software.rs"]
 mod software;
+#[path = "gateway/stop.rs"]
+mod stop;
