Count a call until its response is written

What callers saw: a planned stop ended the process while the end of a large answer was in its memory.

Cause: the guard by which a stop waits for calls was dropped when the handler returned, before the response was written. Streams are written inside the handler. Ruled out: buffers of the system that are dropped (answers of 4 MB arrived whole), and a limit of time of the write (there is none).

Change: `server::serve` holds the guard until the response is written, also for requests that another node has received.

Evidence: `a_planned_stop_waits_until_answers_are_written` failed before (12,091,305 of 14,000,000 bytes) and passes.

--- a/crates/tamarackdock_gateway/src/dispatch.rs
+++ b/crates/tamarackdock_gateway/src/dispatch.rs
@@ -31,12 +31,7 @@
         writer: &mut Writer,
     ) -> Outcome {
         match (listener, request.head.path()) {
-            (ListenerKind::Callers, _) => {
-                let guard = self.calls.begin();
-                let outcome = self.handle_caller(request, writer).await;
-                drop(guard);
-                outcome
-            }
+            (ListenerKind::Callers, _) => self.handle_caller(request, writer).await,
             (ListenerKind::Health, _) => Outcome::Reply(self.health()),
             (ListenerKind::Peers, forward::PATH) => forward::serve(self, &request, writer).await,
             (ListenerKind::Peers, peer::PATH) => Outcome::Reply(peer::handle(self, &request).await),
--- a/crates/tamarackdock_gateway/src/forward/serve.rs
+++ b/crates/tamarackdock_gateway/src/forward/serve.rs
@@ -32,8 +32,6 @@
     request: &server::Request,
     writer: &mut Writer,
 ) -> server::Outcome {
-    // A planned stop waits for the end of the request.
-    let _call = node.calls.begin();
     let mut forwarded: ForwardedRequest = match rmp_serde::from_slice(&request.body) {
         Ok(forwarded) => forwarded,
         Err(error) => {
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -114,7 +114,7 @@
     pub(crate) response_budget: Budget,
     /// Open connections of all listeners.
     pub(crate) connections: Counter,
-    /// Calls of callers in progress.
+    /// Calls of callers in progress, until their responses are written.
     pub(crate) calls: Counter,
     leaving: Cell<bool>,
     closing: Cell<bool>,
--- a/crates/tamarackdock_gateway/src/server.rs
+++ b/crates/tamarackdock_gateway/src/server.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     deployment::Limits,
+    forward,
     http::{Body, Connection, HeadError, Reader, RequestHead, Reservation, Writer, response_head},
     node::{Node, StartError},
     reply::Reply,
@@ -42,6 +43,18 @@
     Metrics,
 }
 
+impl ListenerKind {
+    /// Returns whether a request for a path is a call of a client, also one that another node has
+    /// received.
+    fn carries_calls(self, path: &str) -> bool {
+        match self {
+            Self::Callers => true,
+            Self::Peers => path == forward::PATH,
+            Self::Health | Self::Metrics => false,
+        }
+    }
+}
+
 /// A request that was received completely.
 pub(crate) struct Request {
     pub(crate) head: RequestHead,
@@ -113,6 +126,8 @@
             }
         };
         let keep_alive = request.head.keep_alive;
+        // A planned stop waits until the response is written.
+        let call = kind.carries_calls(request.head.path()).then(|| node.calls.begin());
         let outcome = {
             let handling = node.handle(kind, request, writer);
             let closed = wait_for_close(reader);
@@ -130,6 +145,7 @@
             }
             Outcome::Streamed { complete } => complete && !close,
         };
+        drop(call);
         if !open {
             return;
         }
--- a/crates/tamarackdock_node/tests/gateway/stop.rs
+++ b/crates/tamarackdock_node/tests/gateway/stop.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::{Client, LONG_CALLS};
+use platform_standin::{Client, LARGE_ANSWERS, LONG_CALLS};
 
 use crate::cluster::{Cluster, KEY};
 
@@ -40,3 +40,21 @@
     assert!(cluster.nodes[0].wait(STOP_TIME).unwrap(), "the stop was not orderly");
     assert!(stopped.elapsed() < STOP_TIME, "the process would have been killed");
 }
+
+/// Guards against a planned stop that ends the process while the end of an answer is still in its
+/// memory: on a slow link, the buffers of the system hold a part only.
+#[test]
+fn a_planned_stop_waits_until_answers_are_written() {
+    const ANSWER_BYTES: usize = 14_000_000;
+    const LINK_BYTES_PER_S: f64 = 3_000_000.0;
+    let mut cluster = Cluster::start("stop-long-answers", 2, 0);
+    let node = cluster.addresses()[0];
+    let caller = thread::spawn(move || {
+        let path = format!("{LARGE_ANSWERS}{ANSWER_BYTES}");
+        Client::new(KEY, DEADLINE).read_slowly(node, &path, "large", LINK_BYTES_PER_S)
+    });
+    thread::sleep(Duration::from_millis(200));
+    cluster.nodes[0].terminate();
+    assert_eq!(caller.join().unwrap().unwrap(), ANSWER_BYTES);
+    assert!(cluster.nodes[0].wait(STOP_TIME).unwrap(), "the stop was not orderly");
+}
