Record the crashes of streams as those of calls

Each crash takes other requests with it.

Cause: `stream` had its own copy of what to do when a run breaks, and did not record a crash.

Change: `crash::observe` serves calls and streams. A run that breaks after its first event counts only if its target no longer accepts a connection, since sound streams break often.

Evidence: `a_stream_that_crashes_targets_is_refused_by_all_nodes` and `a_stream_whose_targets_are_gone_is_refused` failed before and pass.

--- a/crates/tamarackdock_gateway/src/crash.rs
+++ b/crates/tamarackdock_gateway/src/crash.rs
@@ -19,9 +19,12 @@
 
 use crate::{
     call::{Call, fingerprint},
+    http::{Connection, ExchangeError},
     members,
     node::Node,
+    origin::Origin,
     periodic,
+    target::Registration,
 };
 
 /// Table of the observed crashes.
@@ -33,6 +36,8 @@
 const MIN_CRASHES: usize = 3;
 /// How long a request is refused after its last crash.
 const REFUSE_FOR: Duration = Duration::from_secs(45);
+/// Time within which a target that still runs accepts a connection.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
 /// Attempts to add a crash to its row while other nodes write it.
 const MAX_ATTEMPTS: usize = 4;
 
@@ -92,10 +97,45 @@
     format!("{:016x}", fingerprint(&bytes))
 }
 
+/// How a run of a request came to its break.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Break {
+    /// Nothing of the response came.
+    AtOnce,
+    /// Some of its events came.
+    AfterEvents,
+}
+
+/// Takes note of a call whose run at a target ended with an error. A lost connection counts as a
+/// crash of the target. Long streams often lose their connections to targets that go on, so that
+/// one that has begun counts only if the target can no longer be reached.
+pub(crate) fn observe(
+    node: &Rc<Node>,
+    call: &Call,
+    target: &Registration,
+    error: ExchangeError,
+    ended: Break,
+) {
+    // Scoring calls have a growing pause of their own.
+    if error != ExchangeError::ConnectionLost || call.origin != Origin::Caller {
+        return;
+    }
+    let request = request_fingerprint(call);
+    // A target that restarts under the same id counts as a different one.
+    let run = format!("{}#{}", target.id, target.started.unwrap_or_default());
+    let (node, address) = (node.clone(), target.address);
+    monoio::spawn(async move {
+        if ended == Break::AfterEvents && Connection::open(address, CONFIRM_TIMEOUT).await.is_ok() {
+            return;
+        }
+        record(&node, request, run).await;
+    });
+}
+
 /// Records that a request crashed a run of a target, for all nodes.
-pub(crate) async fn record(node: Rc<Node>, request: String, target: String) {
+async fn record(node: &Node, request: String, target: String) {
     for _ in 0..MAX_ATTEMPTS {
-        match try_record(&node, &request, &target).await {
+        match try_record(node, &request, &target).await {
             Ok(crashes) => {
                 slog::info!(node.log, "crash: recorded"; "request" => request,
                     "target" => &target, "crashes" => crashes);
--- a/crates/tamarackdock_gateway/src/hedge.rs
+++ b/crates/tamarackdock_gateway/src/hedge.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     call::{Attempt, Call, classify_answer, final_reply},
-    crash,
+    crash::{self, Break},
     deployment::Name,
     http::ExchangeError,
     limit::permits,
@@ -143,13 +143,7 @@
         Attempt::NotRun(_) => node.target_loads.borrow_mut().mark_full(&target.id, now),
         Attempt::Unknown(error) if error.blames_target() && *error != ExchangeError::TimedOut => {
             node.target_loads.borrow_mut().mark_suspect(&target.id, now);
-            // Scoring calls have a growing pause of their own.
-            if *error == ExchangeError::ConnectionLost && call.origin == Origin::Caller {
-                let request = crash::request_fingerprint(call);
-                // A target that restarts under the same id counts as a different one.
-                let run = format!("{}#{}", target.id, target.started.unwrap_or_default());
-                monoio::spawn(crash::record(node.clone(), request, run));
-            }
+            crash::observe(node, call, &target, *error, Break::AtOnce);
         }
         Attempt::Answered(_) | Attempt::NoPath | Attempt::Withheld(_) | Attempt::Unknown(_) => {}
     }
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -7,6 +7,7 @@
 use crate::{
     call::{Attempt, Call, classify_answer, end_to_end_headers, final_reply},
     continuation::{self, Place},
+    crash::{self, Break},
     deployment::{CallKind, Name},
     event::EventParser,
     hedge::{MAX_WITHHELD, PERMIT_WAIT_SHARE},
@@ -30,12 +31,19 @@
     stream: continuation::Key,
     /// Whether the head of the response was sent.
     began: bool,
-    /// Whether an event was sent.
-    has_events: bool,
+    /// Number of events that were sent.
+    events: u64,
     /// Id of the last event that was sent, in this response or an earlier one.
     last_event: Option<u64>,
 }
 
+impl Progress {
+    /// Returns how a run came to its break before which `events` events had been sent.
+    fn break_since(&self, events: u64) -> Break {
+        if self.events > events { Break::AfterEvents } else { Break::AtOnce }
+    }
+}
+
 /// The result of streaming from one target.
 enum Ended {
     /// The stream was forwarded to its end.
@@ -62,12 +70,8 @@
             return Outcome::Reply(Reply::not_run(message, RETRY_UNKNOWN));
         }
     }
-    let mut progress = Progress {
-        stream: place.stream,
-        began: false,
-        has_events: false,
-        last_event: place.last_event,
-    };
+    let mut progress =
+        Progress { stream: place.stream, began: false, events: 0, last_event: place.last_event };
     let mut tried: Vec<Name> = Vec::new();
     let mut last = Attempt::NotRun(None);
     let mut may_have_run = false;
@@ -80,10 +84,11 @@
         let Some(target) = call.choose_of(node, software.as_ref(), &tried) else { break };
         tried.push(target.id.clone());
         let began = BootClock.now();
+        let events_before = progress.events;
         let guard = node.start_request(&target.id, began);
         let ended = run(node, call, &target, &mut progress, writer).await;
         drop(guard);
-        if progress.has_events && software.is_none() {
+        if progress.events > 0 && software.is_none() {
             software = Some(target.software());
         }
         if !matches!(
@@ -113,6 +118,7 @@
                 if error.blames_target() {
                     node.target_loads.borrow_mut().mark_suspect(&target.id, BootClock.now());
                 }
+                crash::observe(node, call, &target, error, progress.break_since(events_before));
                 slog::info!(node.log, "stream: broken"; "id" => &call.id,
                     "target" => &*target.id, "software" => &*target.software_version,
                     "last_event" => progress.last_event, "error" => %error);
@@ -209,9 +215,10 @@
                     return Ended::Broken(ExchangeError::Malformed);
                 }
             };
-            if !std::mem::replace(&mut progress.has_events, true) {
+            if progress.events == 0 {
                 continuation::announce(node, progress.stream, &target.software());
             }
+            progress.events += 1;
             if writer.send(chunk(&event.raw)).await.is_err() {
                 return Ended::CallerGone;
             }
--- a/crates/tamarackdock_node/tests/gateway/single_faults.rs
+++ b/crates/tamarackdock_node/tests/gateway/single_faults.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::{Client, Engine, LATE_COPY_PATH, Outcome, ProxyMode, expected_stream};
+use platform_standin::{
+    BREAKING_STREAM, CRASHING_STREAM, Client, Engine, LATE_COPY_PATH, Outcome, ProxyMode,
+    SLOW_STREAM, expected_stream,
+};
 
 use crate::cluster::{
     Cluster, KEY, KEY_WITHDRAWAL_BOUND, OLD_KEY, StopFlag, Trainer, Violations, call_until,
@@ -110,6 +113,69 @@
     assert_eq!(client.call(nodes[0], "/app/other", "other").status(), 200);
 }
 
+/// Guards against the same with a stream: each of its attempts crashes a target, for as long as
+/// its caller repeats it.
+#[test]
+fn a_stream_that_crashes_targets_is_refused_by_all_nodes() {
+    let cluster = Cluster::start("crash-stream", 2, 0);
+    let mut client = Client::new(KEY, Duration::from_secs(1));
+    let nodes = cluster.addresses();
+    let crash = |client: &mut Client, call: usize| {
+        let id = format!("crash-{call}");
+        client.stream(nodes[call % 2], CRASHING_STREAM, &id, None).status
+    };
+    let first: Vec<u16> = (0..2).map(|call| crash(&mut client, call)).collect();
+    thread::sleep(Duration::from_secs(3));
+    let before = cluster.runs().values().sum::<usize>();
+    let later: Vec<u16> = (2..6).map(|call| crash(&mut client, call)).collect();
+    assert_eq!((first, later), (vec![502, 502], vec![503; 4]));
+    assert_eq!(cluster.runs().values().sum::<usize>(), before, "the request ran again");
+    assert_eq!(client.call(nodes[0], "/app/other", "other").status(), 200);
+}
+
+/// Guards against streams that crash their targets after their first events, and against sound
+/// streams being refused because their connections broke.
+#[test]
+fn a_stream_whose_targets_are_gone_is_refused() {
+    let cluster = Cluster::start_gated("crash-late", 2, 0);
+    let client = || Client::new(KEY, Duration::from_secs(2));
+    let nodes = cluster.addresses();
+    let broken = client().stream(nodes[0], BREAKING_STREAM, "sound", None);
+    assert_eq!(broken.status, 200);
+    let engines = cluster.engines.len();
+    for round in 0..3 {
+        let id = format!("late-{round}");
+        let caller = {
+            let (mut client, node, id) = (client(), nodes[round % 2], id.clone());
+            thread::spawn(move || client.stream(node, SLOW_STREAM, &id, None))
+        };
+        // The first events have come by then.
+        thread::sleep(Duration::from_millis(600));
+        let runs_it = |service: &&Engine| service.runs().iter().any(|run| run.id == id);
+        let mut crashed = Vec::new();
+        while let Some(index) = cluster
+            .services
+            .iter()
+            .position(|service| runs_it(&service) && !crashed.contains(&service.id))
+        {
+            crashed.push(cluster.services[index].id.clone());
+            cluster.cut_target(engines + index, ProxyMode::Reset);
+            thread::sleep(Duration::from_millis(400));
+        }
+        assert!(!crashed.is_empty());
+        caller.join().unwrap();
+        for target in engines..engines + cluster.services.len() {
+            cluster.cut_target(target, ProxyMode::Open);
+        }
+        if crashed.len() >= 3 {
+            break;
+        }
+    }
+    thread::sleep(Duration::from_secs(3));
+    assert_eq!(client().stream(nodes[1], SLOW_STREAM, "late-again", None).status, 503);
+    assert_eq!(client().stream(nodes[0], BREAKING_STREAM, "sound-again", None).status, 200);
+}
+
 /// Guards against a refusal that wrongly says that a call did not run: one target
 /// started the stream and broke the connection, and the next ones refused it.
 #[test]
