Keep in the store which software began a stream

What callers saw: after all hosts were killed at once, none of 24 streams that their callers took up went on while two software versions served, though all new streams began.

Cause: the version that began a stream was kept in the memory of four nodes, and was lost with them. Ruled out: other nodes that are asked after the restart (the order is by host), and attempts that are not recognised (the same streams were found without the kill).

Change: each node writes the streams that it begins to the store, in rows of some seconds that it writes again while they grow, beside the first event. A stream that goes on for minutes is announced again each minute.

Evidence: `streams_go_on_after_the_loss_of_all_nodes` failed before (0 of 24) and passes (24 of 24).

--- a/crates/tamarackdock_gateway/src/continuation.rs
+++ b/crates/tamarackdock_gateway/src/continuation/mod.rs
@@ -1,20 +1,24 @@
 //! Which software version began each stream, so that callers can take a stream up at any node.
 //!
 //! The load that this is made for is streams of some seconds, whose callers come to another node
-//! after a node or a target has failed. A row in the store for each stream would cost a write
-//! before its first event, and streams could not begin while the store is down. So the node that
-//! serves the first event tells some other nodes, chosen by a hash of the stream, which the next
-//! node asks.
+//! after a node or a target has failed, or after all nodes have. The node that serves the first
+//! event tells some other nodes, chosen by a hash of the stream, and writes the stream to the
+//! store with others ([`ledger`]). Neither delays the event, so that streams begin while the store
+//! is down. See `docs/decisions/0009-beginnings-of-streams.md`.
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+pub(crate) mod ledger;
+mod memory;
+mod rows;
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use tamarackdock_types::clock::{BootClock, Clock, Instant};
+use tamarackdock_types::clock::{BootClock, Clock};
 
+pub(crate) use self::{
+    ledger::Ledger,
+    memory::Beginnings,
+    rows::{Stored, run_clear, run_write},
+};
 use crate::{
     batch::takeover,
     call::{Call, fingerprint, pick_service},
@@ -27,45 +31,18 @@
 /// Number of nodes that are told of a stream.
 const HOLDERS: usize = 3;
 /// Time for which a stream is remembered after it was last begun or taken up.
-const KEEP_FOR: Duration = Duration::from_mins(2);
+pub(crate) const KEEP_FOR: Duration = Duration::from_mins(2);
+/// Time after which a stream that goes on is announced again.
+pub(crate) const ANNOUNCE_INTERVAL: Duration = Duration::from_mins(1);
+/// Number of parts over which the rows are spread, by a hash of the node's run. All of them are
+/// read when a stream is looked up.
+pub(crate) const PARTS: u64 = 4;
 /// Most streams that a node remembers, about 3 MB.
 const MAX_STREAMS: usize = 20_000;
 
 /// Hash of a client account and the id of the attempt that brought a stream's first event.
 pub(crate) type Key = u64;
 
-/// The streams that this node knows of.
-#[derive(Debug, Default)]
-pub(crate) struct Beginnings {
-    software: BTreeMap<Key, (Software, Instant)>,
-    /// Streams in the order in which they were recorded. One that was recorded again is there
-    /// more than once.
-    order: VecDeque<(Key, Instant)>,
-}
-
-impl Beginnings {
-    /// Records which software began a stream. Forgets old streams, and the oldest ones beyond
-    /// [`MAX_STREAMS`].
-    pub(crate) fn record(&mut self, stream: Key, software: Software, now: Instant) {
-        self.software.insert(stream, (software, now));
-        self.order.push_back((stream, now));
-        while let Some((oldest, at)) = self.order.front().copied()
-            && (self.order.len() > MAX_STREAMS || now.since(at) >= KEEP_FOR)
-        {
-            self.order.pop_front();
-            if self.software.get(&oldest).is_some_and(|(_, recorded)| *recorded == at) {
-                self.software.remove(&oldest);
-            }
-        }
-    }
-
-    /// Returns which software began a stream, if this node knows it.
-    pub(crate) fn get(&self, stream: Key, now: Instant) -> Option<Software> {
-        let known = self.software.get(&stream).filter(|(_, at)| now.since(*at) < KEEP_FOR);
-        known.map(|(software, _)| software.clone())
-    }
-}
-
 /// A call's place in its stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Place {
@@ -87,9 +64,12 @@
     }
 }
 
-/// Remembers which software began a stream, here and at other nodes.
+/// Remembers which software began a stream: here, at other nodes and in the store.
 pub(crate) fn announce(node: &Rc<Node>, stream: Key, software: &Software) {
-    node.beginnings.borrow_mut().record(stream, software.clone(), BootClock.now());
+    let now = BootClock.now();
+    node.beginnings.borrow_mut().record(stream, software.clone(), now);
+    node.ledger.borrow_mut().add(stream, software, now);
+    node.ledger_changed.notify_all();
     for (_, address) in holders(node, stream) {
         let request = PeerRequest::Began { stream, software: software.clone() };
         let node = node.clone();
@@ -110,7 +90,10 @@
         Some(software) => (Some(software), "memory"),
         None => match ask_holders(node, place.stream).await {
             Some(software) => (Some(software), "peer"),
-            None => (only_software(node, call), "only_version"),
+            None => match node.stored_beginnings.find(node, place.stream).await {
+                Some(software) => (Some(software), "store"),
+                None => (only_software(node, call), "only_version"),
+            },
         },
     };
     slog::info!(node.log, "stream: taken up"; "id" => &call.id, "stream" => place.stream,
--- a/crates/tamarackdock_gateway/src/members.rs
+++ b/crates/tamarackdock_gateway/src/members.rs
@@ -219,6 +219,11 @@
         call.interval(self.table.borrow().count(), self.rates)
     }
 
+    /// Returns the same for a call whose rows are spread over some parts of their table.
+    pub(crate) fn interval_in_parts(&self, call: PeriodicCall, parts: usize) -> Duration {
+        call.interval(self.table.borrow().count().div_ceil(parts.max(1)), self.rates)
+    }
+
     /// Returns the pause before a feed is polled again after `failures` failed polls
     /// in a row.
     pub(crate) fn retry_pause(&self, failures: u32) -> Duration {
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -22,7 +22,7 @@
     balance::TargetLoads,
     batch::{self, index::JobIndex},
     clock::{StoreClock, unix_millis},
-    continuation::Beginnings,
+    continuation::{self, Beginnings, Ledger, Stored},
     counter::Counter,
     crash::{self, SuspectRequests},
     deployment::Name,
@@ -94,6 +94,11 @@
     /// Requests of other nodes that this node forwards.
     pub(crate) forwarding: Counter,
     pub(crate) beginnings: RefCell<Beginnings>,
+    /// Streams that this node writes to the store.
+    pub(crate) ledger: RefCell<Ledger>,
+    /// Notified when a stream is added to the ledger.
+    pub(crate) ledger_changed: Notify,
+    pub(crate) stored_beginnings: Stored,
     pub(crate) target_loads: RefCell<TargetLoads>,
     pub(crate) limits: RefCell<TargetLimits>,
     pub(crate) limiter: Limiter,
@@ -181,6 +186,9 @@
             store_clock,
             view: Rc::new(StoreView::new(Freshness::new(key_bound))),
             beginnings: RefCell::default(),
+            ledger: RefCell::default(),
+            ledger_changed: Notify::default(),
+            stored_beginnings: Stored::default(),
             target_loads: RefCell::default(),
             limits: RefCell::default(),
             limiter: Limiter::default(),
@@ -243,6 +251,8 @@
         monoio::spawn(duty::usage::run_report(self.clone()));
         monoio::spawn(duty::scale::run(self.clone()));
         monoio::spawn(duty::clear::run(self.clone()));
+        monoio::spawn(continuation::run_write(self.clone()));
+        monoio::spawn(continuation::run_clear(self.clone()));
         monoio::spawn(crash::run(self.clone(), self.suspects.clone()));
         monoio::spawn(sweep(self.clone()));
         stop::run(&self, settings_path).await;
@@ -431,6 +441,7 @@
         if let Some(store_ms) = node.store_clock.millis(BootClock.now()) {
             node.limits.borrow_mut().sweep(|id| targets.get(id).is_some(), store_ms);
         }
+        node.stored_beginnings.sweep(BootClock.now());
         node.limiter.sweep(|id| targets.get(id).is_some());
         node.metrics
             .deployment
--- a/crates/tamarackdock_gateway/src/periodic.rs
+++ b/crates/tamarackdock_gateway/src/periodic.rs
@@ -56,6 +56,8 @@
 pub(crate) const RENEWALS: PeriodicCall = part_writes(450, 50);
 /// Writes of a node's usage counts, which are in one part of the table as well.
 pub(crate) const USAGE: PeriodicCall = part_writes(700, 50);
+/// Writes of the streams that a node has begun, for one of several parts.
+pub(crate) const BEGINNINGS: PeriodicCall = part_writes(200, 50);
 /// Reads of the rows of all nodes.
 pub(crate) const MEMBERS: PeriodicCall = reads(450, 15);
 /// Polls of the targets feed. Each target writes about once a second, and the pause
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use tamarackdock_types::clock::{BootClock, Clock};
+use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
     call::{Attempt, Call, classify_answer, end_to_end_headers, final_reply},
@@ -31,6 +31,8 @@
     stream: continuation::Key,
     /// Whether the head of the response was sent.
     began: bool,
+    /// When other nodes were last told which software began the stream.
+    announced: Option<Instant>,
     /// Number of events that were sent.
     events: u64,
     /// Id of the last event that was sent, in this response or an earlier one.
@@ -70,8 +72,13 @@
             return Outcome::Reply(Reply::not_run(message, RETRY_UNKNOWN));
         }
     }
-    let mut progress =
-        Progress { stream: place.stream, began: false, events: 0, last_event: place.last_event };
+    let mut progress = Progress {
+        stream: place.stream,
+        began: false,
+        announced: None,
+        events: 0,
+        last_event: place.last_event,
+    };
     let mut tried: Vec<Name> = Vec::new();
     let mut last = Attempt::NotRun(None);
     let mut may_have_run = false;
@@ -215,8 +222,11 @@
                     return Ended::Broken(ExchangeError::Malformed);
                 }
             };
-            if progress.events == 0 {
+            let now = BootClock.now();
+            if progress.announced.is_none_or(|at| now.since(at) >= continuation::ANNOUNCE_INTERVAL)
+            {
                 continuation::announce(node, progress.stream, &target.software());
+                progress.announced = Some(now);
             }
             progress.events += 1;
             if writer.send(chunk(&event.raw)).await.is_err() {
--- a/crates/tamarackdock_gateway/src/tests/periodic.rs
+++ b/crates/tamarackdock_gateway/src/tests/periodic.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
-use crate::periodic::{
-    CRASHES, JOBS, MEMBERS, PROBES, PeriodicCall, RENEWALS, RETRIES, Rates, TARGETS, USAGE,
+use crate::{
+    continuation::PARTS,
+    periodic::{
+        BEGINNINGS, CRASHES, JOBS, MEMBERS, PROBES, PeriodicCall, RENEWALS, RETRIES, Rates,
+        TARGETS, USAGE,
+    },
 };
 
 /// Rates of stores, the smallest first.
@@ -29,6 +33,9 @@
         assert!(reads <= u128::from(rates.reads_per_s) / 2, "{nodes} nodes: {reads} reads");
         let half = u128::from(rates.part_writes_per_s) / 2;
         assert!(rate(RENEWALS) <= half && rate(USAGE) <= half, "{nodes} nodes");
+        // Each node writes to one of the parts.
+        let in_part = nodes.div_ceil(usize::try_from(PARTS).unwrap());
+        assert!(super::periodic::rate(BEGINNINGS, in_part, rates) <= half, "{nodes} nodes");
     }
 }
 
--- a/crates/tamarackdock_node/tests/gateway/cluster.rs
+++ b/crates/tamarackdock_node/tests/gateway/cluster.rs
@@ -96,6 +96,16 @@
         cluster
     }
 
+    /// Adds services of another software version, which register at once.
+    pub(crate) fn add_services(&mut self, count: usize, software: &'static str) {
+        for number in 0..count {
+            let service = Engine::start(&format!("app-{software}-{number}"), "app", "north", 0);
+            service.install(software);
+            service.keep_registered(&self.store);
+            self.services.push(service);
+        }
+    }
+
     /// Writes the next configuration, with or without the old key.
     pub(crate) fn configure(&mut self, old_key: bool) {
         self.version += 1;
--- a/crates/tamarackdock_node/tests/gateway/software.rs
+++ b/crates/tamarackdock_node/tests/gateway/software.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     thread,
     time::{Duration, Instant},
 };
@@ -138,3 +139,60 @@
     assert!(resumed >= STREAMS, "only {resumed} runs went on");
     assert_eq!(refused, 0);
 }
+
+/// Time after which what was written beside a stream's first event is in the store.
+const WRITTEN: Duration = Duration::from_millis(500);
+
+/// Begins streams at the same time, which their targets break off. Returns the last event of
+/// each, by the id of its first attempt.
+fn begin_streams(nodes: &[SocketAddr], name: &str, count: usize) -> Vec<(String, u64)> {
+    let begin = |number: usize| {
+        let (node, name) = (nodes[number % nodes.len()], format!("{name}-{number}"));
+        thread::spawn(move || {
+            let mut client = Client::new(KEY, Duration::from_secs(2));
+            // Short streams end before they are broken off for good.
+            let mut attempts = (0..100).filter_map(|attempt| {
+                let first = format!("{name}-{attempt}");
+                let received = client.stream(node, BREAKING_STREAM, &first, None);
+                let last = received.last_event().filter(|_| !received.is_complete)?;
+                Some((first, last))
+            });
+            attempts.next().expect("a stream is broken off")
+        })
+    };
+    let streams: Vec<_> = (0..count).map(begin).collect();
+    streams.into_iter().map(|stream| stream.join().unwrap()).collect()
+}
+
+/// Takes streams up, at several nodes if they refuse. Returns how many went on.
+fn take_up(nodes: &[SocketAddr], streams: &[(String, u64)]) -> usize {
+    let mut client = Client::new(KEY, Duration::from_secs(2));
+    let mut went_on = 0;
+    for (number, (first, last)) in streams.iter().enumerate() {
+        let is_taken_up = (0..4).any(|attempt| {
+            let node = nodes[(number + attempt) % nodes.len()];
+            let id = format!("{first}-again-{attempt}");
+            client.stream(node, BREAKING_STREAM, &id, Some((first, *last))).status == 200
+        });
+        went_on += usize::from(is_taken_up);
+    }
+    went_on
+}
+
+/// Guards against streams that go on at another software version, or not at all, because all
+/// nodes that knew which version began them were killed.
+#[test]
+fn streams_go_on_after_the_loss_of_all_nodes() {
+    let mut cluster = Cluster::start("software-loss", 3, 0);
+    cluster.add_services(4, "v2");
+    thread::sleep(Duration::from_secs(1));
+    let streams = begin_streams(&cluster.addresses(), "both", STREAMS);
+    thread::sleep(WRITTEN);
+    cluster.nodes.iter_mut().for_each(platform_standin::Node::kill);
+    cluster.nodes.iter_mut().for_each(platform_standin::Node::restart);
+    cluster.wait_until_served();
+    let went_on = take_up(&cluster.addresses(), &streams);
+    let (mixed, _) = mixed(cluster.services.iter());
+    assert_eq!(mixed, Vec::<String>::new());
+    assert_eq!(went_on, STREAMS);
+}
