Refuse to take up streams whose origin nobody knows

What callers saw: a host that was cut off, or stood still, while targets of a new software version joined took up streams that began there and sent them on to the old version.

Cause: if no node knew a stream, it went on where one version served. A node's list of targets is true as of the last answer of the feed, and from the node's own start on, so that it is no proof of what began a stream. Ruled out: targets under other ids (each request names its run).

Change: the rule is gone; such streams are refused as not run. They are few since streams are in the store. `versions_are_remembered_after_their_targets_are_gone` tested the memory of that rule, which is gone; `a_stream_of_unknown_origin_is_refused` is stricter, as no such stream goes on at all.

Evidence: four tests failed on the landed code and pass: `a_node_that_was_cut_off_mixes_no_versions` (mixed streams), `a_node_that_stood_still_mixes_no_versions` (8 of 24 did not go on), `streams_of_a_version_that_left_do_not_go_on_at_another` (24 of 24 mixed) and `a_stream_of_unknown_origin_is_refused`.

--- a/crates/tamarackdock_gateway/src/continuation/mod.rs
+++ b/crates/tamarackdock_gateway/src/continuation/mod.rs
@@ -4,7 +4,8 @@
 //! after a node or a target has failed, or after all nodes have. The node that serves the first
 //! event tells some other nodes, chosen by a hash of the stream, and writes the stream to the
 //! store with others ([`ledger`]). Neither delays the event, so that streams begin while the store
-//! is down. See `docs/decisions/0009-beginnings-of-streams.md`.
+//! is down. What no node and no row knows is refused: the targets that serve now say nothing of
+//! those that have left. See `docs/decisions/0009-beginnings-of-streams.md`.
 
 pub(crate) mod ledger;
 mod memory;
@@ -21,7 +22,7 @@
 };
 use crate::{
     batch::takeover,
-    call::{Call, fingerprint, pick_service},
+    call::{Call, fingerprint},
     deployment::Name,
     node::Node,
     peer::{self, PeerError, PeerRequest, PeerResponse},
@@ -82,18 +83,14 @@
     }
 }
 
-/// Returns which software began a stream, or `None` if no node knows it and targets of several
-/// versions may have done so.
+/// Returns which software began a stream, or `None` if neither a node nor the store knows it.
 pub(crate) async fn find(node: &Rc<Node>, call: &Call, place: Place) -> Option<Software> {
     let known = node.beginnings.borrow().get(place.stream, BootClock.now());
     let (software, source) = match known {
         Some(software) => (Some(software), "memory"),
         None => match ask_holders(node, place.stream).await {
             Some(software) => (Some(software), "peer"),
-            None => match node.stored_beginnings.find(node, place.stream).await {
-                Some(software) => (Some(software), "store"),
-                None => (only_software(node, call), "only_version"),
-            },
+            None => (node.stored_beginnings.find(node, place.stream).await, "store"),
         },
     };
     slog::info!(node.log, "stream: taken up"; "id" => &call.id, "stream" => place.stream,
@@ -125,17 +122,3 @@
     }
     None
 }
-
-/// Returns the software of a call's service if all targets run the same version, and did as long
-/// as this node remembers streams.
-fn only_software(node: &Node, call: &Call) -> Option<Software> {
-    let service = pick_service(&call.route, &call.id);
-    let is_split = call.route.services.len() > 1;
-    let targets = node.view.targets.borrow();
-    let versions: Vec<Name> =
-        targets.software_versions(&service, KEEP_FOR, BootClock.now()).collect();
-    match &versions[..] {
-        [version] if !is_split => Some(Software { service, version: version.clone() }),
-        _ => None,
-    }
-}
--- a/crates/tamarackdock_gateway/src/target.rs
+++ b/crates/tamarackdock_gateway/src/target.rs
@@ -98,8 +98,6 @@
     /// Targets that leave by their own answers, whatever their rows say. Kept while a row is
     /// gone, as it may come back.
     departures: BTreeMap<Name, Departure>,
-    /// When targets of each software were last registered.
-    software_seen: BTreeMap<Software, Instant>,
 }
 
 impl TargetList {
@@ -115,7 +113,6 @@
             }
             None => {}
         }
-        self.software_seen.insert(registration.software(), now);
         let cold_until = now + registration.cold_left;
         let known = self.targets.get(&registration.id);
         let presumed_cold_until =
@@ -167,7 +164,6 @@
     /// Removes targets whose grace period has ended.
     pub fn expire(&mut self, now: Instant) {
         self.targets.retain(|_, target| target.expires.is_none_or(|at| now < at));
-        self.software_seen.retain(|_, at| now.since(*at) < DEPARTURE_TTL);
     }
 
     /// Removes all targets that are not among `ids`, see [`Self::remove`].
@@ -179,19 +175,6 @@
         }
     }
 
-    /// Returns the software versions of a service of which a target was registered within a
-    /// time, in ascending order.
-    pub fn software_versions(
-        &self,
-        service: &str,
-        within: Duration,
-        now: Instant,
-    ) -> impl Iterator<Item = Name> {
-        let seen = self.software_seen.iter();
-        seen.filter(move |(software, at)| *software.service == *service && now.since(**at) < within)
-            .map(|(software, _)| software.version.clone())
-    }
-
     /// Returns a target by its id.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Target> {
--- a/crates/tamarackdock_gateway/src/tests/continuation.rs
+++ b/crates/tamarackdock_gateway/src/tests/continuation.rs
@@ -1,5 +1,3 @@
-use std::time::Duration;
-
 use super::{at, list, registration};
 use crate::{
     balance::{LimitState, NodeRank, Requirements, TargetLoads, choose},
@@ -64,24 +62,6 @@
     assert_eq!(["v1", "v2", "v3"].map(chosen), [Some("far".into()), Some("near".into()), None]);
 }
 
-/// Guards against a stream of unknown origin that is taken for one of the only version that is
-/// left, although another one served a short time ago.
-#[test]
-fn versions_are_remembered_after_their_targets_are_gone() {
-    let mut list = list([registration("old", "x")]);
-    list.remove("old", false, at(10));
-    let newer = Registration { software_version: "v2".into(), ..registration("new", "x") };
-    list.register(newer, at(60_000));
-    let versions = |now| {
-        let within = Duration::from_mins(2);
-        list.software_versions("app", within, at(now))
-            .map(|name| name.to_string())
-            .collect::<Vec<_>>()
-    };
-    assert_eq!(versions(60_000), ["v1", "v2"]);
-    assert_eq!(versions(125_000), ["v2"]);
-}
-
 fn add(ledger: &mut Ledger, streams: std::ops::Range<u64>, version: &str, now: u64) {
     streams.for_each(|stream| ledger.add(stream, &software(version), at(now)));
 }
--- a/crates/tamarackdock_node/tests/gateway/software.rs
+++ b/crates/tamarackdock_node/tests/gateway/software.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::{BREAKING_STREAM, Client, Engine, expected_stream};
+use platform_standin::{BREAKING_STREAM, Client, Engine, ProxyMode, expected_stream};
 
 use crate::cluster::{Cluster, KEY, Trainer, Violations};
 
@@ -196,3 +196,86 @@
     assert_eq!(mixed, Vec::<String>::new());
     assert_eq!(went_on, STREAMS);
 }
+
+/// Guards against the same when the version that began the streams has left meanwhile, so that
+/// the nodes find one version only.
+#[test]
+fn streams_of_a_version_that_left_do_not_go_on_at_another() {
+    let mut cluster = Cluster::start("software-left", 3, 0);
+    let streams = begin_streams(&cluster.addresses(), "left", STREAMS);
+    thread::sleep(WRITTEN);
+    cluster.nodes.iter_mut().for_each(platform_standin::Node::kill);
+    cluster.services.iter().for_each(|service| service.deregister(&cluster.store));
+    cluster.add_services(4, "v2");
+    cluster.nodes.iter_mut().for_each(platform_standin::Node::restart);
+    cluster.wait_until_served();
+    let went_on = take_up(&cluster.addresses(), &streams);
+    let (mixed, _) = mixed(cluster.services.iter());
+    assert_eq!((mixed, went_on), (Vec::new(), 0));
+    let (begun, _) = receive(&cluster, "/stream/resumed", "new");
+    assert_eq!(String::from_utf8(begun), String::from_utf8(expected_stream("new")));
+}
+
+/// Replaces the version that serves by another one while node 0 does not notice, and kills all
+/// other nodes after they have begun streams. Returns the streams.
+fn replace_version_behind(cluster: &mut Cluster) -> Vec<(String, u64)> {
+    let nodes = cluster.addresses();
+    cluster.services.iter().for_each(|service| service.deregister(&cluster.store));
+    cluster.add_services(4, "v2");
+    thread::sleep(Duration::from_millis(500));
+    let streams = begin_streams(&nodes[1..], "behind", STREAMS);
+    thread::sleep(Duration::from_millis(300));
+    cluster.nodes[1..].iter_mut().for_each(platform_standin::Node::kill);
+    streams
+}
+
+/// Takes up the same streams at node 0 at once, and again when it is in step. Checks that none
+/// holds events of two versions, and that all go on in the end.
+fn check_taken_up(cluster: &Cluster, streams: &[(String, u64)], end_fault: impl FnOnce()) {
+    let node = cluster.addresses()[0];
+    let callers: Vec<_> = streams
+        .iter()
+        .cloned()
+        .map(|stream| thread::spawn(move || take_up(&[node], &[stream])))
+        .collect();
+    // Their requests wait in the sockets of a node that stands still.
+    thread::sleep(Duration::from_millis(100));
+    end_fault();
+    for caller in callers {
+        caller.join().unwrap();
+    }
+    assert_eq!(mixed(cluster.services.iter()).0, Vec::<String>::new());
+    thread::sleep(Duration::from_secs(2));
+    assert_eq!(take_up(&[node], streams), streams.len());
+    assert_eq!(mixed(cluster.services.iter()).0, Vec::<String>::new());
+}
+
+/// Guards against a node that takes the only version that it knows for the one that began a
+/// stream, though it stood still while another one joined.
+#[test]
+fn a_node_that_stood_still_mixes_no_versions() {
+    let mut cluster = Cluster::start("software-still", 8, 0);
+    cluster.nodes[0].pause();
+    let streams = replace_version_behind(&mut cluster);
+    check_taken_up(&cluster, &streams, || cluster.nodes[0].resume());
+}
+
+/// Guards against the same at a node that was cut off from the store.
+#[test]
+fn a_node_that_was_cut_off_mixes_no_versions() {
+    let mut cluster = Cluster::start("software-cut", 8, 0);
+    cluster.proxies[0].set(ProxyMode::DropAll);
+    let streams = replace_version_behind(&mut cluster);
+    check_taken_up(&cluster, &streams, || cluster.proxies[0].set(ProxyMode::Open));
+}
+
+/// Guards against a stream of unknown origin that goes on because one version serves: it can have
+/// begun at another one that has left.
+#[test]
+fn a_stream_of_unknown_origin_is_refused() {
+    let cluster = Cluster::start("software-unknown", 2, 0);
+    let mut client = Client::new(KEY, Duration::from_secs(2));
+    let taken_up = Some(("never-begun", 3));
+    let received = client.stream(cluster.addresses()[1], BREAKING_STREAM, "unknown", taken_up);
+    assert_eq!((received.status, cluster.runs().get("unknown")), (503, None));
+}
