--- a/crates/tamarackdock_gateway/src/peer.rs
+++ b/crates/tamarackdock_gateway/src/peer.rs
@@ -29,6 +29,8 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(350);
 /// Largest response: a page of results.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+/// Largest response to a relayed call: all rows of a part.
+const MAX_RELAYED_BYTES: usize = 16 * 1024 * 1024;
 const MEDIA_TYPE: &str = "application/msgpack";
 
 /// A request to another node.
@@ -129,7 +131,11 @@
     headers.push("Content-Type", MEDIA_TYPE);
     headers.push("Connection", "close");
     let message = OutgoingRequest { method: "POST", path: PATH.into(), headers, body };
-    let sent = send_message(connection, &message, address, MAX_RESPONSE_BYTES);
+    let limit = match request {
+        PeerRequest::Store(_) => MAX_RELAYED_BYTES,
+        _ => MAX_RESPONSE_BYTES,
+    };
+    let sent = send_message(connection, &message, address, limit);
     let (response, _) = timeout(wait + RESPONSE_TIMEOUT, sent)
         .await
         .map_err(|_| PeerError::NoResponse)?
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -8,6 +8,8 @@
 mod endless;
 #[path = "gateway/limits.rs"]
 mod limits;
+#[path = "gateway/odd_entries.rs"]
+mod odd_entries;
 #[path = "gateway/single_faults.rs"]
 mod single_faults;
 #[path = "gateway/soak.rs"]
--- /dev/null
+++ b/crates/tamarackdock_node/tests/gateway/odd_entries.rs
@@ -0,0 +1,131 @@
+//! Entries among those of the targets that another writer has left and that nobody can use.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use platform_standin::{Client, ProxyMode};
+
+use crate::cluster::{Cluster, KEY};
+
+/// An entry that names a target, with marks where odd values are put.
+const ENTRY: &str = r#"{"service":SERVICE,"address":ADDRESS,"zone":"north","version":VERSION,
+    "slots":SLOTS,"state":STATE,"coldLeftMs":COLD,"sequence":SEQUENCE,"models":MODELS,"born":BORN}"#;
+/// The marks, with values as a target writes them.
+const SOUND: [(&str, &str); 9] = [
+    ("SERVICE", r#""app""#),
+    ("ADDRESS", r#""127.0.0.1:9""#),
+    ("VERSION", r#""v1""#),
+    ("SLOTS", "16"),
+    ("STATE", r#""ready""#),
+    ("COLD", "0"),
+    ("SEQUENCE", "1"),
+    ("MODELS", r#"[{"name":"m0","version":1,"adapters":[]}]"#),
+    ("BORN", "1"),
+];
+/// Bytes of the longest names.
+const LONG: usize = 60_000;
+/// Number of large entries, which together exceed the bound of an answer.
+const LARGE_ENTRIES: usize = 120;
+
+fn entry(mark: &str, value: &str) -> String {
+    let odd = ENTRY.replacen(mark, value, 1);
+    SOUND.iter().fold(odd, |text, (mark, value)| text.replacen(mark, value, 1))
+}
+
+/// Returns the contents of rows that name no target to use.
+fn odd_entries() -> Vec<Vec<u8>> {
+    let deep = |open: &str, close: &str| open.repeat(20_000) + &close.repeat(20_000);
+    let long = format!("\"{}\"", "n".repeat(LONG));
+    let entries = [
+        entry("MODELS", &deep("[", "]")),
+        entry("MODELS", &format!(r#"[{{"name":"m0","version":1,"adapters":{}}}]"#, deep("[", "]"))),
+        entry("SERVICE", &format!("{}1{}", r#"{"a":"#.repeat(20_000), "}".repeat(20_000))),
+        entry("SLOTS", "1e400"),
+        entry("SLOTS", "99999999999999999999999999"),
+        entry("SLOTS", "-1"),
+        entry("COLD", "1e308"),
+        entry("COLD", "-5"),
+        entry("COLD", "1e400"),
+        entry("BORN", "1.5"),
+        entry("BORN", "340282366920938463463374607431768211456"),
+        entry("SEQUENCE", r#""many""#),
+        entry("ADDRESS", r#""127.0.0.1:99999""#),
+        entry("ADDRESS", r#""127.0.0.1:-1""#),
+        entry("ADDRESS", r#""somewhere""#),
+        entry("ADDRESS", "7"),
+        entry("SERVICE", &long),
+        entry("VERSION", &long),
+        entry("STATE", r#""asleep""#),
+        entry("STATE", &long),
+        "[1, 2".into(),
+        "null".into(),
+        String::new(),
+    ];
+    let mut contents: Vec<Vec<u8>> = entries.into_iter().map(String::into_bytes).collect();
+    let mut no_text = entry("VERSION", r#""v?""#).into_bytes();
+    no_text.iter_mut().filter(|byte| **byte == b'?').for_each(|byte| *byte = 0xff);
+    contents.push(no_text);
+    contents
+}
+
+/// Replaces the services and waits until a node sends its calls to the new one.
+fn assert_follows(cluster: &mut Cluster, node: usize, joins: &'static str) {
+    let address = cluster.addresses()[node];
+    let before = cluster.services.len();
+    cluster.add_services(1, joins);
+    thread::sleep(Duration::from_millis(600));
+    cluster.services[..before].iter().for_each(|service| service.deregister(&cluster.store));
+    let until = Instant::now() + Duration::from_secs(5);
+    let mut client = Client::new(KEY, Duration::from_secs(1));
+    for call in 0.. {
+        let id = format!("{joins}-{call}");
+        let status = client.call(address, "/app/", &id).status();
+        let is_new = cluster.services[before].runs().iter().any(|run| run.id == id);
+        if status == 200 && is_new {
+            return;
+        }
+        assert!(Instant::now() < until, "node {node} does not follow the targets: {status}");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Guards against a node that ends, or no longer follows the targets, because one entry can't be
+/// used, and against one that can't start among such entries.
+#[test]
+fn odd_entries_of_targets_are_left_out() {
+    let mut cluster = Cluster::start("odd-entries", 2, 0);
+    for _ in 0..2 {
+        for (number, content) in odd_entries().iter().enumerate() {
+            cluster.store.put_bytes("servers", &format!("odd-{number}"), content);
+        }
+        cluster.store.put_value("servers", "odd", "*** no base64 ***");
+        thread::sleep(Duration::from_millis(300));
+    }
+    assert_follows(&mut cluster, 0, "first");
+    cluster.nodes[1].kill();
+    cluster.nodes[1].restart();
+    cluster.wait_until_served();
+    assert_follows(&mut cluster, 1, "second");
+}
+
+/// Guards against a node that no longer follows the targets because the answer with all changes
+/// is larger than it reads.
+#[test]
+fn large_entries_of_targets_do_not_stop_the_feed() {
+    let mut cluster = Cluster::start("large-entries", 2, 0);
+    cluster.nodes[0].pause();
+    let large = entry("SERVICE", &format!("\"{}\"", "n".repeat(LONG))).into_bytes();
+    for number in 0..LARGE_ENTRIES {
+        cluster.store.put_bytes("servers", &format!("large-{number}"), &large);
+    }
+    cluster.nodes[0].resume();
+    cluster.wait_until_served();
+    assert_follows(&mut cluster, 0, "first");
+    cluster.nodes[1].kill();
+    cluster.proxies[1].set(ProxyMode::Closed);
+    cluster.nodes[1].restart();
+    cluster.wait_until_served();
+    assert_follows(&mut cluster, 1, "second");
+}
