Bound what log lines and rows repeat of odd entries

What operators saw: one entry of another writer with a state of 60 KB gave a log line of 60,224 bytes at each node, again at each write of the entry.

Cause: a decoder's error repeats the value that it can't use, and ignored entries were logged each time. Class: the length of what another writer chose is taken over.

Change: lines have the first 240 characters of a decoder's error, and an ignored entry is logged once.

--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -24,6 +24,7 @@
     notify::Notify,
     peer::{self, PeerRequest},
     periodic,
+    telemetry::excerpt,
 };
 
 /// Time that the store may hold a read of the feed open until there is a change.
@@ -230,7 +231,7 @@
         }
         Some(Err(error)) => {
             slog::error!(node.log, "jobs: malformed head ignored"; "job" => &*job,
-                "error" => %error);
+                "error" => excerpt(&error));
         }
     }
     node.jobs.changed.notify_all();
--- a/crates/tamarackdock_gateway/src/forward/serve.rs
+++ b/crates/tamarackdock_gateway/src/forward/serve.rs
@@ -17,6 +17,7 @@
     pool::Reuse,
     reply::Reply,
     server,
+    telemetry::excerpt,
 };
 
 /// Path of requests to forward.
@@ -35,7 +36,7 @@
     let mut forwarded: ForwardedRequest = match rmp_serde::from_slice(&request.body) {
         Ok(forwarded) => forwarded,
         Err(error) => {
-            slog::warn!(node.log, "forward: can't decode the request"; "error" => %error);
+            slog::warn!(node.log, "forward: can't decode the request"; "error" => excerpt(&error));
             return server::Outcome::Reply(Reply::error(400, "the request can't be decoded"));
         }
     };
--- a/crates/tamarackdock_gateway/src/members.rs
+++ b/crates/tamarackdock_gateway/src/members.rs
@@ -22,6 +22,7 @@
     limit::{Notice, permits},
     node::Node,
     periodic::{self, PeriodicCall, Rates},
+    telemetry::excerpt,
 };
 
 /// Table of the members' rows.
@@ -283,7 +284,8 @@
     match serde_json::from_str(change.value.as_deref().unwrap_or_default()) {
         Ok(row) => Some(row),
         Err(error) => {
-            slog::warn!(log, "{}: row ignored", rows; "key" => &change.key, "error" => %error);
+            slog::warn!(log, "{}: row ignored", rows;
+                "key" => &change.key, "error" => excerpt(&error));
             None
         }
     }
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -234,6 +234,7 @@
             wire_format: self.wire_format.clone(),
             members: self.members.clone(),
             log: self.log.clone(),
+            ignored: RefCell::default(),
         });
         monoio::spawn(self.output.clone().run(self.metrics.log_dropped.clone()));
         monoio::spawn(watcher.clone().watch_orders());
--- a/crates/tamarackdock_gateway/src/peer.rs
+++ b/crates/tamarackdock_gateway/src/peer.rs
@@ -18,6 +18,7 @@
     reply::Reply,
     server::Request,
     target::Software,
+    telemetry::excerpt,
     wire_format::OutgoingRequest,
 };
 
@@ -176,7 +177,7 @@
         }
         Ok(PeerRequest::Store(call)) => PeerResponse::Store(node.relay.serve(call).await),
         Err(error) => {
-            slog::warn!(node.log, "peer: can't decode the request"; "error" => %error);
+            slog::warn!(node.log, "peer: can't decode the request"; "error" => excerpt(&error));
             return Reply::error(400, "the request can't be decoded");
         }
     };
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -2,6 +2,7 @@
 //! shows how to follow a request through them.
 
 use std::{
+    fmt::Display,
     io::{self, Write as _},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -97,6 +98,19 @@
     }
 }
 
+/// Most characters of an error's text in a log line.
+const EXCERPT_CHARS: usize = 240;
+
+/// Returns the beginning of an error's text. Errors of decoders repeat parts of the message that
+/// another writer has made, which can be large.
+pub(crate) fn excerpt(error: &impl Display) -> String {
+    let text = error.to_string();
+    match text.char_indices().nth(EXCERPT_CHARS) {
+        Some((end, _)) => format!("{}...", &text[..end]),
+        None => text,
+    }
+}
+
 /// Metrics of a node.
 pub(crate) struct Metrics {
     registry: Registry,
--- a/crates/tamarackdock_gateway/src/view.rs
+++ b/crates/tamarackdock_gateway/src/view.rs
@@ -19,6 +19,7 @@
     freshness::Freshness,
     members::Members,
     periodic, target,
+    telemetry::excerpt,
     wire_format::{Order, WireFormat},
 };
 
@@ -76,6 +77,8 @@
     pub(crate) wire_format: Rc<dyn WireFormat>,
     pub(crate) members: Rc<Members>,
     pub(crate) log: Logger,
+    /// Keys of entries that were ignored and logged. They are written again and again.
+    pub(crate) ignored: RefCell<BTreeSet<String>>,
 }
 
 impl Watcher {
@@ -182,7 +185,7 @@
                     Err(error) => {
                         decoded = false;
                         slog::error!(self.log, "orders: row ignored";
-                            "key" => &change.key, "error" => %error);
+                            "key" => &change.key, "error" => excerpt(&error));
                     }
                 },
             }
@@ -237,6 +240,7 @@
         if is_snapshot {
             let ids: Vec<&str> = batch.changes.iter().map(|change| change.key.as_str()).collect();
             self.view.targets.borrow_mut().retain(&ids, lenient, now);
+            self.ignored.borrow_mut().retain(|key| ids.contains(&key.as_str()));
         }
         batch.changes.iter().for_each(|change| self.apply_target(change, lenient, now));
     }
@@ -245,12 +249,14 @@
         let mut targets = self.view.targets.borrow_mut();
         match &change.value {
             None => {
+                self.ignored.borrow_mut().remove(&change.key);
                 slog::info!(self.log, "targets: entry removed";
                     "target" => &change.key, "lenient" => lenient);
                 targets.remove(&change.key, lenient, now);
             }
             Some(value) => match self.wire_format.registration(&change.key, value) {
                 Ok(registration) => {
+                    self.ignored.borrow_mut().remove(&change.key);
                     let known = targets.get(&registration.id).map(|known| &known.registration);
                     if known.is_none_or(|known| {
                         known.draining != registration.draining
@@ -268,8 +274,10 @@
                     targets.register(registration, now);
                 }
                 Err(error) => {
-                    slog::warn!(self.log, "targets: entry ignored";
-                        "target" => &change.key, "error" => %error);
+                    if self.ignored.borrow_mut().insert(change.key.clone()) {
+                        slog::warn!(self.log, "targets: entry ignored";
+                            "target" => &change.key, "error" => excerpt(&error));
+                    }
                     targets.remove(&change.key, false, now);
                 }
             },
--- a/crates/tamarackdock_node/tests/gateway/odd_entries.rs
+++ b/crates/tamarackdock_node/tests/gateway/odd_entries.rs
@@ -108,6 +108,12 @@
     cluster.nodes[1].restart();
     cluster.wait_until_served();
     assert_follows(&mut cluster, 1, "second");
+    let ignored = cluster.log_lines("targets: entry ignored");
+    let longest = ignored.iter().map(String::len).max();
+    assert!(longest < Some(1_000), "a log line has {longest:?} bytes");
+    // Each run of a node names each entry once.
+    let (lines, most) = (ignored.len(), 3 * (odd_entries().len() + 1));
+    assert!((most / 2..=most).contains(&lines), "{lines} lines");
 }
 
 /// Guards against a node that no longer follows the targets because the answer with all changes
