Seal a window of usage without rows that can't be read

What operators would see: a window that is never reported, because one row of its counts can't be decoded.

Cause: one entry decides over the others. Change: such a row is left out with a log line, and sums saturate. A row of crashes that can't be read is replaced with a log line, where none was written.

Evidence: `rows_that_cannot_be_read_are_left_out` tests the sum, which was part of a task before and returned an error for the same rows.

--- a/crates/tamarackdock_gateway/src/crash.rs
+++ b/crates/tamarackdock_gateway/src/crash.rs
@@ -25,6 +25,7 @@
     origin::Origin,
     periodic,
     target::Registration,
+    telemetry::excerpt,
 };
 
 /// Table of the observed crashes.
@@ -153,7 +154,14 @@
     let key = format!("{TABLE}@{PART}/{request}");
     let found = node.store.read(vec![key.clone()]).await?;
     let (mut row, revision) = match found.get(&key) {
-        Some(found) => (serde_json::from_str(&found.value).unwrap_or_default(), found.revision),
+        Some(found) => {
+            let row = serde_json::from_str(&found.value).unwrap_or_else(|error| {
+                slog::warn!(node.log, "crash: row replaced"; "key" => &key,
+                    "error" => excerpt(&error));
+                Row::default()
+            });
+            (row, found.revision)
+        }
         None => (Row::default(), 0),
     };
     row.targets.insert(target.to_owned());
--- a/crates/tamarackdock_gateway/src/duty/tests/usage.rs
+++ b/crates/tamarackdock_gateway/src/duty/tests/usage.rs
@@ -1,6 +1,9 @@
 use std::time::Duration;
 
-use crate::duty::usage::{UsageCounter, window_at};
+use slog::{Discard, Logger, o};
+use tamarackdock_platform::table::Row;
+
+use crate::duty::usage::{UsageCounter, add_up, window_at};
 
 const WINDOW: Duration = Duration::from_secs(5);
 
@@ -39,3 +42,23 @@
     let left: Vec<u64> = counter.unflushed().iter().map(|(number, _)| *number).collect();
     assert_eq!(left, [1]);
 }
+
+/// Guards against a window that is never reported because one row of its counts can't be read.
+#[test]
+fn rows_that_cannot_be_read_are_left_out() {
+    let row = |value: &str| Row {
+        key: "usage@u/7/a".into(),
+        revision: 1,
+        value: value.into(),
+        operation: String::new(),
+    };
+    let rows = [
+        row(r#"{"x":3,"y":1}"#),
+        row("["),
+        row(r#"{"x":-1}"#),
+        row(r#"{"x":2}"#),
+        row(&format!(r#"{{"y":{}}}"#, u64::MAX)),
+    ];
+    let totals = add_up(&rows, &Logger::root(Discard, o!()));
+    assert_eq!((totals["x"], totals["y"]), (5, u64::MAX));
+}
--- a/crates/tamarackdock_gateway/src/duty/usage.rs
+++ b/crates/tamarackdock_gateway/src/duty/usage.rs
@@ -6,9 +6,10 @@
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use monoio::time::{sleep, timeout};
+use slog::Logger;
 use tamarackdock_platform::{
     Error,
-    table::{Condition, Write},
+    table::{Condition, Row, Write},
 };
 
 use crate::{
@@ -16,6 +17,7 @@
     http::{Connection, send_message},
     node::Node,
     periodic,
+    telemetry::excerpt,
     wire_format::OutgoingRequest,
 };
 
@@ -179,15 +181,28 @@
     Ok(status == Some(200))
 }
 
-/// Adds up the counts of all nodes for a window and writes the totals.
-async fn seal_window(node: &Rc<Node>, number: u64, key: String) -> Result<Totals, Error> {
+/// Adds up the counts in the rows of all nodes. A row that can't be decoded is left out, since
+/// without it the window's other calls would never be reported.
+pub(crate) fn add_up(rows: &[Row], log: &Logger) -> Totals {
     let mut totals = Totals::new();
-    for row in node.read_prefix(counts_prefix(number)).await? {
-        let counts: Totals = serde_json::from_str(&row.value).map_err(|_| Error::Malformed)?;
-        for (account, calls) in counts {
-            *totals.entry(account).or_default() += calls;
+    for row in rows {
+        match serde_json::from_str::<Totals>(&row.value) {
+            Ok(counts) => counts.into_iter().for_each(|(account, calls)| {
+                let total = totals.entry(account).or_default();
+                *total = calls.saturating_add(*total);
+            }),
+            Err(error) => {
+                slog::error!(log, "usage: counts ignored"; "key" => &row.key,
+                    "error" => excerpt(&error));
+            }
         }
     }
+    totals
+}
+
+/// Adds up the counts of all nodes for a window and writes the totals.
+async fn seal_window(node: &Rc<Node>, number: u64, key: String) -> Result<Totals, Error> {
+    let totals = add_up(&node.read_prefix(counts_prefix(number)).await?, &node.log);
     let conditions = vec![Condition { key: key.clone(), revision: 0 }];
     let writes = vec![Write { key, value: serde_json::to_string(&totals).ok() }];
     // If the response is lost, the next check reads the totals in case they were written.
