Encode messages between nodes as maps, and test two releases together

What operators would see: after a field is added to a message, nodes of the release before refuse it (`LengthMismatch`) while hosts are replaced one after the other.

Cause: structures were encoded as sequences, whose length must match. Change: they are maps with the names of their fields, by the new module `codec`; sequences of earlier releases are read as before.

The process tests can run each second node with another program (`TAMARACKDOCK_OTHER`).

--- a/crates/tamarackdock_gateway/src/forward/ask.rs
+++ b/crates/tamarackdock_gateway/src/forward/ask.rs
@@ -9,6 +9,7 @@
 use crate::{
     batch::takeover,
     call::timeout_at,
+    codec,
     http::{Connection, Exchange, ExchangeError, Framing, Headers},
     members::NodeRun,
     node::Node,
@@ -141,7 +142,7 @@
                 .unwrap_or(u64::MAX),
             can_repeat: request.can_repeat,
         };
-        let body = rmp_serde::to_vec(&forwarded).map_err(|error| {
+        let body = codec::encode(&forwarded).map_err(|error| {
             slog::error!(node.log, "forward: can't encode the request"; "id" => request.id,
                 "error" => %error);
             declined()
--- a/crates/tamarackdock_gateway/src/forward/serve.rs
+++ b/crates/tamarackdock_gateway/src/forward/serve.rs
@@ -11,6 +11,7 @@
 };
 use crate::{
     call::end_to_end_headers,
+    codec,
     http::{ExchangeError, Framing, Headers, LAST_CHUNK, Writer, chunk, response_head},
     node::Node,
     path::{self, Link, Request},
@@ -33,7 +34,7 @@
     request: &server::Request,
     writer: &mut Writer,
 ) -> server::Outcome {
-    let mut forwarded: ForwardedRequest = match rmp_serde::from_slice(&request.body) {
+    let mut forwarded: ForwardedRequest = match codec::decode(&request.body) {
         Ok(forwarded) => forwarded,
         Err(error) => {
             slog::warn!(node.log, "forward: can't decode the request"; "error" => excerpt(&error));
--- a/crates/tamarackdock_gateway/src/peer.rs
+++ b/crates/tamarackdock_gateway/src/peer.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     batch::{self, Page, index::VersionedHead, rows::JobHead},
-    continuation,
+    codec, continuation,
     deployment::Name,
     http::{Connection, Headers, send_message},
     limit::permits::{self, PermitRequest, PermitResponse},
@@ -127,7 +127,7 @@
 ) -> Result<PeerResponse, PeerError> {
     let opened = Connection::open(address, CONNECT_TIMEOUT).await;
     let connection = opened.map_err(|_| PeerError::Unreachable)?;
-    let body = rmp_serde::to_vec(request).map_err(|_| PeerError::Malformed)?;
+    let body = codec::encode(request).map_err(|_| PeerError::Malformed)?;
     let mut headers = Headers::default();
     headers.push("Content-Type", MEDIA_TYPE);
     headers.push("Connection", "close");
@@ -142,14 +142,14 @@
         .map_err(|_| PeerError::NoResponse)?
         .map_err(|_| PeerError::NoResponse)?;
     match response.head.status {
-        200 => rmp_serde::from_slice(&response.body).map_err(|_| PeerError::Malformed),
+        200 => codec::decode(&response.body).map_err(|_| PeerError::Malformed),
         _ => Err(PeerError::Malformed),
     }
 }
 
 /// Handles a request of a peer.
 pub(crate) async fn handle(node: &Rc<Node>, request: &Request) -> Reply {
-    let decoded = rmp_serde::from_slice(&request.body);
+    let decoded = codec::decode(&request.body);
     let response = match decoded {
         Ok(PeerRequest::Results { job, after, wait_ms }) => {
             let wait_until = BootClock.now() + Duration::from_millis(wait_ms);
@@ -181,7 +181,7 @@
             return Reply::error(400, "the request can't be decoded");
         }
     };
-    match rmp_serde::to_vec(&response) {
+    match codec::encode(&response) {
         Ok(body) => Reply::new(200, MEDIA_TYPE, body),
         Err(error) => {
             slog::error!(node.log, "peer: can't encode the response"; "error" => %error);
--- a/crates/tamarackdock_gateway/src/tests/forward.rs
+++ b/crates/tamarackdock_gateway/src/tests/forward.rs
@@ -4,6 +4,7 @@
 
 use super::{deployment::deployment, registration};
 use crate::{
+    codec,
     deployment::{Deployment, Name},
     forward::{
         ForwardedRequest,
@@ -121,7 +122,7 @@
 fn the_encoding_adds_little_to_a_body() {
     let body = vec![0xff; 1024 * 1024];
     let request = ForwardedRequest { body: body.clone(), ..by_key() };
-    let encoded = rmp_serde::to_vec(&request).unwrap();
+    let encoded = codec::encode(&request).unwrap();
     assert!(encoded.len() < body.len() + FORWARDING_BYTES, "{} bytes", encoded.len());
-    assert_eq!(rmp_serde::from_slice::<ForwardedRequest>(&encoded).unwrap(), request);
+    assert_eq!(codec::decode::<ForwardedRequest>(&encoded).unwrap(), request);
 }
--- a/crates/tamarackdock_gateway/src/tests/malformed.rs
+++ b/crates/tamarackdock_gateway/src/tests/malformed.rs
@@ -8,6 +8,7 @@
 use super::at;
 use crate::{
     batch::{Page, commit, progress, rows},
+    codec,
     crash::SuspectRequests,
     event::{Event, EventParser},
     http::{Body, RequestHead, ResponseHead},
@@ -98,9 +99,9 @@
         parse_http(&bytes);
         parse_events(&bytes);
         parse_rows(&String::from_utf8_lossy(&bytes));
-        let _ = rmp_serde::from_slice::<PeerRequest>(&bytes);
-        let _ = rmp_serde::from_slice::<PeerResponse>(&bytes);
-        let _ = rmp_serde::from_slice::<Page>(&bytes);
+        let _ = codec::decode::<PeerRequest>(&bytes);
+        let _ = codec::decode::<PeerResponse>(&bytes);
+        let _ = codec::decode::<Page>(&bytes);
     }
 
     /// Guards against an event, or an error that ends the stream, that is found or not depending
--- a/crates/tamarackdock_node/tests/gateway/cluster.rs
+++ b/crates/tamarackdock_node/tests/gateway/cluster.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    fs,
+    env, fs,
     net::SocketAddr,
     path::{Path, PathBuf},
     sync::{
@@ -28,6 +28,27 @@
 pub(crate) const KEY: &str = "key-1";
 pub(crate) const OLD_KEY: &str = "key-old";
 
+/// Programs of the nodes: that of this build, and the one of another release that the variable
+/// `TAMARACKDOCK_OTHER` names, if it is set.
+#[derive(Debug, Clone)]
+pub(crate) struct Programs {
+    pub(crate) own: PathBuf,
+    pub(crate) other: PathBuf,
+}
+
+impl Programs {
+    pub(crate) fn of_environment() -> Self {
+        let own = PathBuf::from(env!("CARGO_BIN_EXE_tamarackdock"));
+        let other = env::var_os("TAMARACKDOCK_OTHER").map_or_else(|| own.clone(), PathBuf::from);
+        Self { own, other }
+    }
+
+    /// Returns the other program for each second number.
+    pub(crate) fn alternate(&self, number: usize) -> &Path {
+        if number.is_multiple_of(2) { &self.own } else { &self.other }
+    }
+}
+
 /// The processes and fakes of a small deployment.
 pub(crate) struct Cluster {
     pub(crate) store: Store,
@@ -83,10 +104,11 @@
             cluster.proxies.push(Proxy::start(store.address()));
             cluster.gates.push(own);
         }
-        let program = Path::new(env!("CARGO_BIN_EXE_tamarackdock"));
+        let programs = Programs::of_environment();
         cluster.nodes = (0..nodes)
             .map(|index| {
                 let (name, store) = (format!("edge-{index}"), cluster.proxies[index].address());
+                let program = programs.alternate(index);
                 Node::start(program, &cluster.directory, &name, store, KEY_WITHDRAWAL_BOUND)
             })
             .collect();
--- a/crates/tamarackdock_node/tests/gateway/soak.rs
+++ b/crates/tamarackdock_node/tests/gateway/soak.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     cluster::{
-        CallRecord, Cluster, KEY, KEY_WITHDRAWAL_BOUND, OLD_KEY, StopFlag, Trainer, Violations,
-        call_until,
+        CallRecord, Cluster, KEY, KEY_WITHDRAWAL_BOUND, OLD_KEY, Programs, StopFlag, Trainer,
+        Violations, call_until,
     },
     software::mixed,
 };
@@ -146,6 +146,8 @@
     // Generators of their own keep the other faults of the regression seeds.
     let mut limit_rng = ChaCha8Rng::seed_from_u64(!seed);
     let mut cut_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
+    let mut program_rng = ChaCha8Rng::seed_from_u64(!seed.rotate_left(32));
+    let programs = Programs::of_environment();
     let until = Instant::now() + time;
     let half = Instant::now() + time / 2;
     let mut withdrawn = None;
@@ -169,7 +171,11 @@
         let node = rng.random_range(0..cluster.nodes.len());
         match rng.random_range(0..13) {
             0 => cluster.nodes[node].kill(),
-            1 | 2 => cluster.nodes[node].restart(),
+            1 | 2 => {
+                let program = programs.alternate(program_rng.random_range(0..2));
+                cluster.nodes[node].set_program(program);
+                cluster.nodes[node].restart();
+            }
             3 if paused.is_none() => {
                 cluster.nodes[node].pause();
                 paused = Some(node);
@@ -227,7 +233,7 @@
 }
 
 /// Compares the runs at targets with the responses to callers.
-fn check_calls(
+pub(crate) fn check_calls(
     cluster: &Cluster,
     once: &[CallRecord],
     old: &[CallRecord],
