Refuse a request that crashes targets again for longer

Cause: the memory of crashes ended with the refusal. Change: a request that was refused is remembered for 15 min, and each further crash doubles its refusal. As connections of sound requests break as well, a request is no longer suspected as soon as a target answers it.

--- a/crates/tamarackdock_gateway/src/crash.rs
+++ b/crates/tamarackdock_gateway/src/crash.rs
@@ -35,8 +35,13 @@
 /// Number of different targets that a request must have crashed before it is
 /// refused. Connections also break by chance, but hardly three in a row.
 const MIN_CRASHES: usize = 3;
-/// How long a request is refused after its last crash.
+/// How long a request is refused after the last of [`MIN_CRASHES`]. Each further crash doubles it.
 const REFUSE_FOR: Duration = Duration::from_secs(45);
+/// Most doublings, to 12 min.
+const MAX_DOUBLINGS: usize = 4;
+/// How long a request that was refused is remembered after its last crash, unless a target answers
+/// it. Otherwise it could crash as many targets again after each refusal.
+const REMEMBER_FOR: Duration = Duration::from_mins(15);
 /// Time within which a target that still runs accepts a connection.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
 /// Attempts to add a crash to its row while other nodes write it.
@@ -78,13 +83,22 @@
 
     /// Returns how much longer a request is refused, or `None` if it is not.
     pub(crate) fn refused_for(&self, fingerprint: &str, now: Instant) -> Option<Duration> {
-        let suspect = self.0.get(fingerprint).filter(|suspect| suspect.crashes >= MIN_CRASHES)?;
-        REFUSE_FOR.checked_sub(now.since(suspect.changed))
+        let suspect = self.0.get(fingerprint)?;
+        let further = suspect.crashes.checked_sub(MIN_CRASHES)?.min(MAX_DOUBLINGS);
+        (REFUSE_FOR * (1 << further)).checked_sub(now.since(suspect.changed))
+    }
+
+    /// Forgets a request. Returns whether it was suspected.
+    fn forget(&mut self, fingerprint: &str) -> bool {
+        self.0.remove(fingerprint).is_some()
     }
 
     /// Returns the requests whose rows are no longer needed.
-    fn expired(&self, now: Instant) -> Vec<String> {
-        let expired = self.0.iter().filter(|(_, suspect)| now.since(suspect.changed) > REFUSE_FOR);
+    pub(crate) fn expired(&self, now: Instant) -> Vec<String> {
+        let expired = self.0.iter().filter(|(_, suspect)| {
+            let was_refused = suspect.crashes >= MIN_CRASHES;
+            now.since(suspect.changed) > if was_refused { REMEMBER_FOR } else { REFUSE_FOR }
+        });
         expired.map(|(fingerprint, _)| fingerprint.clone()).collect()
     }
 }
@@ -133,6 +147,26 @@
     });
 }
 
+/// Takes note of a call that a target has answered: it does not crash the targets that run it.
+pub(crate) fn acquit(node: &Rc<Node>, call: &Call) {
+    if node.suspects.borrow().0.is_empty() {
+        return;
+    }
+    let request = request_fingerprint(call);
+    if !node.suspects.borrow_mut().forget(&request) {
+        return;
+    }
+    slog::info!(node.log, "crash: request no longer suspected"; "id" => &call.id,
+        "request" => &request);
+    let node = node.clone();
+    monoio::spawn(async move {
+        let writes = vec![Write { key: format!("{TABLE}@{PART}/{request}"), value: None }];
+        if let Err(error) = node.commit(Vec::new(), writes).await {
+            node.store_failed("crash", &error);
+        }
+    });
+}
+
 /// Records that a request crashed a run of a target, for all nodes.
 async fn record(node: &Node, request: String, target: String) {
     for _ in 0..MAX_ATTEMPTS {
--- a/crates/tamarackdock_gateway/src/hedge.rs
+++ b/crates/tamarackdock_gateway/src/hedge.rs
@@ -145,6 +145,7 @@
             node.target_loads.borrow_mut().mark_suspect(&target.id, now);
             crash::observe(node, call, &target, *error, Break::AtOnce);
         }
+        Attempt::Answered(response) if response.head.status < 300 => crash::acquit(node, call),
         Attempt::Answered(_) | Attempt::NoPath | Attempt::Withheld(_) | Attempt::Unknown(_) => {}
     }
     if let (Attempt::Answered(_) | Attempt::Unknown(_), Some(account)) = (&outcome, &call.account) {
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -106,7 +106,10 @@
             node.count_usage(account, began);
         }
         match ended {
-            Ended::Complete => return Outcome::Streamed { complete: true },
+            Ended::Complete => {
+                crash::acquit(node, call);
+                return Outcome::Streamed { complete: true };
+            }
             Ended::CallerGone => return Outcome::Streamed { complete: false },
             Ended::NoStream(answer @ Attempt::NotRun(_)) => {
                 node.target_loads.borrow_mut().mark_full(&target.id, BootClock.now());
--- a/crates/tamarackdock_gateway/src/tests/crash.rs
+++ b/crates/tamarackdock_gateway/src/tests/crash.rs
@@ -38,6 +38,30 @@
     assert!(suspects.refused_for("often", at(60_000)).is_some());
 }
 
+/// Guards against a request that crashes as many targets again after each refusal.
+#[test]
+fn a_request_that_crashes_again_is_refused_for_longer() {
+    let mut suspects = SuspectRequests::default();
+    let mut targets = vec!["a", "b", "c"];
+    let mut now = 0;
+    let mut crashes = 0;
+    for next in ["d", "e", "f", "g", "h", "i"] {
+        read_rows(vec![row("often", crashes + 1, &targets)], now, &mut suspects);
+        let refused = |now| suspects.refused_for("often", at(now)).is_some();
+        // It comes again as soon as it is sent on.
+        while refused(now) {
+            now += 500;
+        }
+        assert!(!suspects.expired(at(now)).contains(&"often".to_owned()), "{now}");
+        crashes += 1;
+        targets.push(next);
+        if now > 5 * 60 * 1000 {
+            break;
+        }
+    }
+    assert!(crashes <= 3, "{crashes} crashes in {now} ms after the third one");
+}
+
 /// Guards against an invalid row of another writer that makes all rows unreadable.
 #[test]
 fn an_invalid_row_is_ignored() {
--- a/crates/tamarackdock_node/tests/gateway/single_faults.rs
+++ b/crates/tamarackdock_node/tests/gateway/single_faults.rs
@@ -133,6 +133,29 @@
     assert_eq!(client.call(nodes[0], "/app/other", "other").status(), 200);
 }
 
+/// Guards against a sound request that is refused because its connections break now and then: a
+/// target that answers it shows that it crashes none.
+#[test]
+fn a_request_that_is_answered_is_no_longer_suspected() {
+    let cluster = Cluster::start("acquitted", 1, 0);
+    let node = cluster.addresses()[0];
+    let mut client = Client::new(KEY, Duration::from_secs(1));
+    let mut call = |id: String| client.call(node, "/app/sound", &id).status();
+    // Nodes read the crashes of all nodes about once a second.
+    let until_read = Duration::from_millis(1500);
+    for crash in 0..3 {
+        // The third attempt is answered.
+        cluster.services[..2].iter().for_each(|service| service.break_next(1));
+        assert_eq!(call(format!("broken-{crash}")), 200);
+        cluster.services[..2].iter().for_each(|service| service.break_next(0));
+        thread::sleep(until_read);
+        assert_eq!(call(format!("sound-{crash}")), 200);
+        thread::sleep(until_read);
+    }
+    let crashes = cluster.log_lines("crash: recorded").len();
+    assert!(crashes >= 3, "only {crashes} crashes");
+}
+
 /// Guards against streams that crash their targets after their first events, and against sound
 /// streams being refused because their connections broke.
 #[test]
