Reject key hashes with signs in place of digits

What operators would see: a mistyped hash with `+` passes the check of a configuration, and no key ever matches it. Cause: `from_str_radix` takes a sign. Change: all characters must be hexadecimal digits. Evidence: `only_hexadecimal_digits_are_a_hash` failed before and passes.

--- a/crates/tamarackdock_types/src/key.rs
+++ b/crates/tamarackdock_types/src/key.rs
@@ -32,7 +32,9 @@
     /// Returns [`HashError`] if `text` is not 64 hexadecimal digits.
     pub fn parse(text: &str) -> Result<Self, HashError> {
         let mut bytes = [0; HASH_BYTES];
-        if text.len() != 2 * HASH_BYTES || !text.is_ascii() {
+        // `from_str_radix` takes a sign as well.
+        let is_hexadecimal = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.len() != 2 * HASH_BYTES || !is_hexadecimal {
             return Err(HashError);
         }
         for (byte, digits) in bytes.iter_mut().zip(text.as_bytes().chunks(2)) {
