Reject keys that are longer than `key hash` reads

What operators would see: `tamarackctl key hash` prints the hash of the first 4,096 bytes of a longer key, which no caller's key matches. Cause: the input was cut without a check. Change: longer keys are rejected with the message for invalid keys. Evidence: `new_keys_differ_and_hash_like_the_node` failed for 5,000 bytes before and passes.

--- a/crates/tamarackdock_node/tests/ctl.rs
+++ b/crates/tamarackdock_node/tests/ctl.rs
@@ -190,4 +190,7 @@
     assert_eq!((hashed.code, hashed.out.trim()), (0, expected.as_str()));
     assert_eq!(ctl_with("key hash", "\n").code, 2);
     assert_eq!(ctl_with("key hash", "two words\n").code, 2);
+    // A hash of its beginning would belong to another key.
+    assert_eq!(ctl_with("key hash", &format!("{}\n", "k".repeat(5_000))).code, 2);
+    assert_eq!(ctl_with("key hash", &format!("{}\n", "k".repeat(4_096))).code, 0);
 }
--- a/crates/tamarackdock_operate/src/command/key.rs
+++ b/crates/tamarackdock_operate/src/command/key.rs
@@ -6,7 +6,7 @@
 use crate::{Console, Error, Exit, arguments::Arguments, random};
 
 const KEY_BYTES: usize = 32;
-/// Longest input that is read from standard input.
+/// Longest key in bytes.
 const MAX_KEY_BYTES: u64 = 4096;
 
 /// Generates a key and prints it with its hash. The key isn't stored.
@@ -26,10 +26,12 @@
 /// are visible to other users of the host.
 pub(crate) fn hash(arguments: &Arguments, console: &mut Console<'_>) -> Result<Exit, Error> {
     let mut text = String::new();
-    let read = console.input.take(MAX_KEY_BYTES).read_to_string(&mut text);
+    // One more byte and a line break show that the key is longer.
+    let read = console.input.take(MAX_KEY_BYTES + 3).read_to_string(&mut text);
     read.map_err(|_| Error::Key)?;
     let key = text.trim();
-    if key.is_empty() || !key.chars().all(|c| c.is_ascii_graphic()) {
+    let is_long = u64::try_from(key.len()).is_ok_and(|bytes| bytes > MAX_KEY_BYTES);
+    if key.is_empty() || is_long || !key.chars().all(|c| c.is_ascii_graphic()) {
         return Err(Error::Key);
     }
     let hash = Hash::of(key.as_bytes());
