--- a/crates/tamarackdock_operate/src/error.rs
+++ b/crates/tamarackdock_operate/src/error.rs
@@ -38,7 +38,9 @@
     Hash(HashError),
     /// Standard input holds no key in the expected form.
     #[from(skip)]
-    #[display("standard input holds no key; pass one line of visible ASCII without spaces")]
+    #[display(
+        "standard input holds no key; pass one line of 1 to 4096 visible ASCII characters without spaces"
+    )]
     Key,
     /// The operating system provides no random bytes.
     #[from(skip)]
