Count writes to unknown paths of the platform as failed

What operators would see: an object or a usage report that the platform answered with 404 counted as stored. Cause: one check of the status for all calls took 404 for an answer, which it is only for a read of an object. Change: the read of an object handles 404 itself. Evidence: `what_is_written_to_an_unknown_path_is_not_stored` failed before and passes.

--- a/crates/tamarackdock_platform/src/client.rs
+++ b/crates/tamarackdock_platform/src/client.rs
@@ -64,7 +64,8 @@
         Self { address, pool }
     }
 
-    async fn call(
+    /// Sends a request and returns its response, whatever its status.
+    async fn send(
         &self,
         method: Method,
         path: &str,
@@ -78,19 +79,20 @@
             .body(body)
             .map_err(|_| Error::Malformed)?;
         let response = self.pool.call(self.address, request, TIMEOUTS).await;
-        let response = response.map_err(|error| match error.ran() {
+        response.map_err(|error| match error.ran() {
             Ran::No => Error::Unreachable,
             Ran::Unknown | Ran::Yes => Error::Unknown,
-        })?;
-        match response.status {
-            status if status.is_success() || status == StatusCode::NOT_FOUND => Ok(response),
-            StatusCode::CONFLICT => Err(conflict_error(path, &response.body)),
-            StatusCode::SERVICE_UNAVAILABLE if path.starts_with("/orders/") => {
-                Err(Error::Unavailable)
-            }
-            status if status.is_server_error() => Err(Error::Unknown),
-            _ => Err(Error::Malformed),
-        }
+        })
+    }
+
+    /// Sends a request and returns its response if the platform has carried it out.
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<BufferedResponse, Error> {
+        check_status(path, self.send(method, path, body).await?)
     }
 
     async fn post<T: Serialize, R: DeserializeOwned>(
@@ -107,6 +109,17 @@
     }
 }
 
+/// Returns a response that reports success, or the error that its status stands for.
+fn check_status(path: &str, response: BufferedResponse) -> Result<BufferedResponse, Error> {
+    match response.status {
+        status if status.is_success() => Ok(response),
+        StatusCode::CONFLICT => Err(conflict_error(path, &response.body)),
+        StatusCode::SERVICE_UNAVAILABLE if path.starts_with("/orders/") => Err(Error::Unavailable),
+        status if status.is_server_error() => Err(Error::Unknown),
+        _ => Err(Error::Malformed),
+    }
+}
+
 fn decode<R: DeserializeOwned>(response: &BufferedResponse) -> Result<R, Error> {
     serde_json::from_slice(&response.body).map_err(|_| Error::Malformed)
 }
@@ -159,8 +172,11 @@
     fn get(&self, name: String) -> Call<'_, Option<Bytes>> {
         async move {
             let path = format!("/objects/{name}");
-            let response = self.call(Method::GET, &path, Bytes::new()).await?;
-            Ok((response.status != StatusCode::NOT_FOUND).then_some(response.body))
+            let response = self.send(Method::GET, &path, Bytes::new()).await?;
+            match response.status {
+                StatusCode::NOT_FOUND => Ok(None),
+                _ => check_status(&path, response).map(|response| Some(response.body)),
+            }
         }
         .boxed_local()
     }
