Parse all forms of server-sent events of engines

What callers would see: streams of an engine that ends its lines with CRLF, names another field before the data or splits data over lines count as broken. Cause: the parser looked for `\n\n` and for `data:` at the start of an event only. Change: lines are read one by one. Evidence: `events_are_found_in_all_forms_of_the_standard` failed before and passes.

--- a/crates/tamarackdock_node/src/engine/mod.rs
+++ b/crates/tamarackdock_node/src/engine/mod.rs
@@ -5,6 +5,8 @@
 mod event;
 mod generation;
 mod sse;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use attempt::Attempt;
 use attempt::Failure;
--- a/crates/tamarackdock_node/src/engine/sse.rs
+++ b/crates/tamarackdock_node/src/engine/sse.rs
@@ -1,9 +1,7 @@
 use bytes::{Bytes, BytesMut};
 
-const PREFIX: &[u8] = b"data:";
-const EVENT_END: &[u8] = b"\n\n";
-
-/// Splits a body of server-sent events and returns the data of each event.
+/// Splits a body of server-sent events and returns the data of each event. Lines end with LF or
+/// CRLF.
 #[derive(Debug, Default)]
 pub(crate) struct Parser {
     buffer: BytesMut,
@@ -15,14 +13,32 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Returns the data of the next complete event, or `None` until more bytes arrive.
+    /// Returns the data of the next complete event, or `None` until more bytes arrive. Events
+    /// without data are skipped.
     pub(crate) fn next(&mut self) -> Option<Bytes> {
         loop {
-            let end = self.buffer.windows(EVENT_END.len()).position(|w| w == EVENT_END)?;
-            let event = self.buffer.split_to(end + EVENT_END.len()).freeze();
-            if let Some(data) = event[..end].strip_prefix(PREFIX) {
-                return Some(event.slice_ref(data.trim_ascii()));
+            let length = event_length(&self.buffer)?;
+            let event = self.buffer.split_to(length).freeze();
+            let data: Vec<&[u8]> = event
+                .split(|byte| *byte == b'\n')
+                .filter_map(|line| line.strip_prefix(b"data:"))
+                .map(<[u8]>::trim_ascii)
+                .collect();
+            match &data[..] {
+                [] => {}
+                [line] => return Some(event.slice_ref(line)),
+                lines => return Some(lines.join(&b'\n').into()),
             }
         }
     }
 }
+
+/// Returns the length of the first event, including the blank line that ends it.
+fn event_length(bytes: &[u8]) -> Option<usize> {
+    let mut line_ends = (0..bytes.len()).filter(|at| bytes[*at] == b'\n');
+    line_ends.find_map(|at| match bytes.get(at + 1..) {
+        Some([b'\n', ..]) => Some(at + 2),
+        Some([b'\r', b'\n', ..]) => Some(at + 3),
+        _ => None,
+    })
+}
