Keep hosts leaving that the platform removes

What operators would see: a host that the platform has announced to leave gets new work, as soon as a newer status of its own arrives. Cause: a merge replaced the status, with the announcement in it. Change: the announcement is kept apart and holds until the platform's list says otherwise.

--- a/crates/tamarackdock_membership/src/host_list.rs
+++ b/crates/tamarackdock_membership/src/host_list.rs
@@ -26,6 +26,7 @@
                 .entry(name)
                 .or_insert_with(|| Member::new(Entry::new(peer, leaving), now, true));
             member.listed = true;
+            member.removed = leaving;
             member.entry.status.leaving |= leaving;
         }
         self.members.retain(|_, member| {
--- a/crates/tamarackdock_membership/src/member.rs
+++ b/crates/tamarackdock_membership/src/member.rs
@@ -13,12 +13,15 @@
     pub(crate) transmissions: u32,
     /// Whether the platform lists the host.
     pub(crate) listed: bool,
+    /// Whether the platform has announced that the host leaves. The member's own status may not
+    /// say so.
+    pub(crate) removed: bool,
 }
 
 impl Member {
     pub(crate) const fn new(entry: Entry, now: Instant, listed: bool) -> Self {
         // A host from the list needs no gossip, since all nodes read the list.
         let transmissions = if listed { GOSSIP_REPEATS } else { 0 };
-        Self { entry, since: now, transmissions, listed }
+        Self { entry, since: now, transmissions, listed, removed: false }
     }
 }
--- a/crates/tamarackdock_membership/src/receive.rs
+++ b/crates/tamarackdock_membership/src/receive.rs
@@ -67,6 +67,7 @@
         }
         let changed = member.entry.status.health != health;
         member.entry.status = status;
+        member.entry.status.leaving |= member.removed;
         member.transmissions = 0;
         member.since = now;
         changed.then_some(Action::Changed { host, health })
