--- a/crates/tamarackdock_node/tests/gateway/single_faults.rs
+++ b/crates/tamarackdock_node/tests/gateway/single_faults.rs
@@ -2,6 +2,7 @@
 //! in a known order.
 
 use std::{
+    net::SocketAddr,
     thread,
     time::{Duration, Instant},
 };
@@ -94,43 +95,36 @@
     assert_eq!(outcome.status(), 202);
 }
 
-/// Guards against a request that crashes one target after the other because it is
-/// sent to different nodes: nodes share the crashes that they have seen.
-#[test]
-fn a_request_that_crashes_targets_is_refused_by_all_nodes() {
-    let cluster = Cluster::start("crash", 2, 0);
+/// Checks that a request which has crashed three targets is refused by both nodes, and runs no
+/// more. `send` sends it to a node under an id and returns the status.
+fn check_crashing(name: &str, send: impl Fn(&mut Client, SocketAddr, &str) -> u16) {
+    let cluster = Cluster::start(name, 2, 0);
     let mut client = Client::new(KEY, Duration::from_secs(1));
     let nodes = cluster.addresses();
-    let crash = |client: &mut Client, call: usize| {
-        client.call(nodes[call % 2], "/app/crash", &format!("crash-{call}")).status()
-    };
-    let first: Vec<u16> = (0..2).map(|call| crash(&mut client, call)).collect();
+    let mut crash = |call: usize| send(&mut client, nodes[call % 2], &format!("crash-{call}"));
+    let first: Vec<u16> = (0..2).map(&mut crash).collect();
     thread::sleep(Duration::from_secs(3));
     let before = cluster.runs().values().sum::<usize>();
-    let later: Vec<u16> = (2..6).map(|call| crash(&mut client, call)).collect();
+    let later: Vec<u16> = (2..6).map(&mut crash).collect();
     assert_eq!((first, later), (vec![502, 502], vec![503; 4]));
     assert_eq!(cluster.runs().values().sum::<usize>(), before, "the request ran again");
     assert_eq!(client.call(nodes[0], "/app/other", "other").status(), 200);
 }
 
+/// Guards against a request that crashes one target after the other because it is
+/// sent to different nodes: nodes share the crashes that they have seen.
+#[test]
+fn a_request_that_crashes_targets_is_refused_by_all_nodes() {
+    check_crashing("crash", |client, node, id| client.call(node, "/app/crash", id).status());
+}
+
 /// Guards against the same with a stream: each of its attempts crashes a target, for as long as
 /// its caller repeats it.
 #[test]
 fn a_stream_that_crashes_targets_is_refused_by_all_nodes() {
-    let cluster = Cluster::start("crash-stream", 2, 0);
-    let mut client = Client::new(KEY, Duration::from_secs(1));
-    let nodes = cluster.addresses();
-    let crash = |client: &mut Client, call: usize| {
-        let id = format!("crash-{call}");
-        client.stream(nodes[call % 2], CRASHING_STREAM, &id, None).status
-    };
-    let first: Vec<u16> = (0..2).map(|call| crash(&mut client, call)).collect();
-    thread::sleep(Duration::from_secs(3));
-    let before = cluster.runs().values().sum::<usize>();
-    let later: Vec<u16> = (2..6).map(|call| crash(&mut client, call)).collect();
-    assert_eq!((first, later), (vec![502, 502], vec![503; 4]));
-    assert_eq!(cluster.runs().values().sum::<usize>(), before, "the request ran again");
-    assert_eq!(client.call(nodes[0], "/app/other", "other").status(), 200);
+    check_crashing("crash-stream", |client, node, id| {
+        client.stream(node, CRASHING_STREAM, id, None).status
+    });
 }
 
 /// Guards against a sound request that is refused because its connections break now and then: a
