Add the setting that enables learned scheduling

Cause: new deployments name no rates for targets that start, while the others are to be served as before.

--- a/crates/tamarackdock_gateway/src/settings.rs
+++ b/crates/tamarackdock_gateway/src/settings.rs
@@ -30,6 +30,9 @@
     pub bounds: Bounds,
     /// Limits of the process.
     pub limits: Limits,
+    /// How work is scheduled.
+    #[serde(default)]
+    pub scheduling: Scheduling,
     /// Unknown fields, which are logged and otherwise ignored.
     #[serde(flatten)]
     pub unknown: BTreeMap<String, serde_json::Value>,
@@ -94,6 +97,16 @@
     pub store: Rates,
 }
 
+/// How work is scheduled on targets.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scheduling {
+    /// Whether the pace of targets is learned from their responses, as in deployments that name
+    /// no rates for targets that start. See `docs/design/hard-load.md`.
+    #[serde(default)]
+    pub adaptive: bool,
+}
+
 fn one_core() -> f64 {
     1.0
 }
