Give a restarted holder of the duties its lease at once

Cause: a holder that is killed and back within a second leaves the duties undone until its lease expires, 3.6 s after its last renewal. Change: with scheduling.adaptive, the address for peers is bound without SO_REUSEPORT, so that a host runs one process at most, also while that is paused. A bind that finds the address in use is repeated for 1 s, then the start fails as before. Each acquisition records epoch and address in holder/duties, in its transaction. A process that finds the lease with another run of its host, under the same epoch and its own address, is a candidate whatever its rank and takes the row as if it had expired: epoch raised, under the row's revision, with the quiet period of any successor. Lease::new takes the address; without one, reads and rows are as before. Tests: the schedules without an address count exactly what they counted before (5,555 acquisitions, 188,975 orders in 2,000 schedules). With addresses, replaced machines and restarts, 768 of 5,640 acquisitions are by restarted holders, and no rule is broken. Three broken variants fail as they should: without the comparison of addresses (another_address_waits), without that of epochs (a_missing_older_or_malformed_address_waits), without the quiet period (a_restarted_holder_takes_its_lease_at_once).

--- a/crates/tamarackdock_gateway/src/duty/lease.rs
+++ b/crates/tamarackdock_gateway/src/duty/lease.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -44,8 +45,15 @@
 
 impl DutyLease {
     /// Creates the state of a node that does not hold the lease. `change_bound` is the
-    /// time within which the lease must not pass from one holder to another.
-    pub(crate) fn new(host: HostName, name: Name, change_bound: Duration, run: u64) -> Self {
+    /// time within which the lease must not pass from one holder to another. `address` is an
+    /// address that the process has bound exclusively, if any.
+    pub(crate) fn new(
+        host: HostName,
+        name: Name,
+        address: Option<SocketAddr>,
+        change_bound: Duration,
+        run: u64,
+    ) -> Self {
         let timing = Timing {
             duration: change_bound + TAKEOVER_MARGIN,
             margin: CLOCK_MARGIN,
@@ -54,7 +62,7 @@
             delivery: DELIVERY_TIME,
         };
         let operation_ids = OperationIds::new(host.as_str(), run);
-        let lease = RefCell::new(Lease::new(LEASE_NAME, host, timing, operation_ids));
+        let lease = RefCell::new(Lease::new(LEASE_NAME, host, address, timing, operation_ids));
         Self { lease, host: name, released: Cell::new(false) }
     }
 
@@ -80,6 +88,24 @@
     }
 }
 
+/// Waits until the rows of the lease can be read, and returns whether an earlier run of this process
+/// holds it. Such a node is a candidate whatever its rank. Without an exclusive address, it is none.
+async fn is_held_by_earlier_run(node: &Node) -> bool {
+    if !node.duties.lease.borrow().can_resume() {
+        return false;
+    }
+    let keys = node.duties.lease.borrow().keys();
+    let mut failures = 0;
+    loop {
+        match node.store.read(keys.clone()).await {
+            Ok(rows) => return node.duties.lease.borrow().is_held_by_earlier_run(&rows),
+            Err(error) => node.store_failed("lease", &error),
+        }
+        failures += 1;
+        monoio::time::sleep(node.members.retry_pause(failures)).await;
+    }
+}
+
 /// Returns whether a node that does not hold the lease is a candidate for it. In a
 /// large deployment only a few nodes are, so that not all of them poll the store.
 pub(crate) fn is_candidate(own: &NodeRun, live: &[NodeRun]) -> bool {
@@ -102,15 +128,20 @@
     // A holder that lost its paths to the targets leaves the duties to others for as long as they
     // must not go from one holder to another and back.
     let mut not_before = Instant::default();
+    let mut resumes = is_held_by_earlier_run(&node).await;
+    if resumes {
+        slog::info!(log, "duties: an earlier run of this host holds the lease");
+    }
     loop {
         // A holder keeps the lease when nodes join that rank before it.
         let holds = duties.lease.borrow().held().is_some();
+        resumes = resumes && duties.lease.borrow().can_resume();
         if node.paths.are_lost() {
             not_before = BootClock.now() + node.settings().bounds.lease + TAKEOVER_MARGIN;
         }
         let is_candidate =
             || is_candidate(&node.members.own, &node.members.live_with_paths(|_| true));
-        let wants = BootClock.now() >= not_before && (holds || is_candidate());
+        let wants = BootClock.now() >= not_before && (holds || resumes || is_candidate());
         if wants != wanted && !duties.released.get() {
             wanted = wants;
             inputs.push(if wants { Input::Acquire } else { Input::Release });
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -155,7 +155,13 @@
         let bounds = settings.bounds;
         let key_bound = bounds.strict_keys.then_some(bounds.withdrawn_key);
         let own = NodeRun { host: settings.host.clone(), number };
-        let duties = DutyLease::new(host, settings.host.clone(), bounds.lease, number);
+        let duties = DutyLease::new(
+            host,
+            settings.host.clone(),
+            settings.exclusive_address(),
+            bounds.lease,
+            number,
+        );
         let own_address = settings.listen.peers;
         let others = settings.seeds.iter().copied().filter(|seed| *seed != own_address);
         let seeds = others.collect();
@@ -220,9 +226,11 @@
             "run" => format!("{:016x}", self.members.own.number),
             "data_centre" => &*settings.data_centre,
             "unknown_settings" => settings.unknown.keys().cloned().collect::<Vec<_>>().join(","));
+        // First, since the other addresses can be bound while another process of the host runs.
+        let peers = server::bind_peers(&settings).await?;
         server::listen(self.clone(), settings.listen.callers, ListenerKind::Callers)?;
         server::listen(self.clone(), settings.listen.health, ListenerKind::Health)?;
-        server::listen(self.clone(), settings.listen.peers, ListenerKind::Peers)?;
+        server::accept(self.clone(), peers, ListenerKind::Peers);
         server::listen(self.clone(), settings.listen.metrics, ListenerKind::Metrics)?;
         let watcher = Rc::new(Watcher {
             view: self.view.clone(),
--- a/crates/tamarackdock_gateway/src/server.rs
+++ b/crates/tamarackdock_gateway/src/server.rs
@@ -7,7 +7,10 @@
     future::{Either, pending, select},
     pin_mut,
 };
-use monoio::{net::TcpListener, time::timeout};
+use monoio::{
+    net::{ListenerOpts, TcpListener},
+    time::timeout,
+};
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
@@ -16,10 +19,16 @@
     node::{Node, StartError},
     reading::Reading,
     reply::Reply,
+    settings::Settings,
 };
 
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Time for which the address for peers is waited for. The sockets of a killed process are closed
+/// shortly after its successor may be started.
+const BIND_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between two attempts to bind it.
+const BIND_PAUSE: Duration = Duration::from_millis(20);
 /// Time in which a client that still sends a request reads the response to it. A close while bytes
 /// arrive would reset the connection, and the response could be lost.
 const LINGER_TIME: Duration = Duration::from_millis(100);
@@ -88,6 +97,33 @@
 ) -> Result<(), StartError> {
     let bound = TcpListener::bind(address);
     let listener = bound.map_err(|error| StartError::Listen { address, error })?;
+    accept(node, listener, kind);
+    Ok(())
+}
+
+/// Binds the listener for peers. With `scheduling.adaptive` no other process can bind its address
+/// as long as this one exists, also while it is paused: the lease of the duties depends on it.
+pub(crate) async fn bind_peers(settings: &Settings) -> Result<TcpListener, StartError> {
+    let address = settings.listen.peers;
+    let options = ListenerOpts::new().reuse_port(!settings.scheduling.adaptive);
+    let until = BootClock.now() + BIND_TIMEOUT;
+    loop {
+        match TcpListener::bind_with_config(address, &options) {
+            Ok(listener) => return Ok(listener),
+            Err(error)
+                if settings.scheduling.adaptive
+                    && error.kind() == io::ErrorKind::AddrInUse
+                    && BootClock.now() < until =>
+            {
+                monoio::time::sleep(BIND_PAUSE).await;
+            }
+            Err(error) => return Err(StartError::Listen { address, error }),
+        }
+    }
+}
+
+/// Spawns a task that accepts connections on a listener.
+pub(crate) fn accept(node: Rc<Node>, listener: TcpListener, kind: ListenerKind) {
     monoio::spawn(async move {
         loop {
             match listener.accept().await {
@@ -105,7 +141,6 @@
             }
         }
     });
-    Ok(())
 }
 
 /// Serves the requests of a connection until it closes.
--- a/crates/tamarackdock_gateway/src/settings.rs
+++ b/crates/tamarackdock_gateway/src/settings.rs
@@ -120,6 +120,15 @@
 }
 
 impl Settings {
+    /// Returns the address that this process binds exclusively, if any: with
+    /// `scheduling.adaptive`, that of the listener for peers. An address that stands for all those
+    /// of the host can't tell two hosts apart.
+    pub(crate) fn exclusive_address(&self) -> Option<SocketAddr> {
+        let peers = self.listen.peers;
+        let is_unique = !peers.ip().is_unspecified() && peers.port() != 0;
+        (self.scheduling.adaptive && is_unique).then_some(peers)
+    }
+
     /// Reads a settings file.
     ///
     /// # Errors
--- a/crates/tamarackdock_lease/src/lease/mod.rs
+++ b/crates/tamarackdock_lease/src/lease/mod.rs
@@ -1,6 +1,9 @@
+mod restart;
 mod results;
 mod write;
 
+use std::net::SocketAddr;
+
 use tamarackdock_types::{HostName, clock::Instant};
 
 use crate::{
@@ -14,6 +17,8 @@
 pub struct Lease {
     name: String,
     holder: HostName,
+    /// Address that this process has bound exclusively.
+    address: Option<SocketAddr>,
     timing: Timing,
     operation_ids: OperationIds,
     wanted: bool,
@@ -31,13 +36,27 @@
 impl Lease {
     /// Creates a candidate for the lease `name`. It does nothing before [`Input::Acquire`].
     ///
-    /// A restarted process starts as a candidate even if the row names its host, since
-    /// its previous run may be paused rather than dead.
+    /// `address` is an address that this process has bound exclusively: no other process of the
+    /// host can run on it, not even while the first one is paused. It is recorded with each
+    /// acquisition, so that a restarted process recognizes the lease of its previous run, which
+    /// has terminated, and takes it without waiting for it to expire. Orders of the previous epoch
+    /// are still waited for.
+    ///
+    /// Without an address, or if the recorded one differs, as that of a replaced host that has the
+    /// old name, a restarted process waits like any other candidate even if the row names its host,
+    /// since its previous run may be paused rather than dead.
     #[must_use]
-    pub fn new(name: &str, holder: HostName, timing: Timing, operation_ids: OperationIds) -> Self {
+    pub fn new(
+        name: &str,
+        holder: HostName,
+        address: Option<SocketAddr>,
+        timing: Timing,
+        operation_ids: OperationIds,
+    ) -> Self {
         Self {
             name: name.into(),
             holder,
+            address,
             timing,
             operation_ids,
             wanted: false,
@@ -110,7 +129,7 @@
     }
 
     fn read(&mut self, actions: &mut Vec<Action>) {
-        let keys = vec![self.lease_key()];
+        let keys = self.keys();
         actions.push(Action::Read { request: self.start_request(), keys });
     }
 
@@ -124,6 +143,10 @@
         format!("lease/{}", self.name)
     }
 
+    fn holder_key(&self) -> String {
+        format!("holder/{}", self.name)
+    }
+
     fn fence_key(&self) -> String {
         format!("epoch/{}", self.name)
     }
--- a/crates/tamarackdock_lease/src/lease/results.rs
+++ b/crates/tamarackdock_lease/src/lease/results.rs
@@ -62,18 +62,21 @@
             }
             Some(_) => {
                 self.lose(actions);
-                self.observe(now, row);
+                self.observe(now, &rows);
             }
-            None => self.observe(now, row),
+            None => self.observe(now, &rows),
         }
     }
 
-    fn observe(&mut self, now: Instant, row: Option<&Row>) {
+    fn observe(&mut self, now: Instant, rows: &BTreeMap<String, Row>) {
+        let row = rows.get(&self.lease_key());
         let revision = row.map_or(0, |row| row.revision);
         if self.observed.as_ref().is_none_or(|observed| observed.revision != revision) {
             self.observed = ObservedRow::new(row, now).ok();
         }
+        let of_earlier_run = self.is_held_by_earlier_run(rows);
         if let Some(observed) = &mut self.observed {
+            observed.of_earlier_run = of_earlier_run;
             if self.last_read_failed {
                 observed.reserve_until(now + self.timing.recovery_grace());
             }
--- a/crates/tamarackdock_lease/src/lease/write.rs
+++ b/crates/tamarackdock_lease/src/lease/write.rs
@@ -7,7 +7,7 @@
 
 use super::Lease;
 use crate::{
-    Action, Row,
+    Action, HolderRow, Row,
     observed_row::ObservedRow,
     pending::{Change, Pending},
 };
@@ -25,6 +25,10 @@
         let row = self.row(epoch, quiet.max(self.timing.quiet()));
         let mut commit = self.commit(&row, observed.revision);
         commit.writes.push(Write { key: self.fence_key(), value: Some(epoch.to_string()) });
+        if let Some(address) = self.address {
+            let value = Some(HolderRow { epoch, address }.encode());
+            commit.writes.push(Write { key: self.holder_key(), value });
+        }
         self.start_write(now, Change::Acquire { epoch, quiet }, commit, actions);
     }
 
--- a/crates/tamarackdock_lease/src/lib.rs
+++ b/crates/tamarackdock_lease/src/lib.rs
@@ -4,6 +4,7 @@
 mod action;
 mod deadline;
 mod held;
+mod holder_row;
 mod input;
 mod lease;
 mod observed_row;
@@ -15,6 +16,7 @@
 pub use action::Action;
 pub use deadline::Deadline;
 pub use held::HeldLease;
+pub use holder_row::HolderRow;
 pub use input::Input;
 pub use lease::Lease;
 pub use operation_ids::OperationIds;
--- a/crates/tamarackdock_lease/src/observed_row.rs
+++ b/crates/tamarackdock_lease/src/observed_row.rs
@@ -15,13 +15,15 @@
     /// Time until which this candidate does not take the row, so that the holder can renew
     /// it after an outage in which this candidate's reads failed.
     reserved_until: Instant,
+    /// Whether an earlier run of this process holds the lease, which no longer acts.
+    pub(crate) of_earlier_run: bool,
 }
 
 impl ObservedRow {
     pub(crate) fn new(row: Option<&table::Row>, now: Instant) -> Result<Self, RowError> {
         let revision = row.map_or(0, |row| row.revision);
         let row = row.map(|row| Row::decode(&row.value)).transpose()?;
-        Ok(Self { revision, row, since: now, reserved_until: now })
+        Ok(Self { revision, row, since: now, reserved_until: now, of_earlier_run: false })
     }
 
     /// Leaves the row to its holder until the given time.
@@ -32,7 +34,7 @@
     /// Returns the time from which the row may be taken.
     pub(crate) fn free_at(&self, timing: &Timing) -> Instant {
         match &self.row {
-            Some(row) if !row.released => {
+            Some(row) if !row.released && !self.of_earlier_run => {
                 (self.since + row.duration + timing.margin).max(self.reserved_until)
             }
             Some(_) | None => self.since,
--- a/crates/tamarackdock_lease/src/operation_ids.rs
+++ b/crates/tamarackdock_lease/src/operation_ids.rs
@@ -13,6 +13,11 @@
         Self { prefix: format!("{writer}-{random:016x}"), count: 0 }
     }
 
+    /// Returns whether an id is one of this generator.
+    pub(crate) fn contains(&self, id: &str) -> bool {
+        id.strip_prefix(&self.prefix).is_some_and(|rest| rest.starts_with('-'))
+    }
+
     /// Returns an id that has not been returned before.
     pub fn next_id(&mut self) -> String {
         self.count += 1;
--- a/crates/tamarackdock_lease/tests/late_first_try.rs
+++ b/crates/tamarackdock_lease/tests/late_first_try.rs
@@ -33,7 +33,8 @@
 #[test]
 fn validity_counts_from_the_first_try() {
     let holder = HostName::new("h1").unwrap();
-    let mut lease = Lease::new("config", holder, support::timing(), OperationIds::new("h1", 1));
+    let mut lease =
+        Lease::new("config", holder, None, support::timing(), OperationIds::new("h1", 1));
     let mut step = |time, input| lease.step(Instant::from_millis(time), input);
 
     let actions = step(1000, Input::Acquire);
--- a/crates/tamarackdock_lease/tests/schedules/node.rs
+++ b/crates/tamarackdock_lease/tests/schedules/node.rs
@@ -1,3 +1,5 @@
+use std::net::{Ipv4Addr, SocketAddr};
+
 use rand::{Rng, rngs::StdRng};
 use tamarackdock_lease::{Lease, OperationIds};
 use tamarackdock_types::{HostName, clock::Instant};
@@ -10,6 +12,11 @@
 
 pub(crate) struct Node {
     pub(crate) lease: Lease,
+    pub(crate) host: usize,
+    /// Address that the process has bound exclusively.
+    pub(crate) address: Option<SocketAddr>,
+    /// Time until which an acquisition counts as that of a restarted holder.
+    pub(crate) resumes_until: u64,
     pub(crate) run: u64,
     pub(crate) paused_until: u64,
     pub(crate) cut_until: u64,
@@ -18,11 +25,19 @@
 }
 
 impl Node {
-    pub(crate) fn new(index: usize, run: u64, random: &mut StdRng) -> Self {
-        let holder = HostName::new(&format!("h{index}")).unwrap();
+    pub(crate) fn new(
+        host: usize,
+        address: Option<SocketAddr>,
+        run: u64,
+        random: &mut StdRng,
+    ) -> Self {
+        let holder = HostName::new(&format!("h{host}")).unwrap();
         let operation_ids = OperationIds::new(holder.as_str(), random.random());
         Self {
-            lease: Lease::new("orders/d1", holder, timing(), operation_ids),
+            lease: Lease::new("orders/d1", holder, address, timing(), operation_ids),
+            host,
+            address,
+            resumes_until: 0,
             run,
             paused_until: 0,
             cut_until: 0,
@@ -31,6 +46,12 @@
         }
     }
 
+    /// Returns the address of a machine.
+    pub(crate) fn address(machine: usize) -> SocketAddr {
+        let number = u8::try_from(machine + 1).unwrap();
+        (Ipv4Addr::new(10, 0, 0, number), 7000).into()
+    }
+
     pub(crate) fn local(&self, time: u64) -> Instant {
         Instant::from_millis(self.offset + time * self.ppm / 1_000_000)
     }
--- a/crates/tamarackdock_lease/tests/schedules/world.rs
+++ b/crates/tamarackdock_lease/tests/schedules/world.rs
@@ -12,6 +12,10 @@
 use crate::{node::Node, store::Store, support::DELIVERY};
 
 const NODES: usize = 3;
+/// Most machines, with those that replace others under the same name.
+const MACHINES: usize = 6;
+/// Time in milliseconds in which a restarted holder takes its lease. Other candidates take longer.
+const RESUME_TIME: u64 = 500;
 const FAULTS_END: u64 = 15_000;
 const END: u64 = 30_000;
 /// Milliseconds after which the platform client reports an unknown outcome.
@@ -41,13 +45,18 @@
     store: Store,
     holders: BTreeMap<Epoch, (usize, u64)>,
     newest: [Epoch; 2],
-    counts: [u64; 4],
+    counts: [u64; 5],
+    exclusive: bool,
 }
 
 impl World {
-    pub(crate) fn new(seed: u64) -> Self {
+    /// With `exclusive`, processes bind an address exclusively, and machines are replaced by others
+    /// with the same name while they still run.
+    pub(crate) fn new(seed: u64, exclusive: bool) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
-        let nodes = (0..NODES).map(|index| Node::new(index, 0, &mut random)).collect();
+        let address = |machine| exclusive.then(|| Node::address(machine));
+        let nodes =
+            (0..NODES).map(|index| Node::new(index, address(index), 0, &mut random)).collect();
         Self {
             random,
             time: 0,
@@ -57,12 +66,14 @@
             store: Store::default(),
             holders: BTreeMap::new(),
             newest: [Epoch::default(); 2],
-            counts: [0; 4],
+            counts: [0; 5],
+            exclusive,
         }
     }
 
-    /// Returns the numbers of acquisitions, orders, recorded orders and refused orders.
-    pub(crate) fn run(mut self) -> Result<[u64; 4], TestCaseError> {
+    /// Returns the numbers of acquisitions, orders, recorded orders, refused orders and
+    /// acquisitions by a restarted holder.
+    pub(crate) fn run(mut self) -> Result<[u64; 5], TestCaseError> {
         (0..NODES).for_each(|node| self.push(node, 0, Event::Input(Input::Acquire)));
         self.push(0, 100, Event::Fault);
         while let Some(((time, _), (node, run, event))) = self.queue.pop_first() {
@@ -139,7 +150,10 @@
                 let result = Err(Error::Unknown);
                 self.request(index, action, Input::Committed { request, result });
             }
-            Action::Acquired(_) => self.counts[0] += 1,
+            Action::Acquired(_) => {
+                self.counts[0] += 1;
+                self.counts[4] += u64::from(self.time < self.nodes[index].resumes_until);
+            }
             Action::Lost(epoch) => {
                 let rows = self.store.read(&["lease/orders/d1".into()]);
                 let row = Row::decode(&rows["lease/orders/d1"].value).unwrap();
@@ -224,17 +238,25 @@
         if self.time > FAULTS_END {
             return;
         }
-        let index = self.random.random_range(0..NODES);
+        let index = self.random.random_range(0..self.nodes.len());
         let until = self.time + self.random.random_range(10..5_000);
-        match self.random.random_range(0..6) {
+        match self.random.random_range(0..if self.exclusive { 7 } else { 6 }) {
             0 => self.nodes[index].paused_until = until,
             1 | 2 => self.nodes[index].cut_until = until,
             3 => self.store.down_until = until,
             4 => {
-                let run = self.nodes[index].run + 1;
-                self.nodes[index] = Node::new(index, run, &mut self.random);
+                let (run, held) = (self.nodes[index].run + 1, self.is_named(index));
+                let Node { host, address, .. } = self.nodes[index];
+                self.nodes[index] = Node::new(host, address, run, &mut self.random);
+                self.nodes[index].resumes_until = if held { self.time + RESUME_TIME } else { 0 };
                 self.push(index, 50, Event::Input(Input::Acquire));
             }
+            6 if self.nodes.len() < MACHINES => {
+                let (machine, host) = (self.nodes.len(), self.nodes[index].host);
+                let address = Some(Node::address(machine));
+                self.nodes.push(Node::new(host, address, 0, &mut self.random));
+                self.push(machine, 50, Event::Input(Input::Acquire));
+            }
             _ => {
                 self.push(index, 0, Event::Input(Input::Release));
                 let delay = self.random.random_range(0..1_000);
@@ -245,6 +267,14 @@
         self.push(index, delay, Event::Fault);
     }
 
+    /// Returns whether the lease row names a process as the holder.
+    fn is_named(&self, index: usize) -> bool {
+        let rows = self.store.read(&["lease/orders/d1".into()]);
+        let row = rows.values().next().map(|row| Row::decode(&row.value).unwrap());
+        let held = self.nodes[index].lease.held().map(tamarackdock_lease::HeldLease::epoch);
+        row.is_some_and(|row| !row.released && Some(row.epoch) == held)
+    }
+
     /// Returns a short delay; until the faults end, some messages get a long one.
     fn delay(&mut self) -> u64 {
         let bound = if self.fails(0.03) { 4_000 } else { [5, 60][self.random.random_range(0..2)] };
--- a/crates/tamarackdock_lease/tests/store_outage.rs
+++ b/crates/tamarackdock_lease/tests/store_outage.rs
@@ -21,7 +21,8 @@
 impl Candidate {
     fn new(name: &str) -> Self {
         let holder = HostName::new(name).unwrap();
-        let lease = Lease::new("duties", holder, support::timing(), OperationIds::new(name, 1));
+        let lease =
+            Lease::new("duties", holder, None, support::timing(), OperationIds::new(name, 1));
         Self { lease, actions: Vec::new() }
     }
 
--- a/crates/tamarackdock_node/src/lease/handle.rs
+++ b/crates/tamarackdock_node/src/lease/handle.rs
@@ -42,7 +42,7 @@
         let random = started_ms ^ (u64::from(std::process::id()) << 32);
         let host = context.settings.host.clone();
         let operation_ids = OperationIds::new(&format!("{host}-{name}"), random);
-        let lease = Rc::new(RefCell::new(Lease::new(name, host, TIMING, operation_ids)));
+        let lease = Rc::new(RefCell::new(Lease::new(name, host, None, TIMING, operation_ids)));
         let (inputs, receiver) = mpsc::unbounded();
         let (event_sender, events) = mpsc::unbounded();
         let table = context.platform.table.clone();
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -22,6 +22,8 @@
 mod releases;
 #[path = "gateway/removal.rs"]
 mod removal;
+#[path = "gateway/restart.rs"]
+mod restart;
 #[path = "gateway/single_faults.rs"]
 mod single_faults;
 #[path = "gateway/soak.rs"]
--- a/crates/tamarackdock_spend/tests/schedules/node.rs
+++ b/crates/tamarackdock_spend/tests/schedules/node.rs
@@ -36,7 +36,7 @@
         let operation_ids = OperationIds::new(holder.as_str(), random.random());
         let data_centre = DataCentreName::new("d1").unwrap();
         Self {
-            lease: Lease::new("orders/d1", holder, timing.check().unwrap(), operation_ids),
+            lease: Lease::new("orders/d1", holder, None, timing.check().unwrap(), operation_ids),
             reconciler: Reconciler::new(data_centre, kind, millis(150)),
             incarnation,
             paused_until: 0,
