Share loads of weights between trainers, and learn how many may run

Cause: loads were issued in the order of the targets' ids, a fifth of all targets at once. Where three trainers publish at the same time, one got its targets 5 s after the first one, and 404 of 513 loads took 1.5 to 2.0 s instead of 1.06 s. Change: with scheduling.adaptive, tamarackdock_weights::wave chooses the loads. Models with an open step that no target has or loads the weights for come first, then those with the fewest usable targets for their demand. The heads of jobs name the oldest version that their step accepts. wave::Pace limits the loads in progress by their durations and sets the time of the first report; targets that did not carry out an order come last and pause for longer each time. A fast load raises the limit only if it was accepted after the last change and the limit was reached: raised by each load, the limit doubles with each wave.

--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -188,6 +188,19 @@
         models.iter().map(newest).sum()
     }
 
+    /// Returns by model the oldest version that each open step accepts, where it is known.
+    pub(crate) fn open_steps(&self) -> BTreeMap<Name, Vec<u64>> {
+        let heads = self.heads.borrow();
+        let mut steps: BTreeMap<Name, Vec<u64>> = BTreeMap::new();
+        for VersionedHead { head, .. } in heads.values() {
+            if let (false, Some(model), Some(oldest)) = (head.ended, &head.model, head.min_version)
+            {
+                steps.entry(model.clone()).or_default().push(oldest);
+            }
+        }
+        steps
+    }
+
     /// Returns by model the mean work of its newest jobs, in estimated output tokens.
     pub(crate) fn demand(&self) -> BTreeMap<Name, u64> {
         let heads = self.heads.borrow();
--- a/crates/tamarackdock_gateway/src/batch/rows.rs
+++ b/crates/tamarackdock_gateway/src/batch/rows.rs
@@ -59,6 +59,10 @@
     /// Earlier releases ignore this field. It is left out while it is not set.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub(crate) removing: bool,
+    /// Oldest version of the weights that may produce a result. Written with
+    /// `scheduling.adaptive`, and ignored by earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) min_version: Option<u64>,
 }
 
 impl JobHead {
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -132,6 +132,7 @@
         epoch: 1,
         ended: false,
         removing: false,
+        min_version: node.settings().scheduling.adaptive.then_some(submission.min_version),
     }
 }
 
--- a/crates/tamarackdock_gateway/src/batch/tests/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/index.rs
@@ -61,6 +61,21 @@
     assert_eq!(index.missing(&part, &snapshot), [removed]);
 }
 
+/// Guards against loads that hurry for steps which have ended or whose oldest version is not known.
+#[test]
+fn open_steps_name_the_oldest_version_that_they_accept() {
+    let index = JobIndex::default();
+    let heads = [(false, Some(4)), (false, Some(6)), (true, Some(7)), (false, None)];
+    for (number, (ended, min_version)) in heads.into_iter().enumerate() {
+        let head = JobHead { ended, min_version, ..head(1) };
+        index.update_head(
+            &format!("j{number}").as_str().into(),
+            VersionedHead { head, revision: 1 },
+        );
+    }
+    assert_eq!(index.open_steps(), [("m".into(), vec![4, 6])].into());
+}
+
 /// Guards against reads of a job while its rows are being removed.
 #[test]
 fn a_job_that_is_being_removed_counts_as_removed() {
--- a/crates/tamarackdock_gateway/src/batch/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/mod.rs
@@ -61,6 +61,7 @@
         epoch: 1,
         ended: false,
         removing: false,
+        min_version: None,
     }
 }
 
--- a/crates/tamarackdock_gateway/src/duty/plan.rs
+++ b/crates/tamarackdock_gateway/src/duty/plan.rs
@@ -6,18 +6,16 @@
 //! its own, so half of a model's targets load each version while the other half
 //! serves, and each target loads every second version.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
+
+pub(crate) use tamarackdock_weights::wave::Load as DueLoad;
+use tamarackdock_weights::wave::{self, Backlog, State, shares};
 
 use crate::deployment::Name;
 
 /// Number of targets by which a model must exceed its share of the demand before one
 /// of them is moved to another model.
 const MOVE_THRESHOLD: f64 = 0.8;
-/// Share of all targets that may load at once. The more of them load, the slower each
-/// load is.
-const LOADING_SHARE: f64 = 0.2;
-/// Number of loads that may always run at once.
-const MIN_LOADING: usize = 2;
 
 /// A target as input of the plan.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -29,18 +27,14 @@
     pub(crate) loading: Option<Name>,
 }
 
-/// A load that is due.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct DueLoad {
-    pub(crate) target: Name,
-    pub(crate) model: Name,
-    pub(crate) version: u64,
+/// Returns the newest version of a model.
+pub(crate) fn newest(model: &Name, published: &BTreeMap<Name, u64>) -> u64 {
+    published.get(model).copied().unwrap_or(1)
 }
 
 /// Returns by how many versions a target is behind the newest one of a model.
 fn lag(target: &PlanTarget, model: &Name, published: &BTreeMap<Name, u64>) -> u64 {
-    let newest = published.get(model).copied().unwrap_or(1);
-    newest.saturating_sub(target.versions.get(model).copied().unwrap_or_default())
+    newest(model, published).saturating_sub(target.versions.get(model).copied().unwrap_or_default())
 }
 
 /// Returns the model that a target loads or is most up to date for, or `None` if that
@@ -90,16 +84,6 @@
     assigned
 }
 
-#[allow(clippy::cast_precision_loss)]
-fn shares(targets: usize, demand: &BTreeMap<Name, u64>) -> BTreeMap<Name, f64> {
-    let total: u64 = demand.values().sum();
-    let share = |work: u64| match total {
-        0 => targets as f64 / demand.len() as f64,
-        total => (targets as f64 * work as f64 / total as f64).max(1.0),
-    };
-    demand.iter().map(|(model, work)| (model.clone(), share(*work))).collect()
-}
-
 #[allow(clippy::cast_precision_loss)]
 fn surplus(model: &Name, ideal: &BTreeMap<Name, f64>, assigned: &BTreeMap<Name, Name>) -> f64 {
     let count = assigned.values().filter(|other| *other == model).count();
@@ -134,41 +118,34 @@
     targets.iter().rev().find(idle).map(|target| (target.id.clone(), to))
 }
 
-/// Returns the loads that are due now. Targets that the next step can't use, two or
-/// more versions behind, load first. Of the others, half load each version.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, clippy::cast_precision_loss)]
+/// Returns the targets of each model with their state, as input of [`wave`].
+pub(crate) fn assigned_targets(
+    targets: &[PlanTarget],
+    assigned: &BTreeMap<Name, Name>,
+    published: &BTreeMap<Name, u64>,
+) -> Vec<wave::Target> {
+    let of_model = |target: &PlanTarget| {
+        let model = assigned.get(&target.id)?.clone();
+        let version = target.versions.get(&model).copied().unwrap_or_default();
+        let state = match &target.loading {
+            Some(_) => State::Loading(newest(&model, published)),
+            None => State::Idle,
+        };
+        Some(wave::Target { id: target.id.clone(), model, version, state })
+    };
+    targets.iter().filter_map(of_model).collect()
+}
+
+/// Returns the loads that are due now, in the order of the targets' ids. Targets that the next step
+/// can't use, two or more versions behind, load first. Of the others, half load each version.
 pub(crate) fn due_loads(
     targets: &[PlanTarget],
     assigned: &BTreeMap<Name, Name>,
     published: &BTreeMap<Name, u64>,
 ) -> Vec<DueLoad> {
-    let at_once = (targets.len() as f64 * LOADING_SHARE) as usize;
     let loading = targets.iter().filter(|target| target.loading.is_some()).count();
-    let mut free_loads = at_once.max(MIN_LOADING).saturating_sub(loading);
-    let mut candidates: Vec<(u64, &PlanTarget, &Name)> = Vec::new();
-    let mut counts: BTreeMap<&Name, (usize, usize)> = BTreeMap::new();
-    for target in targets {
-        let Some(model) = assigned.get(&target.id) else { continue };
-        let lag = lag(target, model, published);
-        let (up_to_date, total) = counts.entry(model).or_default();
-        *total += 1;
-        if lag == 0 || target.loading.is_some() {
-            *up_to_date += 1;
-        } else {
-            candidates.push((lag, target, model));
-        }
-    }
-    candidates.sort_by_key(|(lag, target, _)| (std::cmp::Reverse(*lag), target.id.clone()));
-    let mut due = Vec::new();
-    for (lag, target, model) in candidates {
-        let (up_to_date, total) = counts.entry(model).or_default();
-        let is_due = lag >= 2 || *up_to_date < total.div_ceil(2);
-        if free_loads > 0 && is_due {
-            free_loads -= 1;
-            *up_to_date += 1;
-            let version = published.get(model).copied().unwrap_or(1);
-            due.push(DueLoad { target: target.id.clone(), model: model.clone(), version });
-        }
-    }
-    due
+    let room = wave::ceiling(targets.len()).saturating_sub(loading);
+    let of_models = assigned_targets(targets, assigned, published);
+    let backlog = Backlog::new(&of_models, |model| Some(newest(model, published)));
+    backlog.loads(room, |next| (Reverse(next.lag), next.target.clone()))
 }
--- a/crates/tamarackdock_gateway/src/duty/weight_loads.rs
+++ b/crates/tamarackdock_gateway/src/duty/weight_loads.rs
@@ -1,10 +1,11 @@
 //! Orders to targets to load weights.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{cell::RefMut, collections::BTreeMap, rc::Rc, time::Duration};
 
 use monoio::time::{sleep, timeout};
 use tamarackdock_path::Doubt;
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
+use tamarackdock_weights::wave::{self, Finished, Model, Pace, State};
 
 use super::plan::{self, DueLoad, PlanTarget};
 use crate::{
@@ -31,19 +32,70 @@
 const LOAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after an order that did not succeed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Longest pause after orders that a target has not carried out. With `scheduling.adaptive` it
+/// doubles with each one, so that silent targets take few of the loads.
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+/// Outcomes that say that a target did not carry out an order. Others have different reasons.
+const FAILURES: [&str; 3] = ["no_report", "no_answer", "timeout"];
 /// Largest report of a target, in bytes.
 const MAX_REPORT: usize = 256 * 1024;
 
 /// State of the load orders that this node sends as holder of the duties.
 #[derive(Debug, Default)]
 pub(crate) struct LoadOrders {
-    /// Model of the order in progress, by target.
-    loading: BTreeMap<Name, Name>,
+    /// Order in progress, by target.
+    loading: BTreeMap<Name, DueLoad>,
     /// Weight versions by target and model that targets have reported, which can be newer
     /// than registered ones.
     reported: BTreeMap<Name, BTreeMap<Name, u64>>,
     /// Earliest time of the next order, by target.
     not_before: BTreeMap<Name, Instant>,
+    /// Number of orders in a row that a target has not carried out.
+    failures: BTreeMap<Name, u32>,
+    /// Number of targets with models at the last check.
+    targets: usize,
+    /// What this node has learned in its current term as holder.
+    pace: Pace,
+}
+
+impl LoadOrders {
+    /// Forgets what was learned in a term as holder. Orders in progress are waited for.
+    fn end_term(&mut self) {
+        self.reported.clear();
+        self.failures.clear();
+        self.pace = Pace::default();
+    }
+
+    /// Records the outcome of an order.
+    fn end(&mut self, target: &Name, outcome: &str, is_adaptive: bool) {
+        self.loading.remove(target);
+        if outcome == "loaded" {
+            self.failures.remove(target);
+            return;
+        }
+        let mut pause = RETRY_PAUSE;
+        if is_adaptive && FAILURES.contains(&outcome) {
+            let failures = self.failures.entry(target.clone()).or_default();
+            pause = (RETRY_PAUSE * 2_u32.saturating_pow(*failures)).min(LONGEST_PAUSE);
+            *failures += 1;
+        }
+        self.not_before.insert(target.clone(), BootClock.now() + pause);
+    }
+
+    /// Returns the state of a target that serves a model.
+    fn state(&self, target: &Name, model: &Name, now: Instant) -> State {
+        match self.loading.get(target) {
+            Some(order) if order.model == *model => State::Loading(order.version),
+            Some(_) => State::Loading(0),
+            None if self.is_paused(target, now) => State::Paused,
+            None if self.failures.contains_key(target) => State::Failing,
+            None => State::Idle,
+        }
+    }
+
+    fn is_paused(&self, target: &Name, now: Instant) -> bool {
+        self.not_before.get(target).is_some_and(|at| now < *at)
+    }
 }
 
 /// Returns the usable targets of services with models, as input of the plan.
@@ -65,7 +117,7 @@
                 let known = versions.entry(model.clone()).or_default();
                 *known = (*version).max(*known);
             }
-            let loading = orders.loading.get(&entry.id).cloned();
+            let loading = orders.loading.get(&entry.id).map(|due| due.model.clone());
             PlanTarget { id: entry.id.clone(), versions, loading }
         })
         .collect()
@@ -81,7 +133,8 @@
 pub(crate) async fn run(node: Rc<Node>) {
     loop {
         if node.duties.permit().is_none() {
-            node.load_orders.borrow_mut().reported.clear();
+            node.load_orders.borrow_mut().end_term();
+            node.metrics.loads_limit.set(0);
             sleep(IDLE_INTERVAL).await;
             continue;
         }
@@ -92,16 +145,77 @@
         if published.is_empty() {
             continue;
         }
-        let assigned = plan::assign(&targets, &node.jobs.demand(), &published);
-        for due in plan::due_loads(&targets, &assigned, &published) {
-            let mut orders = node.load_orders.borrow_mut();
-            if orders.not_before.get(&due.target).is_some_and(|at| now < *at) {
-                continue;
-            }
-            orders.loading.insert(due.target.clone(), due.model.clone());
+        let demand = node.jobs.demand();
+        let assigned = plan::assign(&targets, &demand, &published);
+        let mut orders = node.load_orders.borrow_mut();
+        orders.targets = targets.len();
+        let (due, limit) = if node.settings().scheduling.adaptive {
+            let of_models = plan::assigned_targets(&targets, &assigned, &published);
+            let models = models(&node, demand, &published);
+            learned_loads(&node, &orders, of_models, &models, now)
+        } else {
+            (plan::due_loads(&targets, &assigned, &published), wave::ceiling(targets.len()))
+        };
+        node.metrics.loads_limit.set(i64::try_from(limit).unwrap_or(i64::MAX));
+        start(&node, orders, due, now);
+    }
+}
+
+/// Starts orders, except those to targets whose last one has just failed.
+fn start(node: &Rc<Node>, mut orders: RefMut<'_, LoadOrders>, due: Vec<DueLoad>, now: Instant) {
+    for due in due {
+        if !orders.is_paused(&due.target, now) {
+            orders.loading.insert(due.target.clone(), due.clone());
             monoio::spawn(order(node.clone(), due));
         }
     }
+    count_loads(node, &orders);
+}
+
+fn count_loads(node: &Node, orders: &LoadOrders) {
+    node.metrics.loads.set(i64::try_from(orders.loading.len()).unwrap_or(i64::MAX));
+}
+
+/// Returns the models that jobs use, as input of the decision. The configuration gives no ranks, so
+/// that all have the same one.
+fn models(
+    node: &Node,
+    demand: BTreeMap<Name, u64>,
+    published: &BTreeMap<Name, u64>,
+) -> BTreeMap<Name, Model> {
+    let mut open_steps = node.jobs.open_steps();
+    let model = |(name, demand): (Name, u64)| {
+        let published = plan::newest(&name, published);
+        let open_steps = open_steps.remove(&name).unwrap_or_default();
+        (name, Model { published, demand, open_steps, rank: 0 })
+    };
+    demand.into_iter().map(model).collect()
+}
+
+/// Returns the loads that are due by the learned pace, and the limit of loads in progress.
+fn learned_loads(
+    node: &Node,
+    orders: &LoadOrders,
+    mut targets: Vec<wave::Target>,
+    models: &BTreeMap<Name, Model>,
+    now: Instant,
+) -> (Vec<DueLoad>, usize) {
+    for target in &mut targets {
+        target.state = orders.state(&target.id, &target.model, now);
+    }
+    let limit = orders.pace.limit(orders.targets);
+    // Without those of targets that have left in the meantime.
+    let in_progress =
+        targets.iter().filter(|target| matches!(target.state, State::Loading(_))).count();
+    let due = wave::due(&targets, models, limit.saturating_sub(in_progress));
+    if !due.is_empty() {
+        let needs = wave::needs(&targets, models);
+        slog::info!(node.log, "loads: chosen"; "loads" => due.len(),
+            "in_progress" => in_progress, "limit" => limit,
+            "usual_ms" => orders.pace.first_report().as_millis(),
+            "models" => needs.iter().map(ToString::to_string).collect::<Vec<_>>().join(", "));
+    }
+    (due, limit)
 }
 
 /// Carries out one load, and records its outcome.
@@ -117,10 +231,8 @@
         "ms" => BootClock.now().since(began).as_millis());
     node.metrics.orders.with_label_values(&["load", outcome]).inc();
     let mut orders = node.load_orders.borrow_mut();
-    orders.loading.remove(&due.target);
-    if outcome != "loaded" {
-        orders.not_before.insert(due.target.clone(), BootClock.now() + RETRY_PAUSE);
-    }
+    orders.end(&due.target, outcome, node.settings().scheduling.adaptive);
+    count_loads(&node, &orders);
 }
 
 /// Orders a target to load weights and waits until it has them. Returns the outcome for
@@ -154,14 +266,33 @@
         // The target may still carry out the order, and then refuses a repeated one.
         None => return "no_answer",
     }
+    wait_until_loaded(node, target, due).await
+}
+
+/// Waits until a target that has accepted an order has the weights. Returns the outcome.
+async fn wait_until_loaded(node: &Rc<Node>, target: &Registration, due: &DueLoad) -> &'static str {
     let accepted = BootClock.now();
-    sleep(FIRST_POLL_DELAY).await;
+    let is_adaptive = node.settings().scheduling.adaptive;
+    let (first, interval) = if is_adaptive {
+        (node.load_orders.borrow().pace.first_report(), Pace::REPORT_INTERVAL)
+    } else {
+        (FIRST_POLL_DELAY, POLL_INTERVAL)
+    };
+    // A load whose end was not seen in time says nothing about the pace.
+    let mut reports = Some(0);
+    sleep(first).await;
     while BootClock.now().since(accepted) < LOAD_TIMEOUT {
         if let Some(report) = self::report(node, target).await {
             record_report(node, target, &report);
             if report.versions.get(&due.model).is_some_and(|version| *version >= due.version) {
+                if let Some(earlier) = reports.filter(|_| is_adaptive) {
+                    record_duration(node, due, accepted, earlier == 0);
+                }
                 return "loaded";
             }
+            reports = reports.map(|count| count + 1);
+        } else {
+            reports = None;
         }
         let registered = node.view.targets.borrow().get(&target.id).is_some_and(|target| {
             target.registration.versions.get(&due.model).is_some_and(|have| *have >= due.version)
@@ -169,11 +300,26 @@
         if registered {
             return "loaded";
         }
-        sleep(POLL_INTERVAL).await;
+        sleep(interval).await;
     }
     "timeout"
 }
 
+/// Records how long a load took, and logs a change of the limit.
+fn record_duration(node: &Node, due: &DueLoad, accepted: Instant, is_first: bool) {
+    let mut orders = node.load_orders.borrow_mut();
+    let (targets, in_progress) = (orders.targets, orders.loading.len());
+    let load = Finished { accepted, reported: BootClock.now(), is_first };
+    let before = orders.pace.limit(targets);
+    orders.pace.record(load, targets, in_progress);
+    let limit = orders.pace.limit(targets);
+    if limit != before {
+        slog::info!(node.log, "loads: limit changed"; "limit" => limit, "before" => before,
+            "target" => &*due.target, "ms" => load.reported.since(accepted).as_millis(),
+            "in_progress" => in_progress);
+    }
+}
+
 fn record_report(node: &Node, target: &Registration, report: &TargetReport) {
     node.load_orders.borrow_mut().reported.insert(target.id.clone(), report.versions.clone());
 }
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -134,6 +134,10 @@
     pub(crate) store_failures: IntCounterVec,
     /// Orders and reports sent by the holder of the duties, by kind and outcome.
     pub(crate) orders: IntCounterVec,
+    /// Loads of weights that this node has ordered and that are in progress.
+    pub(crate) loads: IntGauge,
+    /// Most loads that it lets be in progress, 0 while it does not hold the duties.
+    pub(crate) loads_limit: IntGauge,
     /// Whether the paths to all targets are lost.
     pub(crate) paths_lost: IntGauge,
     /// Batch jobs that this node runs.
@@ -178,6 +182,14 @@
                 &["call"],
             )?,
             orders: counter_vec(&registry, "orders", "Orders and reports.", &["kind", "outcome"])?,
+            loads: register(
+                &registry,
+                IntGauge::new("tamarackdock_loads", "Loads of weights in progress.")?,
+            )?,
+            loads_limit: register(
+                &registry,
+                IntGauge::new("tamarackdock_loads_limit", "Most loads of weights in progress.")?,
+            )?,
             paths_lost: register(
                 &registry,
                 IntGauge::new("tamarackdock_paths_lost", "Whether no target can be reached.")?,
--- a/crates/tamarackdock_weights/src/lib.rs
+++ b/crates/tamarackdock_weights/src/lib.rs
@@ -3,3 +3,4 @@
 
 pub mod loader;
 pub mod policy;
+pub mod wave;
