End runs on silent targets after a learned timeout

Cause: a silent target held its items for 2.5 s before their first event, the same for all services, and each of its runs waited for itself.

--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use futures_util::future::{Either, select};
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
@@ -15,14 +16,14 @@
     http::{ExchangeError, Headers, Response},
     node::Node,
     notify::Notify,
-    path::{self, Choice, Permission},
+    path::{self, Choice, Link, Permission},
     pool::Reuse,
+    silence::FirstEvent,
     target::Registration,
 };
 
-/// Longest wait for the head of the answer, and then for the first event. A full target
-/// answers at once, and a load of weights takes about a second.
-const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Longest wait for the body of an answer that is not a stream. Its head has arrived.
+const BODY_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Longest silence of a stream between events, which come every few tens of milliseconds.
 const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Least time between two checks whether a run should move.
@@ -53,6 +54,7 @@
         Some(RunOutcome::Broken) => node.target_loads.borrow_mut().mark_suspect(&target.id, now),
         Some(RunOutcome::Refused | RunOutcome::WrongVersion) => {
             node.target_loads.borrow_mut().mark_full(&target.id, now);
+            node.silence.record_refusal(&target.id, now);
         }
         _ => {}
     }
@@ -127,6 +129,7 @@
         return RunOutcome::Refused;
     };
     let sent_at = BootClock.now();
+    let first_event = FirstEvent::new(node, target, sent_at);
     let outgoing = path::Request {
         id: &request.id,
         method: "POST",
@@ -134,11 +137,14 @@
         headers: &|now| request.headers(fields.deadline, now),
         body: &request.body,
         permission: Permission::Job,
-        send_by: sent_at + FIRST_EVENT_TIMEOUT,
-        give_up_at: sent_at + FIRST_EVENT_TIMEOUT,
+        send_by: sent_at + first_event.longest(),
+        give_up_at: sent_at + first_event.longest(),
         can_repeat: true,
     };
-    let sent = path::send(node, target, &outgoing, Choice::Own, Reuse::Oldest).await;
+    let sending = path::send(node, target, &outgoing, Choice::Own, Reuse::Oldest);
+    let Ok(sent) = first_event.during(Box::pin(sending)).await else {
+        return broken(ExchangeError::TimedOut);
+    };
     let mut link = match sent.result {
         Ok(link) => link,
         // The target may have closed the idle connection without notice.
@@ -149,7 +155,7 @@
     node.observe_answer(target, &head, &request.id, sent_at);
     let is_own = head.headers.get(fields.request_id) == Some(&*request.id);
     if !begins_stream(&fields, &request.id, &head) {
-        let due = BootClock.now() + FIRST_EVENT_TIMEOUT;
+        let due = BootClock.now() + BODY_TIMEOUT;
         let (response, link) = match link.collect(node, MAX_ERROR_BYTES, due).await {
             Ok(collected) => collected,
             Err(error) => return broken(error),
@@ -166,9 +172,11 @@
     let mut last_event = None;
     let mut last_check = BootClock.now();
     // Only whole events count as progress: a stalled target may still send a byte now and then.
-    let mut event_due = last_check + FIRST_EVENT_TIMEOUT;
+    let mut event_due = last_check + first_event.longest();
+    first_event.record_head(last_check);
     loop {
-        let data = match link.next(node, event_due).await {
+        let part = next_part(node, &mut link, &first_event, last_event.is_some(), event_due).await;
+        let data = match part {
             Ok(Some(data)) => data,
             Ok(None) if events.has_partial_event() => return broken(ExchangeError::ConnectionLost),
             Ok(None) => break,
@@ -189,9 +197,7 @@
             {
                 return outcome;
             }
-            if let Some(last) = last_event.replace(now) {
-                node.target_loads.borrow_mut().record_event_gap(&target.id, now.since(last));
-            }
+            record_event(node, target, &first_event, last_event.replace(now), now);
         }
         let now = BootClock.now();
         if now.since(last_check) > MOVE_CHECK_INTERVAL {
@@ -239,7 +245,7 @@
     path: String,
     /// Header fields but for the time that is left.
     headers: Headers,
-    body: bytes::Bytes,
+    body: Bytes,
     /// End of the item's lifetime.
     until: Instant,
     /// Oldest version of the weights that may produce the text.
@@ -257,6 +263,39 @@
     }
 }
 
+/// Returns the next part of a stream, or an error once the target counts as silent before the first
+/// event.
+async fn next_part(
+    node: &Rc<Node>,
+    link: &mut Link,
+    first_event: &FirstEvent<'_>,
+    has_begun: bool,
+    due: Instant,
+) -> Result<Option<Bytes>, ExchangeError> {
+    if has_begun {
+        return link.next(node, due).await;
+    }
+    let next = Box::pin(link.next(node, due));
+    first_event.during(next).await.unwrap_or(Err(ExchangeError::TimedOut))
+}
+
+/// Records an event of a target, and the time since the last one of the same run.
+fn record_event(
+    node: &Node,
+    target: &Registration,
+    first_event: &FirstEvent<'_>,
+    last: Option<Instant>,
+    now: Instant,
+) {
+    node.silence.record_event(&target.id, now);
+    match last {
+        Some(last) => {
+            node.target_loads.borrow_mut().record_event_gap(&target.id, now.since(last));
+        }
+        None => first_event.record_event(now),
+    }
+}
+
 /// Appends an event to the text of an item, or returns why the run must end.
 fn append_event(
     job: &mut Job,
--- a/crates/tamarackdock_gateway/src/duty/weight_loads.rs
+++ b/crates/tamarackdock_gateway/src/duty/weight_loads.rs
@@ -46,6 +46,13 @@
     not_before: BTreeMap<Name, Instant>,
 }
 
+impl LoadOrders {
+    /// Returns whether an order to a target is in progress.
+    pub(crate) fn is_loading(&self, target: &str) -> bool {
+        self.loading.contains_key(target)
+    }
+}
+
 /// Returns the usable targets of services with models, as input of the plan.
 fn plan_targets(node: &Node) -> Vec<PlanTarget> {
     let deployment = node.view.deployment();
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod reply;
 mod server;
 mod shutdown;
+mod silence;
 mod stop;
 mod stream;
 mod view;
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -40,6 +40,7 @@
     server::{self, ListenerKind},
     settings::Settings,
     shutdown::Shutdown,
+    silence::Silence,
     stop,
     target::Registration,
     telemetry::{Metrics, Output},
@@ -100,6 +101,7 @@
     pub(crate) ledger_changed: Notify,
     pub(crate) stored_beginnings: Stored,
     pub(crate) target_loads: RefCell<TargetLoads>,
+    pub(crate) silence: Silence,
     pub(crate) limits: RefCell<TargetLimits>,
     pub(crate) limiter: Limiter,
     pub(crate) members: Rc<Members>,
@@ -188,6 +190,7 @@
             ledger_changed: Notify::default(),
             stored_beginnings: Stored::default(),
             target_loads: RefCell::default(),
+            silence: Silence::default(),
             limits: RefCell::default(),
             limiter: Limiter::default(),
             members,
@@ -402,6 +405,7 @@
         node.pool.sweep(in_use);
         node.peer_pool.sweep(|_| true);
         node.target_loads.borrow_mut().sweep(|id| targets.get(id).is_some());
+        node.silence.sweep(|id| targets.get(id).is_some());
         if let Some(store_ms) = node.store_clock.millis(BootClock.now()) {
             node.limits.borrow_mut().sweep(|id| targets.get(id).is_some(), store_ms);
         }
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -126,6 +126,8 @@
     pub(crate) failed_connections: IntCounterVec,
     /// Runs of batch items, by outcome.
     pub(crate) runs: IntCounterVec,
+    /// Runs of batch items that ended without a first event.
+    pub(crate) silent_runs: IntCounter,
     /// Scoring calls by outcome.
     pub(crate) scores: IntCounterVec,
     /// Time in seconds from the acceptance of a batch job to each listed result.
@@ -164,6 +166,10 @@
                 &["service"],
             )?,
             runs: counter_vec(&registry, "item_runs", "Runs of batch items.", &["outcome"])?,
+            silent_runs: register(
+                &registry,
+                IntCounter::new("tamarackdock_silent_runs_total", "Runs without a first event.")?,
+            )?,
             scores: counter_vec(
                 &registry,
                 "scoring_calls",
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -1,5 +1,7 @@
 //! Runs the real program as separate processes between fakes of the platform.
 
+#[path = "gateway/adaptive.rs"]
+mod adaptive;
 #[path = "gateway/broken_streams.rs"]
 mod broken_streams;
 #[path = "gateway/cluster.rs"]
--- /dev/null
+++ b/crates/tamarackdock_node/tests/gateway/adaptive.rs
@@ -0,0 +1,45 @@
+//! Nodes that learn the pace of targets, with `scheduling.adaptive`.
+
+use platform_standin::{Node, ProxyMode};
+
+use crate::cluster::{Cluster, Trainer, Violations};
+
+/// Items of a step: enough to learn the usual time to the first event.
+const ITEMS: usize = 24;
+
+/// Starts nodes that reach the targets through proxies and learn their pace.
+fn start(name: &str, nodes: usize) -> Cluster {
+    let mut cluster = Cluster::start_gated(name, nodes, 0);
+    for node in &mut cluster.nodes {
+        node.kill();
+        node.set("scheduling", "adaptive", true);
+    }
+    cluster.nodes.iter_mut().for_each(Node::restart);
+    cluster.wait_until_served();
+    cluster
+}
+
+/// Guards against items that wait for the longest timeout on an engine that fell silent, and that
+/// are lost or run twice at once when they are started elsewhere.
+#[test]
+fn items_leave_a_silent_engine_after_the_learned_timeout() {
+    let cluster = start("adaptive-silent", 1);
+    let violations = Violations::default();
+    let nodes = cluster.addresses();
+    let mut trainer = Trainer::new("t", nodes, cluster.store.clone(), violations.clone());
+    for number in 0..2 {
+        let mut step = trainer.submit(number, ITEMS);
+        trainer.finish(&mut step);
+    }
+    let silent = 1;
+    cluster.cut_target(silent, ProxyMode::DropAll);
+    let mut step = trainer.submit(2, ITEMS);
+    trainer.finish(&mut step);
+    cluster.check_scores(&step, &violations);
+    cluster.check_runs(&violations);
+    assert_eq!(violations.all(), Vec::<String>::new());
+    let lines = cluster.log_lines("\"item: no first event\"");
+    let target = format!("\"target\":\"{}\"", cluster.engines[silent].id);
+    let is_expected = |line: &String| line.contains(&target) && line.contains("Learned");
+    assert!(lines.iter().any(is_expected), "no learned timeout ended a run: {lines:?}");
+}
