Learn the pace of targets that have started or recovered

Cause: a target that refused a request got one probe and then everything that waited, and every host probed it. Change: tamarackdock_route::pace::Pace keeps a window of requests in progress for targets that appeared, refused, broke or fell silent; it doubles with each first event in time and is reset by a failure. Turn spreads the probes of several hosts.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -9,10 +9,12 @@
     time::Duration,
 };
 
+use tamarackdock_route::pace::{Cause, Pace, Running, Turn};
 use tamarackdock_types::clock::Instant;
 
 use crate::{
     deployment::{Name, Service},
+    pace::PaceChange,
     target::{Registration, Software, Target},
 };
 
@@ -34,6 +36,10 @@
 const CALLS_SHARE: f64 = 0.4;
 /// Share of a cold target's rate that items of batch jobs may use.
 pub(crate) const ITEMS_SHARE: f64 = 0.9;
+/// Age of a target's start up to which a node that has just started takes it for new.
+const NEW_TARGET_MS: u64 = 5_000;
+/// Most changes of the pace of targets that are kept for the log.
+const MAX_PACE_CHANGES: usize = 256;
 /// Weight of a new sample in a target's moving average time between events.
 const EVENT_GAP_WEIGHT: f64 = 0.2;
 
@@ -47,6 +53,10 @@
     starts: VecDeque<Instant>,
     /// What is known since the target last refused a request.
     recovery: Recovery,
+    /// The same where the pace of targets is learned.
+    pace: Pace,
+    /// Turn of this node among those that want to probe the target.
+    turn: Turn,
     /// Moving average of the milliseconds between two events of a stream.
     pub(crate) event_interval_ms: Option<f64>,
 }
@@ -75,6 +85,12 @@
         }
     }
 
+    /// Returns how many requests the learned pace allows now, or `None` if the target is steady.
+    /// `others` is the number of requests of other nodes in progress.
+    pub(crate) fn allowed_by_pace(&self, others: u32, now: Instant) -> Option<u32> {
+        self.pace.allowed(Running { own: self.running, others }, now)
+    }
+
     /// Returns whether the target is to be used only as a last choice, because a recent
     /// request to it failed, was not run or met the wrong weights.
     pub(crate) fn is_avoided(&self, now: Instant) -> bool {
@@ -95,17 +111,118 @@
 
 /// What this node has observed of all targets.
 #[derive(Debug, Default)]
-pub(crate) struct TargetLoads(BTreeMap<Name, TargetLoad>);
+pub(crate) struct TargetLoads {
+    loads: BTreeMap<Name, TargetLoad>,
+    /// Whether the pace of targets is learned.
+    is_adaptive: bool,
+    /// Starts of the targets with an entry, once they were observed.
+    known: Option<BTreeMap<Name, Option<u64>>>,
+    pace_changes: VecDeque<PaceChange>,
+}
 
 impl TargetLoads {
+    /// Sets whether the pace of targets is learned.
+    pub(crate) fn set_adaptive(&mut self, is_adaptive: bool) {
+        self.is_adaptive = is_adaptive;
+        if !is_adaptive {
+            self.loads.values_mut().for_each(|load| load.pace = Pace::default());
+        }
+    }
+
+    /// Returns which of the present entries are new or belong to another run of their target. On
+    /// the first call, those are the ones that have just started by their own word.
+    pub(crate) fn observe_entries<'a>(
+        &mut self,
+        entries: impl Iterator<Item = &'a Registration>,
+        wall_ms: u64,
+    ) -> Vec<&'a Registration> {
+        let mut present = BTreeMap::new();
+        let mut appeared = Vec::new();
+        for entry in entries {
+            let is_new = match &self.known {
+                Some(known) => known.get(&entry.id) != Some(&entry.started),
+                None => entry
+                    .started
+                    .is_some_and(|started| wall_ms.saturating_sub(started) < NEW_TARGET_MS),
+            };
+            if is_new {
+                appeared.push(entry);
+            }
+            present.insert(entry.id.clone(), entry.started);
+        }
+        // Before the first feed, no entry is known at all.
+        if self.known.is_some() || !present.is_empty() {
+            self.known = Some(present);
+        }
+        appeared
+    }
+
+    /// Records that the entry of a target appeared.
+    pub(crate) fn mark_appeared(&mut self, target: &Name, turn: Turn, now: Instant) {
+        let load = self.loads.entry(target.clone()).or_default();
+        load.turn = turn;
+        self.reset_pace(target, Cause::Appeared, now);
+    }
+
+    /// Sets the turn of this node among those that want to probe a target.
+    pub(crate) fn set_turn(&mut self, target: &str, turn: Turn) {
+        if let Some(load) = self.loads.get_mut(target) {
+            load.turn = turn;
+        }
+    }
+
+    /// Records that a request that was sent at `sent` got its first event or its response.
+    pub(crate) fn record_response(
+        &mut self,
+        target: &Name,
+        sent: Instant,
+        usual: Option<Duration>,
+        slots: u32,
+        now: Instant,
+    ) {
+        let Some(load) = self.loads.get_mut(target) else { return };
+        let was_ramping = load.pace.window().is_some();
+        load.pace.respond(sent, usual, slots, now);
+        if was_ramping && load.pace.window().is_none() {
+            let running = load.running;
+            self.add_pace_change(target, None, running, now);
+        }
+    }
+
+    fn reset_pace(&mut self, target: &str, cause: Cause, now: Instant) {
+        let Some(load) = self.loads.get_mut(target).filter(|_| self.is_adaptive) else { return };
+        let was_steady = load.pace.window().is_none();
+        load.pace.reset(cause, load.running, load.turn, now);
+        if was_steady {
+            let running = load.running;
+            self.add_pace_change(target, Some(cause), running, now);
+        }
+    }
+
+    fn add_pace_change(&mut self, target: &str, cause: Option<Cause>, running: u32, at: Instant) {
+        if self.pace_changes.len() < MAX_PACE_CHANGES {
+            self.pace_changes.push_back(PaceChange { target: target.into(), cause, running, at });
+        }
+    }
+
+    /// Returns the changes of the pace of targets since the last call.
+    pub(crate) fn take_pace_changes(&mut self) -> VecDeque<PaceChange> {
+        std::mem::take(&mut self.pace_changes)
+    }
+
+    /// Returns the number of targets that ramp.
+    pub(crate) fn ramping(&self) -> usize {
+        self.loads.values().filter(|load| load.pace.window().is_some()).count()
+    }
+
     /// Returns the state of a target, or the default if nothing was observed of it.
     pub(crate) fn get(&self, target: &str) -> TargetLoad {
-        self.0.get(target).cloned().unwrap_or_default()
+        self.loads.get(target).cloned().unwrap_or_default()
     }
 
     /// Records the start of a request.
     pub(crate) fn start(&mut self, target: &Name, now: Instant) {
-        let load = self.0.entry(target.clone()).or_default();
+        let load = self.loads.entry(target.clone()).or_default();
         load.running += 1;
         load.starts.retain(|at| now.since(*at) < START_WINDOW);
         load.starts.push_back(now);
@@ -116,8 +233,9 @@
 
     /// Records the end of a request.
     pub(crate) fn end(&mut self, target: &str) {
-        if let Some(load) = self.0.get_mut(target) {
+        if let Some(load) = self.loads.get_mut(target) {
             load.running = load.running.saturating_sub(1);
+            load.pace.end(load.running);
             if load.recovery == Recovery::Probing {
                 load.recovery = Recovery::Refusing;
             }
@@ -126,7 +244,7 @@
 
     /// Records that a target has begun to process a request.
     pub(crate) fn record_accepted(&mut self, target: &str) {
-        if let Some(load) = self.0.get_mut(target) {
+        if let Some(load) = self.loads.get_mut(target) {
             load.recovery = Recovery::Recovered;
         }
     }
@@ -134,27 +252,32 @@
     /// Records that the connection of a request to a target broke, or that the target did
     /// not respond.
     pub(crate) fn mark_suspect(&mut self, target: &str, now: Instant) {
-        if let Some(load) = self.0.get_mut(target) {
+        if let Some(load) = self.loads.get_mut(target) {
             load.suspect_until = now + SUSPECT_FOR;
         }
+        self.reset_pace(target, Cause::Broken, now);
     }
 
     /// Records that a target refused a request, could not be connected to, or had the
     /// wrong weights for an item.
     pub(crate) fn mark_full(&mut self, target: &str, now: Instant) {
-        if let Some(load) = self.0.get_mut(target) {
+        if let Some(load) = self.loads.get_mut(target) {
             load.full_until = now + FULL_FOR;
-            load.recovery = Recovery::Refusing;
+            if !self.is_adaptive {
+                load.recovery = Recovery::Refusing;
+            }
         }
+        self.reset_pace(target, Cause::Refused, now);
     }
 
     /// Forgets which targets failed or refused requests, since this node has lost its paths to all
     /// of them.
     pub(crate) fn forget_failures(&mut self) {
-        for load in self.0.values_mut() {
+        for load in self.loads.values_mut() {
             load.suspect_until = Instant::default();
             load.full_until = Instant::default();
             load.recovery = Recovery::Recovered;
+            load.pace = Pace::default();
         }
     }
 
@@ -162,7 +285,7 @@
     /// of weights pauses all streams of a target, which does not mean that it is slow.
     pub(crate) fn record_event_gap(&mut self, target: &str, gap: Duration) {
         let millis = gap.as_secs_f64() * 1000.0;
-        match self.0.get_mut(target) {
+        match self.loads.get_mut(target) {
             Some(load) if gap < MAX_EVENT_GAP => {
                 let mean = load.event_interval_ms.unwrap_or(millis);
                 load.event_interval_ms = Some(mean + EVENT_GAP_WEIGHT * (millis - mean));
@@ -173,7 +296,7 @@
 
     /// Removes the state of targets that are neither in use nor running a request.
     pub(crate) fn sweep(&mut self, in_use: impl Fn(&str) -> bool) {
-        self.0.retain(|target, load| load.running > 0 || in_use(target));
+        self.loads.retain(|target, load| load.running > 0 || in_use(target));
     }
 
     /// Returns whether a target can take one more call now. Only cold targets are limited.
@@ -241,7 +364,7 @@
 }
 
 /// Returns the best target for a call. Targets for which permits can be had come first, then
-/// those that are not avoided, then those with free slots, then those without a limit, then
+/// those that are not avoided and whose pace allows a call, then those with free slots, then those without a limit, then
 /// those in the node's own data centre, then those with the fewest requests of this node
 /// relative to their slots.
 pub(crate) fn choose<'a>(
@@ -273,6 +396,7 @@
         let full = load.running >= entry.slots;
         let LimitState { is_withheld, is_spared } = (requirements.limit)(entry);
         let relative_load = load.running * 1000 / entry.slots.max(1);
-        (is_withheld, load.is_avoided(now), full, is_spared, !near, relative_load)
+        let is_avoided = load.is_avoided(now) || load.allowed_by_pace(0, now) == Some(0);
+        (is_withheld, is_avoided, full, is_spared, !near, relative_load)
     })
 }
--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -178,6 +178,13 @@
         NodeRank { rank, nodes: owners.len().max(1) }
     }
 
+    /// Returns the hosts that own jobs.
+    pub(crate) fn owner_hosts(&self) -> BTreeSet<Name> {
+        let heads = self.heads.borrow();
+        let open = heads.values().filter(|entry| !entry.head.ended);
+        open.filter_map(|entry| Some(entry.head.owner.as_ref()?.host.clone())).collect()
+    }
+
     /// Returns the number of items in the newest jobs of the models, one job per model.
     pub(crate) fn item_count(&self, models: &[Name]) -> u64 {
         let heads = self.heads.borrow();
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -16,6 +16,7 @@
     http::{ExchangeError, Headers, Response},
     node::Node,
     notify::Notify,
+    pace,
     path::{self, Choice, Link, Permission},
     pool::Reuse,
     silence::FirstEvent,
@@ -50,6 +51,11 @@
             "outcome" => label, "events" => item.progress.event_count(),
             "expected" => item.request.estimated_tokens(), "ms" => now.since(began).as_millis());
     }
+    if matches!(outcome, Some(RunOutcome::Broken | RunOutcome::Refused | RunOutcome::WrongVersion))
+    {
+        let turn = pace::turn(&node, &target);
+        node.target_loads.borrow_mut().set_turn(&target.id, turn);
+    }
     match outcome {
         Some(RunOutcome::Broken) => node.target_loads.borrow_mut().mark_suspect(&target.id, now),
         Some(RunOutcome::Refused | RunOutcome::WrongVersion) => {
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -19,6 +19,7 @@
     duty::weight_loads,
     limit::permits,
     node::Node,
+    pace,
     target::{Registration, Target},
 };
 
@@ -115,6 +116,7 @@
     jobs: &[Rc<RefCell<Job>>],
     now: Instant,
 ) -> (Vec<PlacementTarget>, Vec<Registration>) {
+    pace::observe_entries(node, now);
     let deployment = node.view.deployment();
     let targets = node.view.targets.borrow();
     let evacuated = node.view.evacuated.borrow();
@@ -147,6 +149,7 @@
             event_interval_ms: load.event_interval_ms,
             allowed_starts: allowed_starts(&load, target, service, rank, now)
                 .min(load.allowed_probes().unwrap_or(u32::MAX))
+                .min(load.allowed_by_pace(0, now).unwrap_or(u32::MAX))
                 .min(limits.allowed_items(registration, now)),
             is_avoided: load.is_avoided(now),
             is_local: registration.data_centre == node.data_centre,
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -14,6 +14,7 @@
     http::{ExchangeError, Framing, Headers, RequestHead, Response, ResponseHead},
     node::Node,
     origin::Origin,
+    pace,
     path::Permission,
     reply::Reply,
     server::Request,
@@ -191,6 +192,7 @@
         tried: &[Name],
     ) -> Option<Registration> {
         let now = BootClock.now();
+        pace::observe_entries(node, now);
         let deployment = node.view.deployment();
         let name = match software {
             // A caller that takes a stream up has a new id, which may pick another service.
--- a/crates/tamarackdock_gateway/src/hedge.rs
+++ b/crates/tamarackdock_gateway/src/hedge.rs
@@ -14,6 +14,7 @@
     limit::permits,
     node::Node,
     origin::Origin,
+    pace,
     path::{self, Choice, Request},
     reply::Reply,
     target::Registration,
@@ -151,6 +152,9 @@
     if let (Attempt::Answered(_) | Attempt::Unknown(_), Some(account)) = (&outcome, &call.account) {
         node.count_usage(account, began);
     }
+    if matches!(outcome, Attempt::Answered(_)) {
+        pace::record_call(node, &target, began, now);
+    }
     node.metrics.attempts.with_label_values(&[name]).inc();
     slog::info!(node.log, "call: attempt"; "id" => &call.id, "target" => &*target.id,
         "outcome" => name, "failure" => failure,
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod node;
 mod notify;
 mod origin;
+mod pace;
 mod path;
 mod peer;
 mod pool;
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -34,6 +34,7 @@
     },
     members::{self, Members, NodeRun},
     notify::Notify,
+    pace,
     path::PathState,
     pool::Pool,
     relay::Relay,
@@ -174,6 +175,8 @@
         let metrics = Metrics::new()?;
         let memory_mb = usize::try_from(settings.limits.memory_mb).unwrap_or(usize::MAX);
         let memory = memory_mb.saturating_mul(1024 * 1024);
+        let mut target_loads = TargetLoads::default();
+        target_loads.set_adaptive(settings.scheduling.adaptive);
         Ok(Rc::new(Self {
             pool: Pool::default(),
             peer_pool: Pool::default(),
@@ -189,7 +192,7 @@
             ledger: RefCell::default(),
             ledger_changed: Notify::default(),
             stored_beginnings: Stored::default(),
-            target_loads: RefCell::default(),
+            target_loads: RefCell::new(target_loads),
             silence: Silence::default(),
             limits: RefCell::default(),
             limiter: Limiter::default(),
@@ -266,6 +269,7 @@
     }
 
     pub(crate) fn set_settings(&self, settings: Settings) {
+        self.target_loads.borrow_mut().set_adaptive(settings.scheduling.adaptive);
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
@@ -405,6 +409,7 @@
         node.pool.sweep(in_use);
         node.peer_pool.sweep(|_| true);
         node.target_loads.borrow_mut().sweep(|id| targets.get(id).is_some());
+        pace::report(&node);
         node.silence.sweep(|id| targets.get(id).is_some());
         if let Some(store_ms) = node.store_clock.millis(BootClock.now()) {
             node.limits.borrow_mut().sweep(|id| targets.get(id).is_some(), store_ms);
--- a/crates/tamarackdock_gateway/src/silence.rs
+++ b/crates/tamarackdock_gateway/src/silence.rs
@@ -13,7 +13,9 @@
 use tamarackdock_route::pace::{Contact, FirstEvents, LONGEST_TIMEOUT, Patience, Verdict, Wait};
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
-use crate::{call::timeout_at, deployment::Name, node::Node, notify::Notify, target::Registration};
+use crate::{
+    call::timeout_at, deployment::Name, node::Node, notify::Notify, pace, target::Registration,
+};
 
 /// Time that the connection's own timeouts leave to the decisions here.
 const SLACK: Duration = Duration::from_millis(250);
@@ -55,7 +57,12 @@
         self.services.borrow().get(service).map_or(LONGEST_TIMEOUT, FirstEvents::timeout)
     }
 
-    fn observe(&self, service: &Name, time: Duration) {
+    /// Returns the usual time to the first event on a service, if it is known.
+    pub(crate) fn usual(&self, service: &str) -> Option<Duration> {
+        self.services.borrow().get(service).and_then(FirstEvents::usual)
+    }
+
+    pub(crate) fn observe(&self, service: &Name, time: Duration) {
         self.services.borrow_mut().entry(service.clone()).or_default().observe(time);
     }
 }
@@ -121,8 +128,11 @@
 
     /// Records the first event.
     pub(crate) fn record_event(&self, now: Instant) {
-        if let Some(wait) = self.wait.as_ref().filter(|_| self.is_usual.get()) {
-            self.node.silence.observe(&self.target.service, wait.borrow().elapsed(now));
+        let Some(wait) = &self.wait else { return };
+        let wait = wait.borrow();
+        pace::record_response(self.node, self.target, wait.sent(), now);
+        if self.is_usual.get() {
+            self.node.silence.observe(&self.target.service, wait.elapsed(now));
         }
     }
 
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -14,6 +14,7 @@
     http::{ExchangeError, LAST_CHUNK, Writer, chunk, response_head},
     limit::permits,
     node::Node,
+    pace,
     path::{self, Choice, Request},
     pool::Reuse,
     reply::Reply,
@@ -194,6 +195,19 @@
     Outcome::Reply(final_reply(last, may_have_run))
 }
 
+/// Announces at intervals which software began the stream.
+fn announce(
+    node: &Rc<Node>,
+    target: &crate::target::Registration,
+    progress: &mut Progress,
+    now: Instant,
+) {
+    if progress.announced.is_none_or(|at| now.since(at) >= continuation::ANNOUNCE_INTERVAL) {
+        continuation::announce(node, progress.stream, &target.software());
+        progress.announced = Some(now);
+    }
+}
+
 /// Sends the call to a target and forwards its events to the caller.
 async fn run(
     node: &Rc<Node>,
@@ -257,6 +271,7 @@
     }
     progress.joins = last_event.is_some();
     let mut events = EventParser::new(fields.weight_version);
+    let mut has_begun = false;
     loop {
         let data = match link.next(node, call.give_up_at).await {
             Ok(Some(data)) => data,
@@ -284,11 +299,10 @@
                 return Ended::Broken(ExchangeError::Malformed);
             }
             let now = BootClock.now();
-            if progress.announced.is_none_or(|at| now.since(at) >= continuation::ANNOUNCE_INTERVAL)
-            {
-                continuation::announce(node, progress.stream, &target.software());
-                progress.announced = Some(now);
+            if !std::mem::replace(&mut has_begun, true) {
+                pace::record_call(node, target, sent_at, now);
             }
+            announce(node, target, progress, now);
             if writer.send(chunk(&event.raw)).await.is_err() {
                 return Ended::CallerGone;
             }
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -138,6 +138,8 @@
     pub(crate) orders: IntCounterVec,
     /// Whether the paths to all targets are lost.
     pub(crate) paths_lost: IntGauge,
+    /// Targets to which few requests are sent as they have started or recovered.
+    pub(crate) ramping_targets: IntGauge,
     /// Batch jobs that this node runs.
     pub(crate) jobs: IntGauge,
     /// Version of the configuration in force.
@@ -188,6 +190,10 @@
                 &registry,
                 IntGauge::new("tamarackdock_paths_lost", "Whether no target can be reached.")?,
             )?,
+            ramping_targets: register(
+                &registry,
+                IntGauge::new("tamarackdock_ramping_targets", "Targets that ramp.")?,
+            )?,
             jobs: register(&registry, IntGauge::new("tamarackdock_jobs", "Batch jobs run here.")?)?,
             deployment: register(
                 &registry,
--- a/crates/tamarackdock_gateway/src/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/tests/mod.rs
@@ -15,6 +15,7 @@
 mod limit;
 mod malformed;
 mod members;
+mod pace;
 mod periodic;
 mod relay;
 mod silence;
--- a/crates/tamarackdock_node/tests/gateway/adaptive.rs
+++ b/crates/tamarackdock_node/tests/gateway/adaptive.rs
@@ -1,5 +1,7 @@
 //! Nodes that learn the pace of targets, with `scheduling.adaptive`.
 
+use std::time::{Duration, Instant};
+
 use platform_standin::{Node, ProxyMode};
 
 use crate::cluster::{Cluster, Trainer, Violations};
@@ -43,3 +45,28 @@
     let is_expected = |line: &String| line.contains(&target) && line.contains("Learned");
     assert!(lines.iter().any(is_expected), "no learned timeout ended a run: {lines:?}");
 }
+
+/// Guards against results that are lost or changed, and steps that stall, when engines that break
+/// and come back are used by their learned pace.
+#[test]
+fn steps_complete_while_engines_come_and_go() {
+    let cluster = start("adaptive-flapping", 3);
+    let violations = Violations::default();
+    let nodes = cluster.addresses();
+    let mut trainer = Trainer::new("t", nodes, cluster.store.clone(), violations.clone());
+    let modes = [ProxyMode::Reset, ProxyMode::DropAll, ProxyMode::Closed, ProxyMode::DropAnswers];
+    for (number, mode) in modes.into_iter().enumerate() {
+        let mut step = trainer.submit(number as u64, ITEMS);
+        for target in [0, 1, 0] {
+            cluster.cut_target(target, mode);
+            trainer.read(&mut step, ITEMS, Instant::now() + Duration::from_millis(300));
+            cluster.cut_target(target, ProxyMode::Open);
+        }
+        trainer.finish(&mut step);
+        cluster.check_scores(&step, &violations);
+    }
+    cluster.check_runs(&violations);
+    assert_eq!(violations.all(), Vec::<String>::new());
+    let lines = cluster.log_lines("\"pace: target changed\"");
+    assert!(lines.iter().any(|line| line.contains("Broken")), "no target ramped: {lines:?}");
+}
--- a/crates/tamarackdock_route/src/pace/tests/mod.rs
+++ b/crates/tamarackdock_route/src/pace/tests/mod.rs
@@ -1,4 +1,7 @@
+mod ramp;
 mod silence;
+mod simulation;
+mod turn;
 
 use tamarackdock_types::clock::Instant;
 
