Share observations of targets between the owners of jobs

Change: tamarackdock_route::observed merges the reports of other owners with a host's own observations, by age and samples; the peer request Observed carries them at most twice a second, less often beyond 12 owners, and a host that takes a job over asks the other owners. With scheduling.adaptive, placement_targets takes running requests and speeds from the merged view, the window of a ramping target counts the requests of all hosts, and so does the length of a queue.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -9,7 +9,10 @@
     time::Duration,
 };
 
-use tamarackdock_route::pace::{Cause, Pace, Running, Turn};
+use tamarackdock_route::{
+    observed::{Observed, Speed},
+    pace::{Cause, Pace, Running, Turn},
+};
 use tamarackdock_types::clock::Instant;
 
 use crate::{
@@ -36,6 +39,8 @@
 const CALLS_SHARE: f64 = 0.4;
 /// Share of a cold target's rate that items of batch jobs may use.
 pub(crate) const ITEMS_SHARE: f64 = 0.9;
+/// Time since its last use for which a target is reported to other nodes.
+const REPORTED_FOR: Duration = Duration::from_secs(10);
 /// Age of a target's start up to which a node that has just started takes it for new.
 const NEW_TARGET_MS: u64 = 5_000;
 /// Most changes of the pace of targets that are kept for the log.
@@ -59,6 +64,12 @@
     turn: Turn,
     /// Moving average of the milliseconds between two events of a stream.
     pub(crate) event_interval_ms: Option<f64>,
+    /// Number of samples of that average.
+    samples: u32,
+    /// Time of the last of them.
+    sampled: Instant,
+    /// When a request last began.
+    used: Instant,
 }
 
 /// Whether a target that refused a request has accepted one since. A target that loads weights
@@ -91,6 +102,16 @@
         self.pace.allowed(Running { own: self.running, others }, now)
     }
 
+    /// Returns the speed of the target by the requests of this node, if it is known.
+    pub(crate) fn speed(&self, now: Instant) -> Option<Speed> {
+        let age = now.since(self.sampled);
+        self.event_interval_ms.map(|event_interval_ms| Speed {
+            event_interval_ms,
+            samples: self.samples,
+            age,
+        })
+    }
+
     /// Returns whether the target is to be used only as a last choice, because a recent
     /// request to it failed, was not run or met the wrong weights.
     pub(crate) fn is_avoided(&self, now: Instant) -> bool {
@@ -164,6 +185,19 @@
         self.reset_pace(target, Cause::Appeared, now);
     }
 
+    /// Returns what other nodes are told about a target: nothing if it was not used a short time
+    /// ago.
+    pub(crate) fn observed(&self, entry: &Registration, now: Instant) -> Option<Observed> {
+        let load = self.loads.get(&entry.id)?;
+        let age = now.since(load.used.max(load.sampled));
+        let is_recent = load.running > 0 || age < REPORTED_FOR;
+        is_recent.then(|| {
+            let speed = load.speed(now);
+            let age = speed.map_or(age, |speed| speed.age);
+            Observed::new(entry.id.clone(), entry.started, load.running, speed, age)
+        })
+    }
+
     /// Sets the turn of this node among those that want to probe a target.
     pub(crate) fn set_turn(&mut self, target: &str, turn: Turn) {
         if let Some(load) = self.loads.get_mut(target) {
@@ -224,6 +258,7 @@
     pub(crate) fn start(&mut self, target: &Name, now: Instant) {
         let load = self.loads.entry(target.clone()).or_default();
         load.running += 1;
+        load.used = now;
         load.starts.retain(|at| now.since(*at) < START_WINDOW);
         load.starts.push_back(now);
         if load.recovery == Recovery::Refusing {
@@ -281,12 +316,20 @@
         }
     }
 
+    /// Records that an event of a stream has come.
+    pub(crate) fn record_event(&mut self, target: &str, now: Instant) {
+        if let Some(load) = self.loads.get_mut(target) {
+            load.sampled = now;
+        }
+    }
+
     /// Records the time between two events of a stream. Long gaps are ignored: a load
     /// of weights pauses all streams of a target, which does not mean that it is slow.
     pub(crate) fn record_event_gap(&mut self, target: &str, gap: Duration) {
         let millis = gap.as_secs_f64() * 1000.0;
         match self.loads.get_mut(target) {
             Some(load) if gap < MAX_EVENT_GAP => {
+                load.samples = load.samples.saturating_add(1);
                 let mean = load.event_interval_ms.unwrap_or(millis);
                 load.event_interval_ms = Some(mean + EVENT_GAP_WEIGHT * (millis - mean));
             }
--- a/crates/tamarackdock_gateway/src/batch/placement.rs
+++ b/crates/tamarackdock_gateway/src/batch/placement.rs
@@ -38,7 +38,7 @@
 pub(crate) struct PlacementTarget {
     pub(crate) id: Name,
     pub(crate) software: Software,
-    /// Number of requests of this node in progress.
+    /// Number of requests in progress, of this node and as reported by others.
     pub(crate) running: u32,
     /// Number of requests that the target processes at once.
     pub(crate) slots: u32,
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -294,6 +294,7 @@
     now: Instant,
 ) {
     node.silence.record_event(&target.id, now);
+    node.target_loads.borrow_mut().record_event(&target.id, now);
     match last {
         Some(last) => {
             node.target_loads.borrow_mut().record_event_gap(&target.id, now.since(last));
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -141,15 +141,16 @@
                 .then_some(index)
         };
         let load = loads.get(&registration.id);
+        let merged = node.observations.merged(registration, load.speed(now), now);
         usable.push(PlacementTarget {
             id: registration.id.clone(),
             software: registration.software(),
-            running: load.running,
+            running: load.running.saturating_add(merged.others),
             slots: registration.slots,
-            event_interval_ms: load.event_interval_ms,
+            event_interval_ms: merged.event_interval_ms,
             allowed_starts: allowed_starts(&load, target, service, rank, now)
                 .min(load.allowed_probes().unwrap_or(u32::MAX))
-                .min(load.allowed_by_pace(0, now).unwrap_or(u32::MAX))
+                .min(load.allowed_by_pace(merged.others, now).unwrap_or(u32::MAX))
                 .min(limits.allowed_items(registration, now)),
             is_avoided: load.is_avoided(now),
             is_local: registration.data_centre == node.data_centre,
--- a/crates/tamarackdock_gateway/src/batch/takeover.rs
+++ b/crates/tamarackdock_gateway/src/batch/takeover.rs
@@ -22,6 +22,7 @@
     deployment::Name,
     members::NodeRun,
     node::Node,
+    observed,
     peer::{self, PeerError, PeerRequest, PeerResponse},
     periodic,
 };
@@ -224,6 +225,7 @@
     let taken = async {
         let revision = end::write_head(node, id, &head, entry.revision).await?;
         node.jobs.update_head(id, VersionedHead { head: head.clone(), revision });
+        observed::query(node);
         let submission = load_submission(node, id, &head).await?;
         let mut results = Vec::new();
         loop {
--- a/crates/tamarackdock_gateway/src/dump.rs
+++ b/crates/tamarackdock_gateway/src/dump.rs
@@ -15,6 +15,7 @@
         .map(|target| {
             let entry = &target.registration;
             let load = loads.get(&entry.id);
+            let merged = node.observations.merged(entry, load.speed(now), now);
             json!({
                 "id": &*entry.id, "service": &*entry.service, "data_centre": &*entry.data_centre,
                 "software": &*entry.software_version, "draining": entry.draining,
@@ -25,6 +26,9 @@
                 "running": load.running, "avoided": load.is_avoided(now),
                 // Operators know the event interval by this name.
                 "pace_ms": load.event_interval_ms,
+                "running_elsewhere": merged.others, "fleet_pace_ms": merged.event_interval_ms,
+                "reports": merged.reports, "report_age_ms": merged.age.map(|age| age.as_millis()),
+                "allowed": load.allowed_by_pace(merged.others, now),
             })
         })
         .collect();
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod members;
 mod node;
 mod notify;
+mod observed;
 mod origin;
 mod pace;
 mod path;
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -34,6 +34,7 @@
     },
     members::{self, Members, NodeRun},
     notify::Notify,
+    observed::{self, Observations},
     pace,
     path::PathState,
     pool::Pool,
@@ -103,6 +104,7 @@
     pub(crate) stored_beginnings: Stored,
     pub(crate) target_loads: RefCell<TargetLoads>,
     pub(crate) silence: Silence,
+    pub(crate) observations: Observations,
     pub(crate) limits: RefCell<TargetLimits>,
     pub(crate) limiter: Limiter,
     pub(crate) members: Rc<Members>,
@@ -194,6 +196,7 @@
             stored_beginnings: Stored::default(),
             target_loads: RefCell::new(target_loads),
             silence: Silence::default(),
+            observations: Observations::default(),
             limits: RefCell::default(),
             limiter: Limiter::default(),
             members,
@@ -248,6 +251,7 @@
         monoio::spawn(batch::index::follow_heads(self.clone()));
         monoio::spawn(batch::schedule::run(self.clone()));
         monoio::spawn(batch::takeover::run(self.clone()));
+        monoio::spawn(observed::run(self.clone()));
         monoio::spawn(duty::lease::run(self.clone()));
         monoio::spawn(duty::weight_loads::run(self.clone()));
         monoio::spawn(duty::usage::run_flush(self.clone()));
--- a/crates/tamarackdock_gateway/src/peer.rs
+++ b/crates/tamarackdock_gateway/src/peer.rs
@@ -5,6 +5,7 @@
 use derive_more::{Display, Error};
 use monoio::time::timeout;
 use serde::{Deserialize, Serialize};
+use tamarackdock_route::observed::Report;
 use tamarackdock_types::clock::{BootClock, Clock};
 
 use crate::{
@@ -14,6 +15,7 @@
     http::{Connection, Headers, send_message},
     limit::permits::{self, PermitRequest, PermitResponse},
     node::Node,
+    observed,
     relay::{StoreAnswer, StoreCall},
     reply::Reply,
     server::Request,
@@ -80,6 +82,8 @@
     },
     /// Asks for the store's time.
     StoreTime,
+    /// Says what the node has observed of targets.
+    Observed(observed::Message),
 }
 
 /// A response to another node.
@@ -101,6 +105,8 @@
     Beginning(Option<Software>),
     /// The store's time in milliseconds, if the node knows it.
     StoreTime(Option<u64>),
+    /// What the node has observed of targets, if it was asked.
+    Observed(Option<Report>),
 }
 
 /// The reason why a peer gave no usable response.
@@ -175,6 +181,9 @@
             let millis = node.store_clock.millis(BootClock.now());
             PeerResponse::StoreTime(millis.and_then(|millis| u64::try_from(millis).ok()))
         }
+        Ok(PeerRequest::Observed(message)) => {
+            PeerResponse::Observed(observed::serve(node, message))
+        }
         Ok(PeerRequest::Store(call)) => PeerResponse::Store(node.relay.serve(call).await),
         Err(error) => {
             slog::warn!(node.log, "peer: can't decode the request"; "error" => excerpt(&error));
--- a/crates/tamarackdock_gateway/src/silence.rs
+++ b/crates/tamarackdock_gateway/src/silence.rs
@@ -70,7 +70,8 @@
 /// Returns why a target may respond late, if this node knows a reason. A node that does not hold
 /// the duties knows of loads from versions and refusals only.
 fn late_reason(node: &Node, target: &Registration, now: Instant) -> Option<&'static str> {
-    let running = node.target_loads.borrow().get(&target.id).running;
+    let own = node.target_loads.borrow().get(&target.id).running;
+    let running = own.saturating_add(node.observations.others(target, now));
     match () {
         () if node.limits.borrow().is_limited(target) => Some("limited"),
         () if node.load_orders.borrow().is_loading(&target.id) => Some("loading"),
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -140,6 +140,10 @@
     pub(crate) paths_lost: IntGauge,
     /// Targets to which few requests are sent as they have started or recovered.
     pub(crate) ramping_targets: IntGauge,
+    /// Reports of observations to other nodes, by outcome.
+    pub(crate) reports_sent: IntCounterVec,
+    /// Reports of observations of other nodes, by outcome.
+    pub(crate) reports_received: IntCounterVec,
     /// Batch jobs that this node runs.
     pub(crate) jobs: IntGauge,
     /// Version of the configuration in force.
@@ -194,6 +198,18 @@
                 &registry,
                 IntGauge::new("tamarackdock_ramping_targets", "Targets that ramp.")?,
             )?,
+            reports_sent: counter_vec(
+                &registry,
+                "reports_sent",
+                "Reports to other nodes.",
+                &["outcome"],
+            )?,
+            reports_received: counter_vec(
+                &registry,
+                "reports_received",
+                "Reports of other nodes.",
+                &["outcome"],
+            )?,
             jobs: register(&registry, IntGauge::new("tamarackdock_jobs", "Batch jobs run here.")?)?,
             deployment: register(
                 &registry,
--- a/crates/tamarackdock_gateway/src/tests/codec.rs
+++ b/crates/tamarackdock_gateway/src/tests/codec.rs
@@ -1,13 +1,16 @@
 //! Messages between nodes of two releases.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use serde_json::Value;
+use serde_json::{Value, json};
+use tamarackdock_route::observed::{Observed, Report, Speed};
 
 use crate::{
     batch::{ItemResult, rows::JobHead},
     codec,
     forward::ForwardedRequest,
-    members,
+    members, observed,
     peer::{PeerRequest, PeerResponse},
 };
 
@@ -95,3 +98,41 @@
     assert_eq!(decode(codec::encode(&Older { number: 7 }).unwrap()), known(None));
     assert_eq!(decode(rmp_serde::to_vec(&Older { number: 7 }).unwrap()), known(None));
 }
+
+/// Returns a report of a number of targets, with ids as long as those of platforms.
+fn report(targets: usize) -> Report {
+    let speed = Speed { event_interval_ms: 48.5, samples: 32, age: Duration::from_millis(120) };
+    let observed = (0..targets).map(|target| {
+        let id = format!("engine-{target:03}-of-region-1a");
+        Observed::new(id.into(), Some(1_765_000_000_000), 8, Some(speed), speed.age)
+    });
+    Report::new("host-041".into(), u64::MAX, 1_000, observed.collect())
+}
+
+/// Guards against reports that a later or an earlier release can't read, and against ones that grow
+/// beyond what small hosts send twice a second.
+#[test]
+fn reports_are_maps_and_their_size_is_bounded() {
+    let request = |targets, wants_report| {
+        PeerRequest::Observed(observed::Message { report: report(targets), wants_report })
+    };
+    let sizes =
+        [0, 1, 45, 200].map(|targets| codec::encode(&request(targets, false)).unwrap().len());
+    println!("bytes of a report of 0, 1, 45 and 200 targets: {sizes:?}");
+    assert!(sizes[3] <= 32 * 1024);
+    let bytes = codec::encode(&request(1, true)).unwrap();
+    assert_eq!(codec::decode::<PeerRequest>(&bytes).unwrap(), request(1, true));
+    // A later release may add fields, and an earlier one may not send all.
+    let other = json!({"Observed": {"later": 1, "report": {"host": "h", "run": 1, "sequence": 2,
+        "targets": [{"target": "t", "running": 3, "later": "x"}]}}});
+    let bytes = codec::encode(&other).unwrap();
+    let PeerRequest::Observed(message) = codec::decode::<PeerRequest>(&bytes).unwrap() else {
+        panic!("another kind of request");
+    };
+    let target =
+        Observed { running: 3, ..Observed::new("t".into(), None, 0, None, Duration::ZERO) };
+    assert_eq!((message.wants_report, message.report.targets), (false, vec![target]));
+    // A release that does not know a kind rejects it, which the sender takes as its answer.
+    let unknown = codec::encode(&json!({"Unknown": {"report": {}}})).unwrap();
+    assert!(codec::decode::<PeerRequest>(&unknown).is_err());
+}
--- a/crates/tamarackdock_node/tests/gateway/adaptive.rs
+++ b/crates/tamarackdock_node/tests/gateway/adaptive.rs
@@ -1,13 +1,21 @@
 //! Nodes that learn the pace of targets, with `scheduling.adaptive`.
 
-use std::time::{Duration, Instant};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use platform_standin::{Node, ProxyMode};
 
-use crate::cluster::{Cluster, Trainer, Violations};
+use crate::{
+    cluster::{Cluster, Trainer, Violations},
+    ownership::{others, owner, slow_down},
+};
 
 /// Items of a step: enough to learn the usual time to the first event.
 const ITEMS: usize = 24;
+/// Time in which a log line that must come has come.
+const LOG_BOUND: Duration = Duration::from_secs(20);
 
 /// Starts nodes that reach the targets through proxies and learn their pace.
 fn start(name: &str, nodes: usize) -> Cluster {
@@ -70,3 +78,53 @@
     let lines = cluster.log_lines("\"pace: target changed\"");
     assert!(lines.iter().any(|line| line.contains("Broken")), "no target ramped: {lines:?}");
 }
+
+/// Guards against owners of jobs that hear nothing of each other's use of the engines, and against
+/// an owner that does not ask the others when it takes a job over.
+#[test]
+fn owners_tell_each_other_what_they_observe() {
+    let mut cluster = start("adaptive-owners", 3);
+    let violations = Violations::default();
+    let nodes = cluster.addresses();
+    let mut trainer = Trainer::new("t", nodes, cluster.store.clone(), violations.clone());
+    // Just after the restart, a job may be given to the process before it and be taken over.
+    let mut warm_up = trainer.submit(0, 4);
+    trainer.finish(&mut warm_up);
+    let mut first = trainer.submit(1, 4);
+    trainer.finish(&mut first);
+    slow_down(&cluster, true);
+    // While its usual owner does not respond, another node gets the job.
+    let usual = owner(&cluster, &first.job);
+    cluster.nodes[usual].pause();
+    trainer.nodes = others(&cluster, usual);
+    let mut second = trainer.submit(2, ITEMS);
+    cluster.nodes[usual].resume();
+    trainer.nodes = cluster.addresses();
+    let mut third = trainer.submit(3, ITEMS);
+    let (other, usual) = (owner(&cluster, &second.job), owner(&cluster, &third.job));
+    assert_ne!(other, usual, "one node owns both jobs");
+    wait_for(|| {
+        let is_told = |node| !cluster.node_lines(node, "\"observed: node reports\"").is_empty();
+        is_told(other) && is_told(usual)
+    });
+    let queries = |cluster: &Cluster| cluster.log_lines("\"observed: other owners asked\"").len();
+    let before = queries(&cluster);
+    cluster.nodes[other].kill();
+    wait_for(|| queries(&cluster) > before);
+    slow_down(&cluster, false);
+    trainer.nodes = others(&cluster, other);
+    for step in [&mut second, &mut third] {
+        trainer.finish(step);
+        cluster.check_scores(step, &violations);
+    }
+    cluster.check_runs(&violations);
+    assert_eq!(violations.all(), Vec::<String>::new());
+}
+
+fn wait_for(condition: impl Fn() -> bool) {
+    let until = Instant::now() + LOG_BOUND;
+    while !condition() {
+        assert!(Instant::now() < until, "a log line is missing");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
--- a/crates/tamarackdock_node/tests/gateway/ownership.rs
+++ b/crates/tamarackdock_node/tests/gateway/ownership.rs
@@ -44,7 +44,7 @@
 }
 
 /// Returns the index of the node that owns a job, from the line about its start.
-fn owner(cluster: &Cluster, job: &str) -> usize {
+pub(crate) fn owner(cluster: &Cluster, job: &str) -> usize {
     let of_job = format!("\"job\":\"{job}\"");
     let until = Instant::now() + LOG_BOUND;
     loop {
@@ -59,7 +59,7 @@
 }
 
 /// Returns the addresses of all nodes but one.
-fn others(cluster: &Cluster, node: usize) -> Vec<SocketAddr> {
+pub(crate) fn others(cluster: &Cluster, node: usize) -> Vec<SocketAddr> {
     let nodes = cluster.addresses().into_iter().enumerate();
     nodes.filter(|(index, _)| *index != node).map(|(_, address)| address).collect()
 }
@@ -75,7 +75,7 @@
     }
 }
 
-fn slow_down(cluster: &Cluster, slow: bool) {
+pub(crate) fn slow_down(cluster: &Cluster, slow: bool) {
     cluster.engines.iter().for_each(|engine| engine.slow_down(slow));
 }
 
--- a/crates/tamarackdock_route/src/lib.rs
+++ b/crates/tamarackdock_route/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod health;
 pub mod latency;
 mod load;
+pub mod observed;
 pub mod pace;
 pub mod policy;
 pub mod quarantine;
