--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -34,12 +34,15 @@
     },
     members::{self, Members, NodeRun},
     notify::Notify,
+    observed::{self, Observations},
+    pace,
     path::PathState,
     pool::Pool,
     relay::Relay,
     server::{self, ListenerKind},
     settings::Settings,
     shutdown::Shutdown,
+    silence::Silence,
     stop,
     target::Registration,
     telemetry::{Metrics, Output},
@@ -100,6 +103,8 @@
     pub(crate) ledger_changed: Notify,
     pub(crate) stored_beginnings: Stored,
     pub(crate) target_loads: RefCell<TargetLoads>,
+    pub(crate) silence: Silence,
+    pub(crate) observations: Observations,
     pub(crate) limits: RefCell<TargetLimits>,
     pub(crate) limiter: Limiter,
     pub(crate) members: Rc<Members>,
@@ -178,6 +183,8 @@
         let metrics = Metrics::new()?;
         let memory_mb = usize::try_from(settings.limits.memory_mb).unwrap_or(usize::MAX);
         let memory = memory_mb.saturating_mul(1024 * 1024);
+        let mut target_loads = TargetLoads::default();
+        target_loads.set_adaptive(settings.scheduling.adaptive);
         Ok(Rc::new(Self {
             pool: Pool::default(),
             peer_pool: Pool::default(),
@@ -193,7 +200,9 @@
             ledger: RefCell::default(),
             ledger_changed: Notify::default(),
             stored_beginnings: Stored::default(),
-            target_loads: RefCell::default(),
+            target_loads: RefCell::new(target_loads),
+            silence: Silence::default(),
+            observations: Observations::default(),
             limits: RefCell::default(),
             limiter: Limiter::default(),
             members,
@@ -250,6 +259,7 @@
         monoio::spawn(batch::index::follow_heads(self.clone()));
         monoio::spawn(batch::schedule::run(self.clone()));
         monoio::spawn(batch::takeover::run(self.clone()));
+        monoio::spawn(observed::run(self.clone()));
         monoio::spawn(duty::lease::run(self.clone()));
         monoio::spawn(duty::weight_loads::run(self.clone()));
         monoio::spawn(duty::usage::run_flush(self.clone()));
@@ -271,6 +281,7 @@
     }
 
     pub(crate) fn set_settings(&self, settings: Settings) {
+        self.target_loads.borrow_mut().set_adaptive(settings.scheduling.adaptive);
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
@@ -410,6 +421,8 @@
         node.pool.sweep(in_use);
         node.peer_pool.sweep(|_| true);
         node.target_loads.borrow_mut().sweep(|id| targets.get(id).is_some());
+        pace::report(&node);
+        node.silence.sweep(|id| targets.get(id).is_some());
         if let Some(store_ms) = node.store_clock.millis(BootClock.now()) {
             node.limits.borrow_mut().sweep(|id| targets.get(id).is_some(), store_ms);
         }
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -126,6 +126,8 @@
     pub(crate) failed_connections: IntCounterVec,
     /// Runs of batch items, by outcome.
     pub(crate) runs: IntCounterVec,
+    /// Runs of batch items that ended without a first event.
+    pub(crate) silent_runs: IntCounter,
     /// Scoring calls by outcome.
     pub(crate) scores: IntCounterVec,
     /// Time in seconds from the acceptance of a batch job to each listed result.
@@ -140,6 +142,12 @@
     pub(crate) loads_limit: IntGauge,
     /// Whether the paths to all targets are lost.
     pub(crate) paths_lost: IntGauge,
+    /// Targets to which few requests are sent as they have started or recovered.
+    pub(crate) ramping_targets: IntGauge,
+    /// Reports of observations to other nodes, by outcome.
+    pub(crate) reports_sent: IntCounterVec,
+    /// Reports of observations of other nodes, by outcome.
+    pub(crate) reports_received: IntCounterVec,
     /// Batch jobs that this node runs.
     pub(crate) jobs: IntGauge,
     /// Version of the configuration in force.
@@ -168,6 +176,10 @@
                 &["service"],
             )?,
             runs: counter_vec(&registry, "item_runs", "Runs of batch items.", &["outcome"])?,
+            silent_runs: register(
+                &registry,
+                IntCounter::new("tamarackdock_silent_runs_total", "Runs without a first event.")?,
+            )?,
             scores: counter_vec(
                 &registry,
                 "scoring_calls",
@@ -194,6 +206,22 @@
                 &registry,
                 IntGauge::new("tamarackdock_paths_lost", "Whether no target can be reached.")?,
             )?,
+            ramping_targets: register(
+                &registry,
+                IntGauge::new("tamarackdock_ramping_targets", "Targets that ramp.")?,
+            )?,
+            reports_sent: counter_vec(
+                &registry,
+                "reports_sent",
+                "Reports to other nodes.",
+                &["outcome"],
+            )?,
+            reports_received: counter_vec(
+                &registry,
+                "reports_received",
+                "Reports of other nodes.",
+                &["outcome"],
+            )?,
             jobs: register(&registry, IntGauge::new("tamarackdock_jobs", "Batch jobs run here.")?)?,
             deployment: register(
                 &registry,
--- a/crates/tamarackdock_gateway/src/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/tests/mod.rs
@@ -15,8 +15,10 @@
 mod limit;
 mod malformed;
 mod members;
+mod pace;
 mod periodic;
 mod relay;
+mod silence;
 mod stop;
 mod target;
 
