Place and move items by the expected end of their step

Cause: in deployments whose targets differ in speed, an eighth of all runs moved off targets that are slow by design, although most of their items did not decide when the step ended. Each move costs a connection. Change: the module finish of tamarackdock_rollout estimates when items and steps end. With scheduling.adaptive, items start where they end first, those with slack leave the fastest slots to items that need them, and runs move only where their step ends at least 350 ms sooner or their item meets the due time. Targets' speeds are measured at the load of one run, with a half-life of 0.5 s. Other deployments are served as before.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use tamarackdock_rollout::finish::Speed;
 use tamarackdock_types::clock::Instant;
 
 use crate::{
@@ -49,6 +50,8 @@
     recovery: Recovery,
     /// Moving average of the milliseconds between two events of a stream.
     pub(crate) event_interval_ms: Option<f64>,
+    /// The same for a run that is alone on the target, with the number of samples.
+    pub(crate) speed: Speed,
 }
 
 /// Whether a target that refused a request has accepted one since. A target that loads weights
@@ -166,6 +169,7 @@
             Some(load) if gap < MAX_EVENT_GAP => {
                 let mean = load.event_interval_ms.unwrap_or(millis);
                 load.event_interval_ms = Some(mean + EVENT_GAP_WEIGHT * (millis - mean));
+                load.speed.record(millis, load.running);
             }
             _ => {}
         }
--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -13,6 +13,7 @@
 
 use super::{
     end,
+    estimate::MovePlan,
     job::Job,
     lease::Lease,
     rows::{self, JobHead},
@@ -64,6 +65,8 @@
     own_jobs: RefCell<BTreeMap<Name, Rc<RefCell<Job>>>>,
     /// Jobs that this node is starting.
     starting: Rc<RefCell<BTreeSet<Name>>>,
+    /// Which runs should move.
+    pub(crate) moves: RefCell<MovePlan>,
     /// What this node knows of its ownership of jobs.
     pub(crate) lease: RefCell<Lease>,
     /// Notified when a head changes or an item may start.
--- a/crates/tamarackdock_gateway/src/batch/job.rs
+++ b/crates/tamarackdock_gateway/src/batch/job.rs
@@ -2,7 +2,11 @@
 //! report events to it, and it returns which items may start and which results
 //! are to be committed.
 
-use std::{collections::VecDeque, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
 
 use tamarackdock_types::clock::Instant;
 
@@ -24,6 +28,8 @@
 const TIME_PER_EVENT: Duration = Duration::from_millis(35);
 /// Output tokens that an event is estimated to hold.
 const TOKENS_PER_EVENT: u64 = 50;
+/// Bytes of a request that hold a token of its prompt, about.
+const BYTES_PER_TOKEN: usize = 4;
 
 /// Where an item is between its submission and its result.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -52,6 +58,8 @@
     /// Whether the item's group began in an earlier job. The trainer waits for
     /// such a group, whichever others are complete.
     pub(crate) carried: bool,
+    /// Index of the item's group among those of the job.
+    pub(crate) group: usize,
     /// Number of runs for which a target reported a failure.
     failures: u32,
     /// Runs in a row that broke without an event.
@@ -73,6 +81,12 @@
         self.remaining_tokens() / TOKENS_PER_EVENT
     }
 
+    /// Returns about how many tokens a target reads before the next event.
+    pub(crate) fn read_tokens(&self) -> usize {
+        let text = self.progress.event_count() as u64 * TOKENS_PER_EVENT;
+        self.request.body.len() / BYTES_PER_TOKEN + usize::try_from(text).unwrap_or_default()
+    }
+
     /// Returns the estimated number of remaining output tokens.
     pub(crate) fn remaining_tokens(&self) -> u64 {
         let received = self.progress.event_count() as u64 * TOKENS_PER_EVENT;
@@ -128,6 +142,8 @@
     pub(crate) revision: u64,
     pub(crate) submission: Rc<Submission>,
     pub(crate) items: Vec<JobItem>,
+    /// Number of groups of the items.
+    pub(crate) group_count: usize,
     /// Committed results, by position.
     pub(crate) results: Vec<Rc<ItemResult>>,
     /// Results that are not committed yet, in the order of their future positions.
@@ -155,7 +171,12 @@
         accepted: Instant,
         max_failures: u32,
     ) -> Self {
+        let mut groups = BTreeMap::new();
         let items = submission.items.iter().map(|item| JobItem {
+            group: {
+                let next = groups.len();
+                *groups.entry(item.group.clone()).or_insert(next)
+            },
             request: item.clone(),
             phase: Phase::Waiting,
             progress: Progress::default(),
@@ -167,8 +188,10 @@
             held_since: None,
             scoring: Scoring::default(),
         });
+        let items = items.collect();
         Self {
-            items: items.collect(),
+            items,
+            group_count: groups.len(),
             id,
             head,
             revision,
--- a/crates/tamarackdock_gateway/src/batch/mod.rs
+++ b/crates/tamarackdock_gateway/src/batch/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod backoff;
 pub(crate) mod commit;
 pub(crate) mod end;
+pub(crate) mod estimate;
 pub(crate) mod index;
 pub(crate) mod job;
 pub(crate) mod lease;
--- a/crates/tamarackdock_gateway/src/batch/placement.rs
+++ b/crates/tamarackdock_gateway/src/batch/placement.rs
@@ -33,6 +33,14 @@
     pub(crate) made_by: Option<Software>,
 }
 
+impl WaitingItem {
+    /// Returns the key by which items are sorted: earlier steps first, then groups that the
+    /// trainer waits for in any case, then the longest.
+    pub(crate) fn order(&self) -> (usize, bool, Reverse<u64>, usize) {
+        (self.job, !self.carried, Reverse(self.remaining_tokens), self.item)
+    }
+}
+
 /// What placement needs to know of a target.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct PlacementTarget {
@@ -44,6 +52,8 @@
     pub(crate) slots: u32,
     /// Mean milliseconds per event, if any were seen.
     pub(crate) event_interval_ms: Option<f64>,
+    /// Number of events from which that was measured.
+    pub(crate) samples: u32,
     /// Number of requests that may start on it now, bounded for targets that are or may
     /// become cold.
     pub(crate) allowed_starts: u32,
@@ -71,14 +81,21 @@
             && item.made_by.as_ref().is_none_or(|made_by| *made_by == self.software)
     }
 
+    /// Returns the number of slots in which requests could start.
+    pub(crate) fn free_slots(&self) -> u32 {
+        if self.is_avoided { 0 } else { self.slots.saturating_sub(self.running) }
+    }
+
+    /// Records that an item starts here.
+    pub(crate) fn add_run(&mut self) {
+        self.running += 1;
+        self.allowed_starts -= 1;
+    }
+
     /// Returns for how many of the items there are slots, however many may start now.
     pub(crate) fn room_for(&self, items: &[WaitingItem]) -> u32 {
-        if self.is_avoided {
-            return 0;
-        }
         let fitting = items.iter().filter(|item| self.fits(item)).count();
-        let free = self.slots.saturating_sub(self.running);
-        free.min(u32::try_from(fitting).unwrap_or(u32::MAX))
+        self.free_slots().min(u32::try_from(fitting).unwrap_or(u32::MAX))
     }
 
     /// Returns the estimated milliseconds per event under the present load, slightly
@@ -104,8 +121,7 @@
     mut waiting: Vec<WaitingItem>,
     targets: &mut [PlacementTarget],
 ) -> Assignment {
-    waiting
-        .sort_by_key(|item| (item.job, !item.carried, Reverse(item.remaining_tokens), item.item));
+    waiting.sort_by_key(WaitingItem::order);
     let mut assignment = Assignment::default();
     for item in waiting {
         let fitting = targets
@@ -115,8 +131,7 @@
         let best = fitting.min_by(|(_, left), (_, right)| left.cost().total_cmp(&right.cost()));
         match best.map(|(index, _)| index) {
             Some(index) => {
-                targets[index].running += 1;
-                targets[index].allowed_starts -= 1;
+                targets[index].add_run();
                 assignment.placed.push((item, index));
             }
             None => assignment.unplaced.push(item),
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -6,6 +6,7 @@
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use super::{
+    estimate,
     job::{Job, RunOutcome},
     migrate, schedule,
 };
@@ -196,7 +197,7 @@
         let now = BootClock.now();
         if now.since(last_check) > MOVE_CHECK_INTERVAL {
             last_check = now;
-            if should_move(node, &job.borrow(), index, target) {
+            if should_move(node, &job.borrow(), index, target, now) {
                 return RunOutcome::Moved;
             }
         }
@@ -211,7 +212,10 @@
 }
 
 /// Returns whether the rest of an item should be run by another target with room.
-fn should_move(node: &Node, job: &Job, index: usize, target: &Registration) -> bool {
+fn should_move(node: &Node, job: &Job, index: usize, target: &Registration, now: Instant) -> bool {
+    if node.settings().scheduling.adaptive {
+        return estimate::should_move(node, job, index, target, now);
+    }
     let item = &job.items[index];
     let loads = node.target_loads.borrow();
     let limits = node.limits.borrow();
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -7,6 +7,7 @@
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use super::{
+    estimate,
     job::{Job, Room},
     lifetime::JobRoute,
     placement::{self, Assignment, PlacementTarget, WaitingItem},
@@ -75,7 +76,11 @@
         return has_later;
     }
     let (mut targets, registrations) = placement_targets(node, jobs, now);
-    let Assignment { placed, unplaced } = placement::assign_items(waiting, &mut targets);
+    let Assignment { placed, unplaced } = if node.settings().scheduling.adaptive {
+        estimate::assign_items(jobs, waiting, &mut targets)
+    } else {
+        placement::assign_items(waiting, &mut targets)
+    };
     for (target, registration) in targets.iter().zip(&registrations) {
         let wanted = target.room_for(&unplaced);
         if wanted > 0 {
@@ -110,7 +115,7 @@
 
 /// Returns the targets of configured services that are neither draining nor in an
 /// evacuated data centre, and the registration of each.
-fn placement_targets(
+pub(crate) fn placement_targets(
     node: &Node,
     jobs: &[Rc<RefCell<Job>>],
     now: Instant,
@@ -122,6 +127,7 @@
     let loads = node.target_loads.borrow();
     let limits = node.limits.borrow();
     let rank = node.jobs.owner_rank(&node.members.own);
+    let is_adaptive = node.settings().scheduling.adaptive;
     let services: Vec<Option<Name>> =
         jobs.iter().map(|job| service_of(node, &job.borrow())).collect();
     let mut usable = Vec::new();
@@ -144,7 +150,12 @@
             software: registration.software(),
             running: load.running,
             slots: registration.slots,
-            event_interval_ms: load.event_interval_ms,
+            event_interval_ms: if is_adaptive {
+                load.speed.event_ms()
+            } else {
+                load.event_interval_ms
+            },
+            samples: load.speed.samples(),
             allowed_starts: allowed_starts(&load, target, service, rank, now)
                 .min(load.allowed_probes().unwrap_or(u32::MAX))
                 .min(limits.allowed_items(registration, now)),
--- a/crates/tamarackdock_gateway/src/batch/tests/placement.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/placement.rs
@@ -32,6 +32,7 @@
         slots: SLOTS,
         software: software("v1"),
         event_interval_ms: Some(EVENT_INTERVALS_MS[id]),
+        samples: 99,
         allowed_starts: u32::MAX,
         is_avoided: false,
         is_local: true,
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -126,6 +126,10 @@
     pub(crate) failed_connections: IntCounterVec,
     /// Runs of batch items, by outcome.
     pub(crate) runs: IntCounterVec,
+    /// Runs moved to another target, by reason.
+    pub(crate) moves: IntCounterVec,
+    /// Expected gain in seconds of the moves.
+    pub(crate) move_gain_seconds: Histogram,
     /// Scoring calls by outcome.
     pub(crate) scores: IntCounterVec,
     /// Time in seconds from the acceptance of a batch job to each listed result.
@@ -164,6 +168,12 @@
                 &["service"],
             )?,
             runs: counter_vec(&registry, "item_runs", "Runs of batch items.", &["outcome"])?,
+            moves: counter_vec(&registry, "item_moves", "Moves of runs.", &["reason"])?,
+            move_gain_seconds: histogram(
+                &registry,
+                "item_move_gain_seconds",
+                "Expected gain of the moves of runs.",
+            )?,
             scores: counter_vec(
                 &registry,
                 "scoring_calls",
--- a/crates/tamarackdock_rollout/src/lib.rs
+++ b/crates/tamarackdock_rollout/src/lib.rs
@@ -1,7 +1,9 @@
 //! Steps of trainers: requests, slots, samples, the manifest and the state
 //! machine that the holder of a step runs. See `docs/design.md`, section 6.
+//! The module [`finish`] holds decisions that the gateway uses as well.
 
 pub mod attempt;
+pub mod finish;
 pub mod manifest;
 pub mod policy;
 pub mod request;
