Merge the placement by expected ends

Cause: two parts measure the speed of targets. Change: observations of other owners carry the speed for a run that is alone on its target, as placement uses it; moves trust the samples of all owners together.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use tamarackdock_rollout::finish;
 use tamarackdock_route::{
     observed::{Observed, Speed},
     pace::{Cause, Pace, Running, Turn},
@@ -64,9 +65,9 @@
     turn: Turn,
     /// Moving average of the milliseconds between two events of a stream.
     pub(crate) event_interval_ms: Option<f64>,
-    /// Number of samples of that average.
-    samples: u32,
-    /// Time of the last of them.
+    /// The same for a run that is alone on the target.
+    single: finish::Speed,
+    /// Time of the last sample.
     sampled: Instant,
     /// When a request last began.
     used: Instant,
@@ -102,14 +103,12 @@
         self.pace.allowed(Running { own: self.running, others }, now)
     }
 
-    /// Returns the speed of the target by the requests of this node, if it is known.
+    /// Returns the speed of the target for a run that is alone on it, by the requests of this
+    /// node, if it is known.
     pub(crate) fn speed(&self, now: Instant) -> Option<Speed> {
         let age = now.since(self.sampled);
-        self.event_interval_ms.map(|event_interval_ms| Speed {
-            event_interval_ms,
-            samples: self.samples,
-            age,
-        })
+        let samples = self.single.samples();
+        self.single.event_ms().map(|event_interval_ms| Speed { event_interval_ms, samples, age })
     }
 
     /// Returns whether the target is to be used only as a last choice, because a recent
@@ -329,9 +328,9 @@
         let millis = gap.as_secs_f64() * 1000.0;
         match self.loads.get_mut(target) {
             Some(load) if gap < MAX_EVENT_GAP => {
-                load.samples = load.samples.saturating_add(1);
                 let mean = load.event_interval_ms.unwrap_or(millis);
                 load.event_interval_ms = Some(mean + EVENT_GAP_WEIGHT * (millis - mean));
+                load.single.record(millis, load.running);
             }
             _ => {}
         }
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -128,6 +128,10 @@
     pub(crate) runs: IntCounterVec,
     /// Runs of batch items that ended without a first event.
     pub(crate) silent_runs: IntCounter,
+    /// Runs moved to another target, by reason.
+    pub(crate) moves: IntCounterVec,
+    /// Expected gain in seconds of the moves.
+    pub(crate) move_gain_seconds: Histogram,
     /// Scoring calls by outcome.
     pub(crate) scores: IntCounterVec,
     /// Time in seconds from the acceptance of a batch job to each listed result.
@@ -180,6 +184,12 @@
                 &registry,
                 IntCounter::new("tamarackdock_silent_runs_total", "Runs without a first event.")?,
             )?,
+            moves: counter_vec(&registry, "item_moves", "Moves of runs.", &["reason"])?,
+            move_gain_seconds: histogram(
+                &registry,
+                "item_move_gain_seconds",
+                "Expected gain of the moves of runs.",
+            )?,
             scores: counter_vec(
                 &registry,
                 "scoring_calls",
--- a/crates/tamarackdock_route/src/observed/fleet.rs
+++ b/crates/tamarackdock_route/src/observed/fleet.rs
@@ -38,6 +38,8 @@
     pub others: u32,
     /// Mean milliseconds between two events of a run, if any were seen.
     pub event_interval_ms: Option<f64>,
+    /// Number of samples from which that was measured.
+    pub samples: u32,
     /// Number of hosts whose reports count.
     pub reports: u32,
     /// Age of the newest of them.
@@ -99,7 +101,7 @@
         own: Option<Speed>,
         now: Instant,
     ) -> Merged {
-        let mut merged = Merged::default();
+        let mut merged = Merged { samples: own.map_or(0, |own| own.samples), ..Merged::default() };
         let mut speeds: Vec<(f64, f64)> = Vec::new();
         for report in self.0.values() {
             let Some(observed) = report.targets.get(target) else { continue };
@@ -116,6 +118,7 @@
             if let (Some((interval, samples)), Some(weight)) =
                 (observed.interval(), self::weight(speed_age))
             {
+                merged.samples = merged.samples.saturating_add(samples);
                 speeds.push((interval, f64::from(samples) * weight));
             }
         }
