Share targets between jobs by rank and by what they need

Cause: the waiting items of all jobs of a node were served in the order of the steps' numbers, so that a small step waited for all items of a large one, and the rank of work in configurations was ignored. Change: the module share of tamarackdock_rollout orders the items when scheduling.adaptive is on: by rank, then the job with the smallest fraction of what its trainer waits for; a job that can no longer meet its due time comes later, but keeps a fifth of the runs. Routes and client accounts get a rank; one that is missing or invalid is the lowest in use, with one log line for each configuration.

Conclusion: a job that is late in any case no longer makes others late.

--- a/crates/tamarackdock_gateway/src/batch/estimate.rs
+++ b/crates/tamarackdock_gateway/src/batch/estimate.rs
@@ -1,17 +1,25 @@
-//! Applies the decisions of [`tamarackdock_rollout::finish`] to the jobs that this node runs.
+//! Applies the decisions of [`tamarackdock_rollout::finish`] and [`tamarackdock_rollout::share`] to
+//! the jobs that this node runs.
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
-use tamarackdock_rollout::finish::{self, Group, Move, Run, RunningStep, Target, Waiting};
+use tamarackdock_rollout::{
+    finish::{self, Group, Move, Run, RunningStep, Target, Waiting},
+    share,
+};
 use tamarackdock_types::clock::Instant;
 
 use super::{
-    job::{Job, JobItem, Phase},
+    job::{Job, JobItem, Phase, TOKENS_PER_EVENT},
     lifetime::JobRoute,
     placement::{Assignment, PlacementTarget, WaitingItem},
     schedule,
 };
-use crate::{deployment::Name, node::Node, target::Registration};
+use crate::{
+    deployment::{Deployment, Name},
+    node::Node,
+    target::Registration,
+};
 
 /// Time for which a plan of moves holds. Runs check it between their events, and a slow target
 /// is seen by its events only.
@@ -104,17 +112,36 @@
 
 /// Returns the items that start now. Updates the targets accordingly.
 pub(crate) fn assign_items(
+    node: &Node,
     jobs: &[Rc<RefCell<Job>>],
-    mut waiting: Vec<WaitingItem>,
+    waiting: Vec<WaitingItem>,
     targets: &mut [PlacementTarget],
+    now: Instant,
 ) -> Assignment {
+    let deployment = node.view.deployment();
     let mut finish_targets = finish_targets(targets);
     let mut ends_ms = Vec::new();
+    let mut steps: Vec<share::Step> = Vec::new();
     for (number, job) in jobs.iter().enumerate() {
-        let (step, _) = running_step(&job.borrow(), number, targets, &finish_targets);
-        ends_ms.push(step.mark_decisive(&mut finish_targets));
+        let mut job = job.borrow_mut();
+        let (step, _) = running_step(&job, number, targets, &finish_targets);
+        let step_end_ms = step.mark_decisive(&mut finish_targets);
+        ends_ms.push(step_end_ms);
+        let is_same = |other: &Rc<RefCell<Job>>| is_same_trainer(&other.borrow(), &job);
+        let trainer = jobs[..number].iter().position(is_same).unwrap_or(number);
+        let rate = rate(number, targets, &finish_targets);
+        let (step, inputs) = shared_step(&job, &deployment, trainer, step_end_ms, rate, now);
+        if step.is_late && !job.was_late {
+            job.was_late = true;
+            slog::info!(node.log, "job: due time can't be met, other jobs come first";
+                "job" => &*job.id, "rank" => step.rank, "due_ms" => inputs.due_ms.round(),
+                "end_ms" => step_end_ms.round(), "work" => inputs.work.round(),
+                "work_per_s" => (rate * 1000.0).round(), "received" => step.received.round(),
+                "needed" => step.needed.round());
+        }
+        steps.push(step);
     }
-    waiting.sort_by_key(WaitingItem::order);
+    let waiting = in_order(&steps, waiting);
     let items: Vec<Waiting> = waiting
         .iter()
         .map(|item| {
@@ -142,9 +169,85 @@
     assignment
 }
 
+/// Returns whether two jobs belong to one trainer, so that they are served one after the other.
+fn is_same_trainer(left: &Job, right: &Job) -> bool {
+    left.head.model.is_some()
+        && left.head.model == right.head.model
+        && left.head.account == right.head.account
+}
+
+/// Returns the waiting items in the order in which they get targets.
+fn in_order(steps: &[share::Step], waiting: Vec<WaitingItem>) -> Vec<WaitingItem> {
+    let item = |item: &WaitingItem| share::Item {
+        step: item.job,
+        carried: item.carried,
+        work: to_float(item.remaining_tokens),
+    };
+    let items: Vec<share::Item> = waiting.iter().map(item).collect();
+    let mut waiting: Vec<Option<WaitingItem>> = waiting.into_iter().map(Some).collect();
+    let ordered = share::order(steps, &items);
+    ordered.into_iter().filter_map(|index| waiting[index].take()).collect()
+}
+
+/// Returns the tokens that all slots of the targets that fit a job make in a millisecond.
+fn rate(number: usize, placement_targets: &[PlacementTarget], targets: &[Target]) -> f64 {
+    let fitting = placement_targets.iter().zip(targets);
+    fitting
+        .filter(|(target, _)| target.fitting_jobs.contains(&number) && !target.is_avoided)
+        .map(|(target, speed)| {
+            f64::from(target.slots) * to_float(TOKENS_PER_EVENT) / speed.event_ms
+        })
+        .sum()
+}
+
+/// What decides whether a job can meet its due time.
+pub(crate) struct DueInputs {
+    /// Estimated remaining tokens of the part that the trainer waits for.
+    pub(crate) work: f64,
+    /// Time until the job is due.
+    pub(crate) due_ms: f64,
+}
+
+/// Returns a job as a step that shares targets with others, in tokens. `trainer` is the index of
+/// the first job of its trainer.
+pub(crate) fn shared_step(
+    job: &Job,
+    deployment: &Deployment,
+    trainer: usize,
+    end_ms: f64,
+    rate: f64,
+    now: Instant,
+) -> (share::Step, DueInputs) {
+    let groups = job.group_count.max(1);
+    let wanted = job.submission.wanted_groups.min(groups);
+    let all: f64 = to_float(job.submission.work());
+    let needed = all * to_float(wanted as u64) / to_float(groups as u64);
+    let received = to_float(job.items.iter().map(JobItem::received_tokens).sum());
+    let is_running = |item: &&JobItem| matches!(item.phase, Phase::Running(_));
+    let running = job.items.iter().filter(is_running).count();
+    let route = match JobRoute::of(&job.head, deployment) {
+        JobRoute::Found(route) => Some(route),
+        JobRoute::Unknown | JobRoute::Gone => None,
+    };
+    let rank =
+        route.as_ref().map_or(u32::MAX, |route| deployment.rank(route, job.head.account.as_ref()));
+    let due = route.map(|route| route.due).filter(|due| !due.is_zero());
+    let due_ms = due.map_or(f64::INFINITY, |due| millis_left(job.accepted + due, now));
+    let work = (needed - received).max(0.0);
+    let step = share::Step {
+        trainer,
+        rank,
+        needed,
+        received,
+        running: u32::try_from(running).unwrap_or(u32::MAX),
+        is_late: share::is_late(work, rate, end_ms, due_ms),
+    };
+    (step, DueInputs { work, due_ms })
+}
+
 /// Returns the targets as the decisions see them. One without a measured speed is assumed to be
 /// as fast as the others of its service are on average.
-fn finish_targets(targets: &[PlacementTarget]) -> Vec<Target> {
+pub(crate) fn finish_targets(targets: &[PlacementTarget]) -> Vec<Target> {
     let mut usual_ms: BTreeMap<&str, f64> = BTreeMap::new();
     for target in targets {
         let service = &*target.software.service;
@@ -167,7 +270,7 @@
 /// Returns a job with its runs in progress, and the index of the item of each run. Items that
 /// wait are expected to start at once on the fastest target that fits. The index of the job is
 /// that in the targets' lists of fitting jobs.
-fn running_step(
+pub(crate) fn running_step(
     job: &Job,
     number: usize,
     placement_targets: &[PlacementTarget],
@@ -210,14 +313,17 @@
     (step, items)
 }
 
-#[allow(clippy::cast_precision_loss)]
 fn events(item: &JobItem) -> f64 {
-    item.remaining_events().max(1) as f64
+    to_float(item.remaining_events().max(1))
 }
 
-#[allow(clippy::cast_precision_loss)]
 fn read_tokens(item: &JobItem) -> f64 {
-    item.read_tokens() as f64
+    to_float(item.read_tokens() as u64)
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn to_float(count: u64) -> f64 {
+    count as f64
 }
 
 /// Returns the milliseconds until a time, 0 if it has passed.
--- a/crates/tamarackdock_gateway/src/batch/job.rs
+++ b/crates/tamarackdock_gateway/src/batch/job.rs
@@ -27,7 +27,7 @@
 /// Time that a target takes for an event, about.
 const TIME_PER_EVENT: Duration = Duration::from_millis(35);
 /// Output tokens that an event is estimated to hold.
-const TOKENS_PER_EVENT: u64 = 50;
+pub(crate) const TOKENS_PER_EVENT: u64 = 50;
 /// Bytes of a request that hold a token of its prompt, about.
 const BYTES_PER_TOKEN: usize = 4;
 
@@ -87,6 +87,14 @@
         self.request.body.len() / BYTES_PER_TOKEN + usize::try_from(text).unwrap_or_default()
     }
 
+    /// Returns the estimated output tokens that the item has, or gets from its run.
+    pub(crate) fn received_tokens(&self) -> u64 {
+        match self.phase {
+            Phase::Waiting => self.progress.event_count() as u64 * TOKENS_PER_EVENT,
+            _ => self.request.estimated_tokens(),
+        }
+    }
+
     /// Returns the estimated number of remaining output tokens.
     pub(crate) fn remaining_tokens(&self) -> u64 {
         let received = self.progress.event_count() as u64 * TOKENS_PER_EVENT;
@@ -159,6 +167,8 @@
     pub(crate) accepted: Instant,
     /// Number of failed runs at which an item is aborted.
     pub(crate) max_failures: u32,
+    /// Whether it was found that the job can no longer meet its due time.
+    pub(crate) was_late: bool,
 }
 
 impl Job {
@@ -203,6 +213,7 @@
             changed: Notify::default(),
             accepted,
             max_failures,
+            was_late: false,
         }
     }
 
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -77,7 +77,7 @@
     }
     let (mut targets, registrations) = placement_targets(node, jobs, now);
     let Assignment { placed, unplaced } = if node.settings().scheduling.adaptive {
-        estimate::assign_items(jobs, waiting, &mut targets)
+        estimate::assign_items(node, jobs, waiting, &mut targets, now)
     } else {
         placement::assign_items(waiting, &mut targets)
     };
--- a/crates/tamarackdock_gateway/src/batch/tests/lifetime.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/lifetime.rs
@@ -27,6 +27,7 @@
             due: LIFETIME,
             single_version: false,
             public: false,
+            rank: 0,
         });
     }
     deployment
--- a/crates/tamarackdock_gateway/src/batch/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions about batch jobs, without a network.
 
+mod estimate;
 mod finish;
 mod index;
 mod job;
@@ -10,6 +11,7 @@
 mod progress;
 mod rows;
 mod scoring;
+mod share;
 
 use std::rc::Rc;
 
--- a/crates/tamarackdock_gateway/src/batch/tests/scoring.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/scoring.rs
@@ -154,6 +154,7 @@
         due: Duration::ZERO,
         single_version: false,
         public: false,
+        rank: 0,
     });
     deployment
 }
--- a/crates/tamarackdock_gateway/src/deployment.rs
+++ b/crates/tamarackdock_gateway/src/deployment.rs
@@ -52,6 +52,8 @@
     pub single_version: bool,
     /// Whether calls need no key.
     pub public: bool,
+    /// Rank of the work, 0 is the highest. It orders work that competes for the same targets.
+    pub rank: u32,
 }
 
 /// A service and the properties of its targets.
@@ -115,6 +117,11 @@
     pub services: BTreeMap<Name, Service>,
     /// Client accounts by API key.
     pub accounts: BTreeMap<String, Name>,
+    /// Ranks of client accounts that have their own, which take precedence over those of
+    /// routes.
+    pub account_ranks: BTreeMap<Name, u32>,
+    /// Routes and accounts whose ranks are missing or invalid and count as the lowest.
+    pub unranked: Vec<String>,
     /// Whether calls need a key, except on public routes.
     pub requires_key: bool,
     /// Limits on the requests of clients.
@@ -168,6 +175,13 @@
         }
     }
 
+    /// Returns the rank of the work that comes over a route for a client account.
+    #[must_use]
+    pub fn rank(&self, route: &Route, account: Option<&Name>) -> u32 {
+        let own = account.and_then(|account| self.account_ranks.get(account));
+        own.copied().unwrap_or(route.rank)
+    }
+
     /// Returns the client account of a key, or `None` if the key is absent or unknown.
     #[must_use]
     pub fn account(&self, key: Option<&str>) -> Option<Name> {
--- a/crates/tamarackdock_gateway/src/tests/deployment.rs
+++ b/crates/tamarackdock_gateway/src/tests/deployment.rs
@@ -18,6 +18,7 @@
         due: Duration::ZERO,
         single_version: false,
         public,
+        rank: 0,
     }
 }
 
--- a/crates/tamarackdock_gateway/src/view.rs
+++ b/crates/tamarackdock_gateway/src/view.rs
@@ -33,6 +33,8 @@
 /// Time after an outage of the store during which targets without a row stay in
 /// use for a while. Targets are registered again within 2 s of the store's return.
 const OUTAGE_GRACE: Duration = Duration::from_millis(3500);
+/// Most names in a line of the log.
+const MAX_LOGGED_NAMES: usize = 20;
 /// Time between removals of targets whose grace period has ended.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -229,6 +231,12 @@
         slog::info!(self.log, "orders: configuration received"; "version" => deployment.version,
             "in_force" => current, "revision" => revision,
             "accounts" => deployment.accounts.len());
+        if !deployment.unranked.is_empty() {
+            let names = &deployment.unranked[..deployment.unranked.len().min(MAX_LOGGED_NAMES)];
+            slog::info!(self.log, "orders: ranks missing or invalid, the lowest is used";
+                "version" => deployment.version, "count" => deployment.unranked.len(),
+                "names" => names.join(","));
+        }
         if deployment.version > current {
             *self.view.deployment.borrow_mut() = Rc::new(deployment);
         }
--- a/crates/tamarackdock_rollout/src/lib.rs
+++ b/crates/tamarackdock_rollout/src/lib.rs
@@ -1,6 +1,6 @@
 //! Steps of trainers: requests, slots, samples, the manifest and the state
 //! machine that the holder of a step runs. See `docs/design.md`, section 6.
-//! The module [`finish`] holds decisions that the gateway uses as well.
+//! The modules [`finish`] and [`share`] hold decisions that the gateway uses as well.
 
 pub mod attempt;
 pub mod finish;
@@ -8,6 +8,7 @@
 pub mod policy;
 pub mod request;
 pub mod sample;
+pub mod share;
 pub mod slot;
 pub mod span;
 pub mod step;
