Decide by an outlook which calls to few plain targets are sent

Cause: while two of three targets are gone and a burst arrives, calls wait at a silent target until their deadline, and refused ones are sent again after 250 ms, into the same burst. Change: tamarackdock_admit::outlook, a pure module with the time as input, expects when each target of a service without models can answer, from the host's own calls. With scheduling.adaptive, hedge asks it: a call that no target is expected to answer in time is refused at once as not run, attempts go to failing targets last, and Retry-After after refusals is when room is expected. Each refusal is logged with its inputs and counted (refusals_total).

A test with a real process finds no refused call that has run.

--- a/crates/tamarackdock_admit/src/lib.rs
+++ b/crates/tamarackdock_admit/src/lib.rs
@@ -6,6 +6,7 @@
 mod call;
 pub mod fair;
 mod fixed;
+pub mod outlook;
 mod rate;
 pub mod share;
 
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -182,6 +182,21 @@
         self.choose_of(node, None, tried)
     }
 
+    /// Returns the targets that can run the call now and that it was not sent to before, in the
+    /// order in which they would be tried.
+    pub(crate) fn candidates(
+        &self,
+        node: &Node,
+        tried: &[Name],
+    ) -> impl Iterator<Item = Registration> {
+        let mut seen = tried.to_vec();
+        std::iter::from_fn(move || {
+            let target = self.choose(node, &seen)?;
+            seen.push(target.id.clone());
+            Some(target)
+        })
+    }
+
     /// Chooses a target that the call was not sent to before. If the call goes on with a stream,
     /// only targets of the software that began it are considered.
     pub(crate) fn choose_of(
--- a/crates/tamarackdock_gateway/src/hedge.rs
+++ b/crates/tamarackdock_gateway/src/hedge.rs
@@ -4,7 +4,8 @@
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use monoio::time::timeout;
-use tamarackdock_types::clock::{BootClock, Clock};
+use tamarackdock_admit::outlook::Decision;
+use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
     call::{Attempt, Call, classify_answer, final_reply},
@@ -14,6 +15,7 @@
     limit::permits,
     node::Node,
     origin::Origin,
+    outlook::{self, Waiting},
     path::{self, Choice, Request},
     reply::Reply,
     target::Registration,
@@ -44,8 +46,17 @@
 
 /// Serves a call whose response is not a stream.
 pub(crate) async fn serve(node: &Rc<Node>, call: &Call) -> Reply {
-    let attempts = send(node, call).await;
+    let probe = match outlook::decide(node, call) {
+        Decision::Send => None,
+        Decision::Probe { target } => Some(target),
+        Decision::Refuse(refusal) => return outlook::refuse_at_once(node, call, &refusal),
+    };
+    let attempts = send_to(node, call, probe).await;
     match attempts.last {
+        Some(Attempt::NotRun(after)) if !attempts.may_have_run => {
+            let refused = outlook::refuse_after_refusals(node, call);
+            refused.unwrap_or_else(|| final_reply(Attempt::NotRun(after), false))
+        }
         Some(last) => final_reply(last, attempts.may_have_run),
         None => Reply::error(504, "no target answered in time"),
     }
@@ -54,6 +65,11 @@
 /// Sends a call to targets. A call that may be repeated is hedged and retried on other
 /// targets. Any other call is retried only after attempts that certainly did not run it.
 pub(crate) async fn send(node: &Rc<Node>, call: &Call) -> Summary {
+    send_to(node, call, None).await
+}
+
+/// Sends a call as [`send`] does, first to the target `probe` if that is given and can run it.
+async fn send_to(node: &Rc<Node>, call: &Call, mut probe: Option<Name>) -> Summary {
     let may_repeat = call.may_repeat();
     let hedge = call.route.objective.mul_f64(call.origin.hedge_share()).max(MIN_HEDGE);
     let mut tried: Vec<Name> = Vec::new();
@@ -68,7 +84,12 @@
         let may_start = attempts_left
             && withheld < MAX_WITHHELD
             && (may_repeat || (running.is_empty() && !may_have_run));
-        if may_start && let Some(target) = call.choose(node, &tried) {
+        // Only refusals so far: a further attempt that would just wait is left to the caller.
+        let is_refused = matches!(last, Attempt::NotRun(_)) && running.is_empty() && !may_have_run;
+        if may_start && is_refused && !tried.is_empty() && !outlook::goes_on(node, call, &tried) {
+            break;
+        }
+        if may_start && let Some(target) = outlook::choose(node, call, &tried, probe.take()) {
             tried.push(target.id.clone());
             // Later attempts take another path if nothing has come over this node's own.
             let choice = match tried.len() {
@@ -142,6 +163,7 @@
     match &outcome {
         Attempt::NotRun(_) => node.target_loads.borrow_mut().mark_full(&target.id, now),
         Attempt::Unknown(error) if error.blames_target() && *error != ExchangeError::TimedOut => {
+            node.outlook.borrow_mut().broke(&target.id, now);
             node.target_loads.borrow_mut().mark_suspect(&target.id, now);
             crash::observe(node, call, &target, *error, Break::AtOnce);
         }
@@ -172,6 +194,7 @@
         return Attempt::Withheld(after);
     }
     let sent_at = BootClock.now();
+    let _waiting = Waiting::begin(node, &target.id, sent_at);
     let head = &call.request.head;
     let request = Request {
         id: &call.id,
@@ -188,7 +211,13 @@
     is_forwarded.set(sent.is_forwarded);
     let link = match sent.checked(node).await {
         Ok(link) => link,
-        Err(ExchangeError::NotSent) => return Attempt::NotRun(None),
+        Err(ExchangeError::NotSent) => {
+            // The connection could not be opened. Another node would say so for its own reasons.
+            if !is_forwarded.get() {
+                node.outlook.borrow_mut().broke(&target.id, BootClock.now());
+            }
+            return Attempt::NotRun(None);
+        }
         Err(ExchangeError::NoPath) => return Attempt::NoPath,
         Err(error) => return Attempt::Unknown(error),
     };
@@ -196,6 +225,7 @@
     match link.collect(node, MAX_RESPONSE_BYTES, call.give_up_at).await {
         Ok((response, link)) => {
             let attempt = classify_answer(&fields, &call.id, response);
+            observe(node, target, &attempt, sent_at);
             // After an answer to another request, the one to this request may follow.
             if !matches!(attempt, Attempt::Unknown(_)) {
                 link.keep(node);
@@ -205,3 +235,18 @@
         Err(error) => Attempt::Unknown(error),
     }
 }
+
+/// Tells the outlook what the complete answer of a target says.
+fn observe(node: &Node, target: &Registration, answer: &Attempt, sent_at: Instant) {
+    let now = BootClock.now();
+    let mut outlook = node.outlook.borrow_mut();
+    match answer {
+        Attempt::NotRun(after) => outlook.refused(&target.id, *after, now),
+        Attempt::Answered(response) => {
+            // Errors can be faster than the usual work.
+            let took = (response.head.status < 300).then(|| now.since(sent_at));
+            outlook.answered(&target.service, &target.id, took, now);
+        }
+        Attempt::NoPath | Attempt::Withheld(_) | Attempt::Unknown(_) => {}
+    }
+}
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod node;
 mod notify;
 mod origin;
+mod outlook;
 mod path;
 mod peer;
 mod pool;
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -11,6 +11,7 @@
 use derive_more::{Display, Error, From};
 use monoio::time::sleep;
 use slog::Logger;
+use tamarackdock_admit::outlook::Outlook;
 use tamarackdock_platform::table::{Commit, Condition, Row, Watch, Write};
 use tamarackdock_types::{
     HostName, NameError,
@@ -100,6 +101,8 @@
     pub(crate) ledger_changed: Notify,
     pub(crate) stored_beginnings: Stored,
     pub(crate) target_loads: RefCell<TargetLoads>,
+    /// When the targets of plain services are expected to answer.
+    pub(crate) outlook: RefCell<Outlook>,
     pub(crate) limits: RefCell<TargetLimits>,
     pub(crate) limiter: Limiter,
     pub(crate) members: Rc<Members>,
@@ -188,6 +191,7 @@
             ledger_changed: Notify::default(),
             stored_beginnings: Stored::default(),
             target_loads: RefCell::default(),
+            outlook: RefCell::default(),
             limits: RefCell::default(),
             limiter: Limiter::default(),
             members,
@@ -402,6 +406,7 @@
         node.pool.sweep(in_use);
         node.peer_pool.sweep(|_| true);
         node.target_loads.borrow_mut().sweep(|id| targets.get(id).is_some());
+        node.outlook.borrow_mut().sweep(|id| targets.get(id).is_some());
         if let Some(store_ms) = node.store_clock.millis(BootClock.now()) {
             node.limits.borrow_mut().sweep(|id| targets.get(id).is_some(), store_ms);
         }
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -120,6 +120,9 @@
     pub(crate) call_seconds: Histogram,
     /// Attempts on targets by outcome.
     pub(crate) attempts: IntCounterVec,
+    /// Calls refused as not run since no target has room, by reason and by whether any target was
+    /// asked.
+    pub(crate) refusals: IntCounterVec,
     /// Connections opened to targets by service.
     pub(crate) connections: IntCounterVec,
     /// Connections to targets that could not be opened, by service.
@@ -151,6 +154,12 @@
             calls: counter_vec(&registry, "calls", "Answered calls.", &["kind", "status"])?,
             call_seconds: histogram(&registry, "call_seconds", "Time to answer a call.")?,
             attempts: counter_vec(&registry, "attempts", "Attempts on targets.", &["outcome"])?,
+            refusals: counter_vec(
+                &registry,
+                "refusals",
+                "Calls refused because no target has room.",
+                &["reason", "when"],
+            )?,
             connections: counter_vec(
                 &registry,
                 "connections",
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -16,6 +16,8 @@
 mod limits;
 #[path = "gateway/odd_entries.rs"]
 mod odd_entries;
+#[path = "gateway/outlook.rs"]
+mod outlook;
 #[path = "gateway/ownership.rs"]
 mod ownership;
 #[path = "gateway/releases.rs"]
--- a/crates/tamarackdock_node/tests/gateway/cut_hosts.rs
+++ b/crates/tamarackdock_node/tests/gateway/cut_hosts.rs
@@ -38,7 +38,7 @@
 }
 
 /// Returns the ids of calls that were refused as not run and did run, or ran twice.
-fn untrue(cluster: &Cluster, calls: &[CallRecord]) -> Vec<String> {
+pub(crate) fn untrue(cluster: &Cluster, calls: &[CallRecord]) -> Vec<String> {
     let runs = cluster.runs();
     let is_untrue = |call: &&CallRecord| {
         let runs = runs.get(&call.id).copied().unwrap_or(0);
