Explain where a call or the items of a job would go

Cause: an operator sees in /state what a gateway knows of each target, but not where the next call goes or why an item waits. Change: GET /explain on the metrics address, and `tamarackctl explain`. For a call: the route, its services, the action by the outlook, and the targets in order with the inputs and their age, and why others are left out. For a job: its owner, and at the owner what 20 of its waiting items wait for. It asks balance, outlook, schedule and placement, whose conditions got names for it (balance::LeftOut, Avoidance), and sends nothing to targets. An unknown host, path or job exits with 1, bad arguments with 2.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use derive_more::Display;
 use tamarackdock_types::clock::Instant;
 
 use crate::{
@@ -64,6 +65,16 @@
     Probing,
 }
 
+/// Why a target is used only as a last choice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Avoidance {
+    pub(crate) reason: &'static str,
+    /// Time since the observation behind it.
+    pub(crate) age: Duration,
+    /// Time until it ends without a further observation.
+    pub(crate) left: Duration,
+}
+
 impl TargetLoad {
     /// Returns how many requests may be sent to find out whether the target accepts them again,
     /// or `None` if it does.
@@ -78,7 +89,18 @@
     /// Returns whether the target is to be used only as a last choice, because a recent
     /// request to it failed, was not run or met the wrong weights.
     pub(crate) fn is_avoided(&self, now: Instant) -> bool {
-        now < self.suspect_until || now < self.full_until
+        self.avoidance(now).is_some()
+    }
+
+    /// Returns why the target is to be used only as a last choice, if it is.
+    pub(crate) fn avoidance(&self, now: Instant) -> Option<Avoidance> {
+        let (reason, until, whole) = match () {
+            () if now < self.suspect_until => ("suspect", self.suspect_until, SUSPECT_FOR),
+            () if now < self.full_until => ("full", self.full_until, FULL_FOR),
+            () => return None,
+        };
+        let left = until.since(now);
+        Some(Avoidance { reason, age: whole.saturating_sub(left), left })
     }
 
     /// Returns how many of a target's `slots` are free for calls that leave `reserved` of them
@@ -240,6 +262,51 @@
     pub(crate) limit: &'a dyn Fn(&Registration) -> LimitState,
 }
 
+/// Why a call is not sent to a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum LeftOut {
+    #[display("it serves another service")]
+    Service,
+    #[display("draining")]
+    Draining,
+    #[display("it runs other software than began the stream")]
+    Software,
+    #[display("the call was already sent to it")]
+    Tried,
+    #[display("its data centre is evacuated")]
+    Evacuated,
+    #[display("it has no free slot beside the reserved ones")]
+    Reserved,
+    #[display("cold, and this host's share of its starts is used up")]
+    Cold,
+}
+
+/// Returns why a call is not sent to a target, or `None` if it can be.
+pub(crate) fn left_out(
+    requirements: &Requirements<'_>,
+    target: &Target,
+    loads: &TargetLoads,
+    service: &Service,
+    is_evacuated: impl Fn(&str) -> bool,
+    now: Instant,
+) -> Option<LeftOut> {
+    let entry = &target.registration;
+    let reserved = requirements.reserved_slots;
+    let is_other = |software: &Software| *software.version != *entry.software_version;
+    let has_slot = || loads.get(&entry.id).unreserved_slots(entry.slots, reserved) > 0;
+    let rank = || (requirements.node_rank)(&entry.id);
+    match () {
+        () if *entry.service != *requirements.service => Some(LeftOut::Service),
+        () if entry.draining => Some(LeftOut::Draining),
+        () if requirements.software.is_some_and(is_other) => Some(LeftOut::Software),
+        () if requirements.tried.contains(&entry.id) => Some(LeftOut::Tried),
+        () if is_evacuated(&entry.data_centre) => Some(LeftOut::Evacuated),
+        () if reserved > 0 && !has_slot() => Some(LeftOut::Reserved),
+        () if !loads.has_capacity(target, service, rank, now) => Some(LeftOut::Cold),
+        () => None,
+    }
+}
+
 /// Returns the best target for a call. Targets for which permits can be had come first, then
 /// those that are not avoided, then those with free slots, then those without a limit, then
 /// those in the node's own data centre, then those with the fewest requests of this node
@@ -253,18 +320,7 @@
     now: Instant,
 ) -> Option<&'a Target> {
     let usable = targets.filter(|target| {
-        let entry = &target.registration;
-        *entry.service == *requirements.service
-            && !entry.draining
-            && requirements
-                .software
-                .is_none_or(|software| *software.version == *entry.software_version)
-            && !requirements.tried.contains(&entry.id)
-            && !is_evacuated(&entry.data_centre)
-            && (requirements.reserved_slots == 0
-                || loads.get(&entry.id).unreserved_slots(entry.slots, requirements.reserved_slots)
-                    > 0)
-            && loads.has_capacity(target, service, || (requirements.node_rank)(&entry.id), now)
+        left_out(requirements, target, loads, service, &is_evacuated, now).is_none()
     });
     usable.min_by_key(|target| {
         let entry = &target.registration;
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -59,17 +59,7 @@
     if jobs.is_empty() {
         return false;
     }
-    let mut waiting = Vec::new();
-    for (index, job) in jobs.iter().enumerate() {
-        let job = job.borrow();
-        waiting.extend(job.startable(now).map(|(item, job_item)| WaitingItem {
-            job: index,
-            item,
-            carried: job_item.carried,
-            remaining_tokens: job_item.remaining_tokens(),
-            made_by: job_item.progress.made_by().cloned(),
-        }));
-    }
+    let waiting = waiting_items(jobs, now);
     let has_later = jobs.iter().any(|job| job.borrow().next_start().is_some());
     if waiting.is_empty() {
         return has_later;
@@ -108,9 +98,25 @@
     has_unplaced || has_later
 }
 
+/// Returns the items of jobs that may start now.
+pub(crate) fn waiting_items(jobs: &[Rc<RefCell<Job>>], now: Instant) -> Vec<WaitingItem> {
+    let mut waiting = Vec::new();
+    for (index, job) in jobs.iter().enumerate() {
+        let job = job.borrow();
+        waiting.extend(job.startable(now).map(|(item, job_item)| WaitingItem {
+            job: index,
+            item,
+            carried: job_item.carried,
+            remaining_tokens: job_item.remaining_tokens(),
+            made_by: job_item.progress.made_by().cloned(),
+        }));
+    }
+    waiting
+}
+
 /// Returns the targets of configured services that are neither draining nor in an
 /// evacuated data centre, and the registration of each.
-fn placement_targets(
+pub(crate) fn placement_targets(
     node: &Node,
     jobs: &[Rc<RefCell<Job>>],
     now: Instant,
@@ -158,7 +164,7 @@
 }
 
 /// Returns the service that runs a job's items, or `None` if the job's route is gone.
-fn service_of(node: &Node, job: &Job) -> Option<Name> {
+pub(crate) fn service_of(node: &Node, job: &Job) -> Option<Name> {
     let route = node.view.deployment().route(&job.head.host, &job.head.path)?;
     Some(pick_service(&route, &job.id))
 }
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -7,9 +7,9 @@
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
-    balance::{self, LimitState, Requirements},
+    balance::{self, LeftOut, LimitState, Requirements, TargetLoads},
     batch::{ScoringCall, takeover},
-    deployment::{CallKind, Name, Route},
+    deployment::{CallKind, Name, Route, Service},
     grace::{Repeat, Work},
     http::{ExchangeError, Framing, Headers, RequestHead, Response, ResponseHead},
     node::Node,
@@ -17,7 +17,7 @@
     path::Permission,
     reply::Reply,
     server::Request,
-    target::{Registration, Software},
+    target::{Registration, Software, Target, TargetList},
     wire_format::HeaderFields,
 };
 
@@ -205,6 +205,38 @@
         software: Option<&Software>,
         tried: &[Name],
     ) -> Option<Registration> {
+        self.weigh(node, software, tried, |inputs| {
+            let Inputs { requirements, targets, loads, service, is_evacuated, now } = inputs;
+            balance::choose(requirements, targets.iter(), loads, service, is_evacuated, *now)
+                .map(|target| target.registration.clone())
+        })?
+    }
+
+    /// Returns the targets of the call's service that it is not sent to now, and why.
+    pub(crate) fn left_out(&self, node: &Node) -> Vec<(Registration, LeftOut)> {
+        let left_out = self.weigh(node, None, &[], |inputs| {
+            let Inputs { requirements, targets, loads, service, is_evacuated, now } = inputs;
+            let of_service = targets
+                .iter()
+                .filter(|target| *target.registration.service == *requirements.service);
+            let reason = |target: &Target| {
+                balance::left_out(requirements, target, loads, service, is_evacuated, *now)
+            };
+            let with_reason =
+                |target: &Target| Some((target.registration.clone(), reason(target)?));
+            of_service.filter_map(with_reason).collect()
+        });
+        left_out.unwrap_or_default()
+    }
+
+    /// Gathers what the choice of a target depends on. Returns `None` without a service.
+    fn weigh<T>(
+        &self,
+        node: &Node,
+        software: Option<&Software>,
+        tried: &[Name],
+        decide: impl FnOnce(&Inputs<'_>) -> T,
+    ) -> Option<T> {
         let now = BootClock.now();
         let deployment = node.view.deployment();
         let name = match software {
@@ -216,7 +248,6 @@
             None => pick_service(&self.route, &self.id),
         };
         let service = deployment.services.get(&name)?;
-        let targets = node.view.targets.borrow();
         let evacuated = node.view.evacuated.borrow();
         let live = node.members.live();
         let limits = node.limits.borrow();
@@ -233,13 +264,27 @@
                 is_spared: limits.is_spared(target, store_ms),
             },
         };
-        let loads = node.target_loads.borrow();
-        let is_evacuated = |data_centre: &str| evacuated.contains(data_centre);
-        balance::choose(&requirements, targets.iter(), &loads, service, is_evacuated, now)
-            .map(|target| target.registration.clone())
+        Some(decide(&Inputs {
+            requirements,
+            targets: &node.view.targets.borrow(),
+            loads: &node.target_loads.borrow(),
+            service,
+            is_evacuated: &|data_centre| evacuated.contains(data_centre),
+            now,
+        }))
     }
 }
 
+/// What the choice of a target for a call depends on.
+struct Inputs<'a> {
+    requirements: Requirements<'a>,
+    targets: &'a TargetList,
+    loads: &'a TargetLoads,
+    service: &'a Service,
+    is_evacuated: &'a dyn Fn(&str) -> bool,
+    now: Instant,
+}
+
 /// Returns one of the services of a route, distributed by their weights. The same
 /// call id always gets the same service.
 pub(crate) fn pick_service(route: &Route, id: &str) -> Name {
--- a/crates/tamarackdock_gateway/src/dispatch.rs
+++ b/crates/tamarackdock_gateway/src/dispatch.rs
@@ -9,7 +9,7 @@
     call::Call,
     crash,
     deployment::{Authorization, CallKind, Name, Route},
-    forward,
+    explain, forward,
     grace::Work,
     hedge,
     http::Writer,
@@ -46,6 +46,9 @@
             (ListenerKind::Metrics, "/state") => {
                 Outcome::Reply(Reply::new(200, "application/json", crate::dump::state(self)))
             }
+            (ListenerKind::Metrics, explain::PATH) => {
+                Outcome::Reply(explain::serve(self, &request.head.target))
+            }
             (ListenerKind::Peers | ListenerKind::Metrics, _) => {
                 Outcome::Reply(Reply::error(404, "no such path"))
             }
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod dump;
 mod duty;
 mod event;
+mod explain;
 mod forward;
 mod grace;
 mod hedge;
--- a/crates/tamarackdock_gateway/src/outlook.rs
+++ b/crates/tamarackdock_gateway/src/outlook.rs
@@ -68,6 +68,17 @@
     call.candidates(node, tried).find(|target| target.id == id)
 }
 
+/// Returns the targets in the order in which the attempts of a call would be sent to them.
+pub(crate) fn order(node: &Node, call: &Call, most: usize) -> Vec<Registration> {
+    let mut tried = Vec::new();
+    let next = || {
+        let target = choose(node, call, &tried, None)?;
+        tried.push(target.id.clone());
+        Some(target)
+    };
+    std::iter::from_fn(next).take(most).collect()
+}
+
 /// Returns the reply to a call that was refused before any target was asked.
 pub(crate) fn refuse_at_once(node: &Node, call: &Call, refusal: &Refusal) -> Reply {
     record(node, call, refusal, AT_ONCE);
--- a/crates/tamarackdock_gateway/src/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/tests/mod.rs
@@ -9,6 +9,7 @@
 mod crash;
 mod deployment;
 mod event;
+mod explain;
 mod forward;
 mod freshness;
 mod grace;
--- a/crates/tamarackdock_node/tests/ctl.rs
+++ b/crates/tamarackdock_node/tests/ctl.rs
@@ -37,6 +37,8 @@
         "dump -n NODE",
         "dump --all -n NODE",
         "metrics -n NODE",
+        "explain --gateway NODE --host a.example --path /app/",
+        "explain --gateway NODE --job j1",
         "key new",
     ] {
         let line = line.replace("PATH", &path).replace("NODE", &node).replace("HASH", KEY_HASH);
@@ -194,3 +196,39 @@
     assert_eq!(ctl_with("key hash", &format!("{}\n", "k".repeat(5_000))).code, 2);
     assert_eq!(ctl_with("key hash", &format!("{}\n", "k".repeat(4_096))).code, 0);
 }
+
+/// Guards against an explanation that leaves out an input, against bad arguments that are sent to
+/// a gateway, and against an unknown call or job that looks like a success.
+#[test]
+fn explanations_are_printed_and_their_arguments_checked() {
+    let fake = FakeNode::spawn(&FakeStore::shared());
+    let gateway = fake.node();
+    for arguments in [
+        "",
+        "--host a.example",
+        "--path /app/",
+        "--host a.example --path app/",
+        "--host a.example --path /app/?x=1",
+        "--host a.example --path /app/ --job j1",
+        "--job a&b",
+        "--job j1 further",
+    ] {
+        let answer = ctl(&format!("explain --gateway {gateway} {arguments}"));
+        assert_eq!((answer.code, fake.requests()), (2, 0), "{arguments}: {answer:?}");
+    }
+    for line in ["explain --job j1", "explain --gateway n0 --job j1"] {
+        assert_eq!(ctl(line).code, 2, "{line}");
+    }
+    let explain = |arguments: &str| ctl(&format!("explain -g {gateway} {arguments}"));
+    for arguments in ["--host b.example --path /app/", "--job j9"] {
+        let unknown = explain(arguments);
+        assert!(unknown.code == 1 && unknown.err.contains("no such route or job"), "{unknown:?}");
+    }
+    assert_eq!(ctl(&format!("explain -g {CLOSED_ADDRESS} --job j1")).code, 1);
+    let outputs = ["--host a.example --path /app/", "--job j1", "--job j2"].map(|arguments| {
+        let answer = explain(arguments);
+        assert_eq!(answer.code, 0, "{answer:?}");
+        answer.out
+    });
+    insta::assert_snapshot!(outputs.join("\n"));
+}
--- a/crates/tamarackdock_node/tests/ctl/fake.rs
+++ b/crates/tamarackdock_node/tests/ctl/fake.rs
@@ -123,6 +123,7 @@
                     "# TYPE tamarackdock_attempts_total counter\ntamarackdock_attempts_total 3\n";
                 Ok(Response::new(StatusCode::OK, "text/plain; version=0.0.4", text))
             }
+            ("GET", ["explain"]) => explanation(request),
             ("GET", ["debug", "state"]) => Ok(ok(&json!({"host": "n0", "leaving": false}))),
             ("GET", ["config"]) => {
                 let store = self.store.lock().unwrap();
@@ -175,3 +176,49 @@
         nothing,
     )
 }
+
+/// Returns a fixed explanation of the call and of the job that exist.
+fn explanation(request: &Request) -> Result<Response, Refusal> {
+    let parameter = |name| request.parameter(name).unwrap_or_default();
+    let target = json!({
+        "id": "app-1", "data_centre": "d1", "local": true, "running": 6, "slots": 6,
+        "avoided": {"reason": "full", "age_ms": 50, "for_ms": 100}, "cold_ms": 900,
+        "recent_starts": 2, "limit": {"age_ms": 20, "withheld_ms": 300, "spared": true},
+        "outlook": {"evidence": "refused", "age_ms": 50, "room_in_ms": 40, "usual_ms": 25},
+    });
+    let left_out = json!([{"id": "app-2", "data_centre": "d1", "reason": "draining"}]);
+    match (parameter("host"), parameter("path"), parameter("job")) {
+        ("a.example", "/app/", "") => Ok(ok(&json!({
+            "gateway": "n0", "configuration": 3, "proof_age_ms": 700, "accepts_calls": false,
+            "paths_lost": true,
+            "route": {"name": "app", "prefix": "/app/", "kind": "idempotent", "timeout_ms": 800,
+                      "objective_ms": 150, "attempts": 3},
+            "services": [{
+                "name": "app", "weight": 1, "targets": [target], "left_out_count": 3,
+                "left_out": left_out,
+                "decision": {"action": "refuse", "reason": "refused", "retry_after_ms": 50},
+            }],
+        }))),
+        ("", "", "j1") => Ok(ok(&json!({
+            "gateway": "n0", "job": "j1", "step": 4, "model": "m0", "ended": false, "epoch": 2,
+            "owner": {"host": "n0", "run": "0f", "is_live": true, "peer_address": null},
+            "item_count": 9,
+            "items": {
+                "service": "llm", "waiting": 3, "running": 4, "generated": 0, "unscored": 0,
+                "scoring": 1, "finished": 1, "left_out": left_out,
+                "listed": [
+                    {"item": "i1", "waits_for": "room", "target_count": 1,
+                     "targets": [{"id": "e1", "running": 8, "slots": 8, "may_start": 1,
+                                  "avoided": true}]},
+                    {"item": "i2", "waits_for": "paused for 90 ms more after its last run"},
+                ],
+            },
+        }))),
+        ("", "", "j2") => Ok(ok(&json!({
+            "gateway": "n0", "job": "j2", "step": 4, "model": null, "ended": false, "epoch": 2,
+            "owner": {"host": "n1", "run": "0a", "is_live": false, "peer_address": "127.0.0.1:7"},
+            "item_count": 9, "items": null,
+        }))),
+        _ => Err(Refusal::not_run(Code::NotFound, "no such route or job")),
+    }
+}
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -12,6 +12,8 @@
 mod ended_jobs;
 #[path = "gateway/endless.rs"]
 mod endless;
+#[path = "gateway/explain.rs"]
+mod explain;
 #[path = "gateway/limits.rs"]
 mod limits;
 #[path = "gateway/odd_entries.rs"]
--- a/crates/tamarackdock_operate/src/arguments.rs
+++ b/crates/tamarackdock_operate/src/arguments.rs
@@ -16,7 +16,8 @@
     pub(crate) spec: &'static Spec,
     /// Arguments that are not options, as many as the command takes unless help is asked for.
     pub(crate) positional: Vec<String>,
-    /// Operator ports given by `--node`, in the order in which they are tried.
+    /// Operator ports given by `--node`, in the order in which they are tried, or the metrics
+    /// address given by `--gateway`.
     pub(crate) nodes: Vec<SocketAddr>,
     /// How long the node is to wait until the change is active on all nodes.
     pub(crate) wait: Option<Duration>,
@@ -47,6 +48,9 @@
         match arguments.positional.len() == spec.arguments.len() {
             _ if arguments.has("help") => Ok(arguments),
             false => Err(usage(format!("`{}` takes {}", spec.name(), expected_arguments(spec)))),
+            true if spec.kind == Kind::Gateway && arguments.nodes.is_empty() => {
+                Err(usage("`--gateway` is missing; name the metrics address of a gateway".into()))
+            }
             true if spec.kind != Kind::Local && arguments.nodes.is_empty() => {
                 Err(usage("`--node` is missing; name the operator port of a node".into()))
             }
@@ -59,6 +63,16 @@
         self.matches.opt_defined(flag) && self.matches.opt_present(flag)
     }
 
+    /// Returns the value of an option of this command.
+    pub(crate) fn value(&self, option: &str) -> Option<String> {
+        self.matches.opt_str(option)
+    }
+
+    /// Returns an error about the arguments.
+    pub(crate) fn usage_error(&self, message: &str) -> Error {
+        Error::Usage { command: format!(" {}", self.spec.name()), message: message.into() }
+    }
+
     /// Returns whether the output is to be JSON.
     pub(crate) fn wants_json(&self) -> bool {
         self.has("json")
@@ -84,7 +98,8 @@
     let parse = |text: String| {
         text.parse().map_err(|_| format!("`{text}` is not an address; write it as 10.0.0.1:4001"))
     };
-    matches.opt_strs("node").into_iter().map(parse).collect()
+    let option = if spec.kind == Kind::Gateway { "gateway" } else { "node" };
+    matches.opt_strs(option).into_iter().map(parse).collect()
 }
 
 fn parse_number(matches: &Matches, name: &str, max: u64) -> Result<Option<u64>, String> {
--- a/crates/tamarackdock_operate/src/command/mod.rs
+++ b/crates/tamarackdock_operate/src/command/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod check;
 pub(crate) mod diff;
 pub(crate) mod dump;
+pub(crate) mod explain;
 mod file;
 pub(crate) mod key;
 pub(crate) mod metrics;
--- a/crates/tamarackdock_operate/src/error_response.rs
+++ b/crates/tamarackdock_operate/src/error_response.rs
@@ -63,6 +63,8 @@
             "not_found" => {
                 "check the names with `tamarackctl show`; the node may be of an older release"
             }
+            "unknown_host" | "unknown_path" => "check `--host` and `--path` against the routes",
+            "unknown_job" => "check the id; results of ended jobs are removed after a while",
             "store_unavailable" => "repeat when the platform's store answers",
             _ => "repeat later or on another node",
         }
--- a/crates/tamarackdock_operate/src/run.rs
+++ b/crates/tamarackdock_operate/src/run.rs
@@ -1,7 +1,7 @@
 use crate::{
     Console, Error, Exit,
     arguments::Arguments,
-    command::{change, check, diff, dump, key, metrics, show, submit},
+    command::{change, check, diff, dump, explain, key, metrics, show, submit},
     spec::{self, Spec},
 };
 
@@ -35,6 +35,7 @@
         ["key", "hash"] => key::hash(&arguments, console),
         ["dump"] => dump::run(&arguments, console),
         ["metrics"] => metrics::run(&arguments, console),
+        ["explain"] => explain::run(&arguments, console),
         _ => change::run(&arguments, console),
     }
 }
--- a/crates/tamarackdock_operate/src/spec.rs
+++ b/crates/tamarackdock_operate/src/spec.rs
@@ -9,6 +9,8 @@
     Local,
     /// A read.
     Read,
+    /// A read from the metrics address of a gateway.
+    Gateway,
     /// A change of a part of the configuration.
     Change,
     /// A whole configuration.
@@ -59,6 +61,12 @@
     spec(&["data-centre", "in"], &["NAME"], Kind::Change, "Puts a data centre back into service."),
     spec(&["dump"], &[], Kind::Read, "Prints the state of a node as JSON."),
     spec(&["metrics"], &[], Kind::Read, "Prints the metrics of a node."),
+    spec(
+        &["explain"],
+        &[],
+        Kind::Gateway,
+        "Prints where a gateway would send a call or run a job's items now, and why.",
+    ),
 ];
 
 const EXIT_CODES: &str = "Exit codes: 0 done, 1 refused or failed, 2 usage or invalid file,
@@ -89,7 +97,13 @@
         if self.words == ["dump"] {
             options.optflag("", "all", "ask every node given by --node");
         }
-        if self.kind != Kind::Local {
+        if self.kind == Kind::Gateway {
+            options.optopt("g", "gateway", "metrics address of a gateway", "ADDRESS");
+            options.optopt("", "host", "host name of a call, with --path", "HOST");
+            options.optopt("", "path", "path of a call without the query, with --host", "PATH");
+            options.optopt("", "job", "id of a batch job", "ID");
+        }
+        if matches!(self.kind, Kind::Read | Kind::Change | Kind::Submit) {
             let text = "operator port of a node; repeat it to name further nodes";
             options.optmulti("n", "node", text, "ADDRESS");
         }
