Tell long calls from silent targets in the outlook

Cause: a call that takes long and is in flight at every target made all of them look silent, so that short calls were refused although slots were free: with two targets and calls of 25 ms beside one long call each, every call was refused from 1.6 s on. Change: only calls that were sent since the last response, at most 1 s apart, show a silence. Attempts go to targets that refuse or break before silent ones, and keep their order otherwise, so that the evidence of all is refreshed.

--- a/crates/tamarackdock_admit/src/outlook/estimate.rs
+++ b/crates/tamarackdock_admit/src/outlook/estimate.rs
@@ -106,11 +106,12 @@
         self.room_in.max(self.burst)
     }
 
-    /// Returns the time for which the target is expected to go on failing.
-    pub(super) fn failure_delay(&self) -> Duration {
+    /// Returns the place of the target in the order of attempts: lower ones come first.
+    pub(super) fn order(&self) -> u8 {
         match self.evidence {
-            Evidence::None | Evidence::Busy => Duration::ZERO,
-            Evidence::Refused | Evidence::Broken | Evidence::Silent => self.room_in,
+            Evidence::Silent => 2,
+            Evidence::Refused | Evidence::Broken if !self.room_in.is_zero() => 1,
+            Evidence::None | Evidence::Busy | Evidence::Refused | Evidence::Broken => 0,
         }
     }
 
--- a/crates/tamarackdock_admit/src/outlook/mod.rs
+++ b/crates/tamarackdock_admit/src/outlook/mod.rs
@@ -98,8 +98,9 @@
     }
 
     /// Returns the target that an attempt is sent to. `candidates` are those that the call was not
-    /// sent to before, in the order in which they would be tried: one that fails comes last, as
-    /// the attempt could end only when the target recovers.
+    /// sent to before, in the order in which they would be tried. Those that fail come later, as
+    /// the attempt could end only when they recover, and silent ones last, as they hold it. Among
+    /// several of these the order stays, so that calls go to all and the evidence is refreshed.
     #[must_use]
     pub fn choose(
         &self,
@@ -107,14 +108,14 @@
         candidates: impl IntoIterator<Item = Candidate>,
         now: Instant,
     ) -> Option<Candidate> {
-        let mut best: Option<(Duration, Candidate)> = None;
+        let mut best: Option<(u8, Candidate)> = None;
         for candidate in candidates.into_iter().take(MAX_CANDIDATES) {
-            let delay = self.estimate(service, &candidate, now).failure_delay();
-            if delay.is_zero() {
+            let order = self.estimate(service, &candidate, now).order();
+            if order == 0 {
                 return Some(candidate);
             }
-            if best.as_ref().is_none_or(|(shortest, _)| delay < *shortest) {
-                best = Some((delay, candidate));
+            if best.as_ref().is_none_or(|(lowest, _)| order < *lowest) {
+                best = Some((order, candidate));
             }
         }
         best.map(|(_, candidate)| candidate)
--- a/crates/tamarackdock_admit/src/outlook/record.rs
+++ b/crates/tamarackdock_admit/src/outlook/record.rs
@@ -26,7 +26,7 @@
     pub(super) since: Instant,
     /// Time of the newest one.
     pub(super) at: Instant,
-    /// `Retry-After` of the newest one.
+    /// Shortest time from then on until the target is expected to have room.
     pub(super) retry_after: Duration,
 }
 
@@ -43,8 +43,10 @@
 pub(super) struct Record {
     /// Calls that wait for a response.
     waiting: u32,
-    /// Since when calls have waited without a response of any kind.
+    /// Start of the first call since the last response of any kind. Calls that were sent before
+    /// that response may just take long.
     silent_since: Option<Instant>,
+    last_started: Instant,
     /// When a call was last no longer waited for.
     last_ended: Instant,
     answered: Option<Instant>,
@@ -56,10 +58,11 @@
 
 impl Record {
     pub(super) fn started(&mut self, now: Instant) {
-        // A silence that nothing has watched for a while may have ended.
-        if self.waiting == 0 && now.since(self.last_ended) > MAX_EVIDENCE_AGE {
+        // Calls that were sent long before may just take long, and tell nothing of this one.
+        if now.since(self.last_started) > MAX_EVIDENCE_AGE {
             self.silent_since = None;
         }
+        self.last_started = now;
         self.waiting += 1;
         self.silent_since.get_or_insert(now);
     }
@@ -77,11 +80,11 @@
     pub(super) fn answered(&mut self, now: Instant) {
         self.answered = Some(now);
         self.failure = None;
-        self.heard(now);
+        self.heard();
     }
 
     pub(super) fn refused(&mut self, retry_after: Option<Duration>, now: Instant) {
-        self.heard(now);
+        self.heard();
         let before = self.burst.filter(|(_, at)| now.since(*at) <= MAX_REFUSAL_GAP);
         self.burst = Some((before.map_or(now, |(since, _)| since), now));
         self.fail(Evidence::Refused, retry_after.unwrap_or_default(), now);
@@ -120,17 +123,24 @@
 
     fn silence(&self, usual: Option<Duration>, now: Instant) -> Option<Failure> {
         let since = self.silent_since?;
-        let at = if self.waiting > 0 { now } else { self.last_ended };
+        let until = if self.waiting > 0 { now } else { self.last_ended };
+        let silence = until.since(since);
         let threshold =
             usual.map_or(DEFAULT_SILENCE, |usual| (usual * SILENT_SERVICE_TIMES).max(MIN_SILENCE));
-        let failure =
-            Failure { evidence: Evidence::Silent, since, at, retry_after: Duration::ZERO };
-        (at.since(since) >= threshold).then_some(failure)
+        // Only calls that were sent a short time ago say that the target is silent still.
+        let at = self.last_started;
+        let retry_after = until.since(at) + silence.mul_f64(EXPECTED_REST);
+        (silence >= threshold).then_some(Failure {
+            evidence: Evidence::Silent,
+            since: at,
+            at,
+            retry_after,
+        })
     }
 
-    /// Records a response of any kind. The calls that wait have heard nothing since.
-    fn heard(&mut self, now: Instant) {
-        self.silent_since = (self.waiting > 0).then_some(now);
+    /// Records a response of any kind.
+    fn heard(&mut self) {
+        self.silent_since = None;
     }
 
     fn fail(&mut self, evidence: Evidence, retry_after: Duration, now: Instant) {
--- a/crates/tamarackdock_admit/src/outlook/tests/mod.rs
+++ b/crates/tamarackdock_admit/src/outlook/tests/mod.rs
@@ -184,6 +184,28 @@
     assert_eq!(outlook.choose("app", targets(), at(2_001)), Some(targets()[0].clone()));
 }
 
+/// Guards against short calls that are refused because calls that take long are in flight at
+/// every target, although these have free slots.
+#[test]
+fn long_calls_do_not_look_like_silence() {
+    let mut outlook = Outlook::default();
+    let (service, names) = (Name::from("app"), ["a", "b"].map(Name::from));
+    for target in &names {
+        outlook.answered(&service, target, Some(Duration::from_millis(25)), at(0));
+        outlook.started(target, at(0));
+    }
+    let both = [candidate("a", 1), candidate("b", 1)];
+    for now in (1_700..9_000).step_by(700) {
+        assert_eq!(decide(&outlook, &both, now), Decision::Send, "at {now} ms");
+        for target in &names {
+            outlook.started(target, at(now));
+            assert_eq!(decide(&outlook, &both, now + 20), Decision::Send, "at {now} ms");
+            outlook.answered(&service, target, Some(Duration::from_millis(25)), at(now + 25));
+            outlook.ended(target, at(now + 25));
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(500) })]
 
