--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -61,27 +61,13 @@
     if jobs.is_empty() {
         return false;
     }
-    let mut waiting = Vec::new();
-    for (index, job) in jobs.iter().enumerate() {
-        let job = job.borrow();
-        waiting.extend(job.startable(now).map(|(item, job_item)| WaitingItem {
-            job: index,
-            item,
-            carried: job_item.carried,
-            remaining_tokens: job_item.remaining_tokens(),
-            made_by: job_item.progress.made_by().cloned(),
-        }));
-    }
+    let waiting = waiting_items(jobs, now);
     let has_later = jobs.iter().any(|job| job.borrow().next_start().is_some());
     if waiting.is_empty() {
         return has_later;
     }
     let (mut targets, registrations) = placement_targets(node, jobs, now);
-    let Assignment { placed, unplaced } = if node.settings().scheduling.adaptive {
-        estimate::assign_items(node, jobs, waiting, &mut targets, now)
-    } else {
-        placement::assign_items(waiting, &mut targets)
-    };
+    let Assignment { placed, unplaced } = assign_items(node, jobs, waiting, &mut targets, now);
     for (target, registration) in targets.iter().zip(&registrations) {
         let wanted = target.room_for(&unplaced);
         if wanted > 0 {
@@ -114,6 +100,37 @@
     has_unplaced || has_later
 }
 
+/// Returns which of the waiting items start now. Updates the targets accordingly.
+pub(crate) fn assign_items(
+    node: &Node,
+    jobs: &[Rc<RefCell<Job>>],
+    waiting: Vec<WaitingItem>,
+    targets: &mut [PlacementTarget],
+    now: Instant,
+) -> Assignment {
+    if node.settings().scheduling.adaptive {
+        estimate::assign_items(node, jobs, waiting, targets, now)
+    } else {
+        placement::assign_items(waiting, targets)
+    }
+}
+
+/// Returns the items of jobs that may start now.
+pub(crate) fn waiting_items(jobs: &[Rc<RefCell<Job>>], now: Instant) -> Vec<WaitingItem> {
+    let mut waiting = Vec::new();
+    for (index, job) in jobs.iter().enumerate() {
+        let job = job.borrow();
+        waiting.extend(job.startable(now).map(|(item, job_item)| WaitingItem {
+            job: index,
+            item,
+            carried: job_item.carried,
+            remaining_tokens: job_item.remaining_tokens(),
+            made_by: job_item.progress.made_by().cloned(),
+        }));
+    }
+    waiting
+}
+
 /// Returns the targets of configured services that are neither draining nor in an
 /// evacuated data centre, and the registration of each.
 pub(crate) fn placement_targets(
@@ -173,7 +190,7 @@
 }
 
 /// Returns the service that runs a job's items, or `None` if the job's route is gone.
-fn service_of(node: &Node, job: &Job) -> Option<Name> {
+pub(crate) fn service_of(node: &Node, job: &Job) -> Option<Name> {
     let route = node.view.deployment().route(&job.head.host, &job.head.path)?;
     Some(pick_service(&route, &job.id))
 }
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -11,6 +11,7 @@
 use derive_more::{Display, Error, From};
 use monoio::time::sleep;
 use slog::Logger;
+use tamarackdock_admit::outlook::Outlook;
 use tamarackdock_platform::table::{Commit, Condition, Row, Watch, Write};
 use tamarackdock_types::{
     HostName, NameError,
@@ -105,6 +106,8 @@
     pub(crate) target_loads: RefCell<TargetLoads>,
     pub(crate) silence: Silence,
     pub(crate) observations: Observations,
+    /// When the targets of plain services are expected to answer.
+    pub(crate) outlook: RefCell<Outlook>,
     pub(crate) limits: RefCell<TargetLimits>,
     pub(crate) limiter: Limiter,
     pub(crate) members: Rc<Members>,
@@ -203,6 +206,7 @@
             target_loads: RefCell::new(target_loads),
             silence: Silence::default(),
             observations: Observations::default(),
+            outlook: RefCell::default(),
             limits: RefCell::default(),
             limiter: Limiter::default(),
             members,
@@ -423,6 +427,7 @@
         node.target_loads.borrow_mut().sweep(|id| targets.get(id).is_some());
         pace::report(&node);
         node.silence.sweep(|id| targets.get(id).is_some());
+        node.outlook.borrow_mut().sweep(|id| targets.get(id).is_some());
         if let Some(store_ms) = node.store_clock.millis(BootClock.now()) {
             node.limits.borrow_mut().sweep(|id| targets.get(id).is_some(), store_ms);
         }
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -14,10 +14,14 @@
 mod ended_jobs;
 #[path = "gateway/endless.rs"]
 mod endless;
+#[path = "gateway/explain.rs"]
+mod explain;
 #[path = "gateway/limits.rs"]
 mod limits;
 #[path = "gateway/odd_entries.rs"]
 mod odd_entries;
+#[path = "gateway/outlook.rs"]
+mod outlook;
 #[path = "gateway/ownership.rs"]
 mod ownership;
 #[path = "gateway/releases.rs"]
