Keep the pace of targets whose other requests go on

Cause: each break of a request reset the window of its target, and a failure soon after a recovery counted as flapping, so that targets that fail some of their requests were held back. Change: only connections that break or can't be opened and silence reset the window; an event of another request 100 ms after the break or later restores it; a target flaps only if no request is in progress any more and it completed none since.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -290,7 +290,6 @@
         if let Some(load) = self.loads.get_mut(target) {
             load.suspect_until = now + SUSPECT_FOR;
         }
-        self.reset_pace(target, Cause::Broken, now);
     }
 
     /// Records that a target refused a request, could not be connected to, or had the
@@ -316,13 +315,31 @@
         }
     }
 
-    /// Records that an event of a stream has come.
-    pub(crate) fn record_event(&mut self, target: &str, now: Instant) {
+    /// Records an event of a run that was sent at `sent`.
+    pub(crate) fn record_event(&mut self, target: &str, sent: Instant, now: Instant) {
+        let Some(load) = self.loads.get_mut(target) else { return };
+        load.sampled = now;
+        let was_ramping = load.pace.window().is_some();
+        load.pace.go_on(sent, now);
+        if was_ramping && load.pace.window().is_none() {
+            let running = load.running;
+            self.add_pace_change(target, None, running, now);
+        }
+    }
+
+    /// Records that a run that was sent at `sent` was completed.
+    pub(crate) fn record_completed(&mut self, target: &str, sent: Instant) {
         if let Some(load) = self.loads.get_mut(target) {
-            load.sampled = now;
+            load.pace.complete(sent);
         }
     }
 
+    /// Records that the connection of a request to a target could not be opened or broke, or that
+    /// the target was silent.
+    pub(crate) fn record_break(&mut self, target: &str, now: Instant) {
+        self.reset_pace(target, Cause::Broken, now);
+    }
+
     /// Records the time between two events of a stream. Long gaps are ignored: a load
     /// of weights pauses all streams of a target, which does not mean that it is slow.
     pub(crate) fn record_event_gap(&mut self, target: &str, gap: Duration) {
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -1,6 +1,10 @@
 //! One run of an item on a target.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use futures_util::future::{Either, select};
@@ -38,7 +42,8 @@
     let began = BootClock.now();
     let guard = node.start_request(&target.id, began);
     let after = job.borrow().items[index].progress.last_event();
-    let outcome = until_stopped(&job, stream_item(&node, &job, index, &target)).await;
+    let error = Cell::new(None);
+    let outcome = until_stopped(&job, stream_item(&node, &job, index, &target, &error)).await;
     drop(guard);
     let now = BootClock.now();
     let label = outcome.map_or("stopped", outcome_label);
@@ -57,7 +62,15 @@
         node.target_loads.borrow_mut().set_turn(&target.id, turn);
     }
     match outcome {
-        Some(RunOutcome::Broken) => node.target_loads.borrow_mut().mark_suspect(&target.id, now),
+        Some(RunOutcome::Broken) => {
+            node.target_loads.borrow_mut().mark_suspect(&target.id, now);
+            if let Some(error) = error.get() {
+                pace::record_error(&node, &target.id, error, now);
+            }
+        }
+        Some(RunOutcome::Completed) => {
+            node.target_loads.borrow_mut().record_completed(&target.id, began);
+        }
         Some(RunOutcome::Refused | RunOutcome::WrongVersion) => {
             node.target_loads.borrow_mut().mark_full(&target.id, now);
             node.silence.record_refusal(&target.id, now);
@@ -112,15 +125,18 @@
     }
 }
 
-/// Sends an item to a target and appends the events of the answer to the item's text.
+/// Sends an item to a target and appends the events of the answer to the item's text. Sets the
+/// error of the exchange, if that ends the run.
 async fn stream_item(
     node: &Rc<Node>,
     job: &Rc<RefCell<Job>>,
     index: usize,
     target: &Registration,
+    last_error: &Cell<Option<ExchangeError>>,
 ) -> RunOutcome {
     let fields = node.wire_format.fields();
     let broken = |error: ExchangeError| {
+        last_error.set(Some(error));
         let job = job.borrow();
         slog::info!(node.log, "item: run broken"; "job" => &*job.id,
             "item" => &*job.items[index].request.id, "target" => &*target.id,
@@ -294,7 +310,7 @@
     now: Instant,
 ) {
     node.silence.record_event(&target.id, now);
-    node.target_loads.borrow_mut().record_event(&target.id, now);
+    node.target_loads.borrow_mut().record_event(&target.id, first_event.sent(), now);
     match last {
         Some(last) => {
             node.target_loads.borrow_mut().record_event_gap(&target.id, now.since(last));
--- a/crates/tamarackdock_gateway/src/hedge.rs
+++ b/crates/tamarackdock_gateway/src/hedge.rs
@@ -144,6 +144,7 @@
         Attempt::NotRun(_) => node.target_loads.borrow_mut().mark_full(&target.id, now),
         Attempt::Unknown(error) if error.blames_target() && *error != ExchangeError::TimedOut => {
             node.target_loads.borrow_mut().mark_suspect(&target.id, now);
+            pace::record_error(node, &target.id, *error, now);
             crash::observe(node, call, &target, *error, Break::AtOnce);
         }
         Attempt::Answered(response) if response.head.status < 300 => crash::acquit(node, call),
--- a/crates/tamarackdock_gateway/src/pace.rs
+++ b/crates/tamarackdock_gateway/src/pace.rs
@@ -5,15 +5,30 @@
 use tamarackdock_route::pace::Turn;
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
-use crate::{deployment::Name, node::Node, target::Registration};
+use crate::{deployment::Name, http::ExchangeError, node::Node, target::Registration};
 
-/// Returns this node's turn among the owners of jobs that want to probe a target.
+/// Returns this node's turn among the owners of jobs that want to probe a target. It is only used
+/// where the pace of targets is learned.
 pub(crate) fn turn(node: &Node, target: &Registration) -> Turn {
+    if !node.settings().scheduling.adaptive {
+        return Turn::default();
+    }
     let owners = node.jobs.owner_hosts();
     let usual = node.silence.usual(&target.service);
     Turn::new(&target.id, &node.members.own.host, owners.iter().map(|host| &**host), usual)
 }
 
+/// Records that a request ended with an error. Responses that are malformed come from a target that
+/// runs, and errors of other nodes say nothing about it.
+pub(crate) fn record_error(node: &Node, target: &str, error: ExchangeError, now: Instant) {
+    if matches!(
+        error,
+        ExchangeError::NotSent | ExchangeError::ConnectionLost | ExchangeError::TimedOut
+    ) {
+        node.target_loads.borrow_mut().record_break(target, now);
+    }
+}
+
 /// Records that a request that was sent at `sent` got its first event or its response.
 pub(crate) fn record_response(node: &Node, target: &Registration, sent: Instant, now: Instant) {
     let usual = node.silence.usual(&target.service);
--- a/crates/tamarackdock_gateway/src/silence.rs
+++ b/crates/tamarackdock_gateway/src/silence.rs
@@ -101,6 +101,7 @@
 pub(crate) struct FirstEvent<'a> {
     node: &'a Rc<Node>,
     target: &'a Registration,
+    sent: Instant,
     /// `None` if the settings do not enable learned timeouts.
     wait: Option<RefCell<Wait>>,
     /// Whether the time to the first event says something about the service.
@@ -112,7 +113,12 @@
     pub(crate) fn new(node: &'a Rc<Node>, target: &'a Registration, now: Instant) -> Self {
         let is_adaptive = node.settings().scheduling.adaptive;
         let wait = is_adaptive.then(|| RefCell::new(Wait::new(now)));
-        Self { node, target, wait, is_usual: Cell::new(true) }
+        Self { node, target, sent: now, wait, is_usual: Cell::new(true) }
+    }
+
+    /// Returns when the run was sent.
+    pub(crate) fn sent(&self) -> Instant {
+        self.sent
     }
 
     /// Returns the timeout that the connection keeps to.
@@ -131,7 +137,7 @@
     pub(crate) fn record_event(&self, now: Instant) {
         let Some(wait) = &self.wait else { return };
         let wait = wait.borrow();
-        pace::record_response(self.node, self.target, wait.sent(), now);
+        pace::record_response(self.node, self.target, self.sent, now);
         if self.is_usual.get() {
             self.node.silence.observe(&self.target.service, wait.elapsed(now));
         }
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -178,6 +178,7 @@
                 may_have_run = true;
                 if error.blames_target() {
                     node.target_loads.borrow_mut().mark_suspect(&target.id, BootClock.now());
+                    pace::record_error(node, &target.id, error, BootClock.now());
                 }
                 crash::observe(node, call, &target, error, progress.break_since(events_before));
                 slog::info!(node.log, "stream: broken"; "id" => &call.id,
--- a/crates/tamarackdock_route/src/pace/ramp.rs
+++ b/crates/tamarackdock_route/src/pace/ramp.rs
@@ -13,6 +13,9 @@
 const PROBE_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause before the next probe of a target that flaps.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Time after a break from which an event of an earlier run shows that the target goes on. Events
+/// that it sent before may still arrive within a few milliseconds.
+const LINGER: Duration = Duration::from_millis(100);
 /// Time from the recovery of a target to its next failure below which the target flaps. Loads of
 /// weights, which refuse requests as well, are further apart.
 const FLAP_TIME: Duration = Duration::from_secs(5);
@@ -54,6 +57,14 @@
     },
 }
 
+/// What was known of a target before a break, which an event of another run restores.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Before {
+    phase: Phase,
+    relapses: u32,
+    recovered: Option<Instant>,
+}
+
 /// How many requests one host sends to a target that has started or recovered.
 ///
 /// The intended load is many items that wait for a target which has just come back, of which the
@@ -68,6 +79,8 @@
     relapses: u32,
     /// When the target last responded after a failure.
     recovered: Option<Instant>,
+    /// State before the last failure, if that was a break while other requests were in progress.
+    before: Option<Before>,
 }
 
 impl Pace {
@@ -98,13 +111,17 @@
     /// Records that the target appeared or failed while this host had `running` requests in
     /// progress on it. `turn` is that of this host among those that want to probe it.
     pub fn reset(&mut self, cause: Cause, running: u32, turn: Turn, now: Instant) {
-        let pause = match cause {
-            Cause::Appeared => Duration::ZERO,
-            Cause::Refused | Cause::Broken => {
-                self.count_relapse(now);
-                self.pause()
-            }
+        let Self { phase, relapses, recovered, before } = *self;
+        self.before = match cause {
+            // When a target goes down, its requests break one after another.
+            Cause::Broken if running > 0 => before.or(Some(Before { phase, relapses, recovered })),
+            _ => None,
         };
+        // A target that still runs others, or breaks the last of several, has not flapped yet.
+        if cause != Cause::Appeared && running == 0 {
+            self.count_relapse(now);
+        }
+        let pause = if cause == Cause::Appeared { Duration::ZERO } else { self.pause() };
         self.phase = Phase::Ramping {
             window: PROBE_WINDOW,
             base: running,
@@ -139,6 +156,7 @@
             return;
         }
         let recovered = *self.recovered.get_or_insert(now);
+        self.before = None;
         if now.since(recovered) >= FLAP_TIME {
             self.relapses = 0;
         }
@@ -160,6 +178,28 @@
         };
     }
 
+    /// Records an event of a request that was sent at `sent`. If it was in progress when the
+    /// connection of another one broke, only that one failed, and the target is as before.
+    pub fn go_on(&mut self, sent: Instant, now: Instant) {
+        let Phase::Ramping { since, .. } = self.phase else { return };
+        if sent < since
+            && now.since(since) >= LINGER
+            && let Some(before) = self.before.take()
+        {
+            (self.phase, self.relapses, self.recovered) =
+                (before.phase, before.relapses, before.recovered);
+        }
+    }
+
+    /// Records that a request that was sent at `sent` was completed. A target that flaps completes
+    /// none since its last failure.
+    pub fn complete(&mut self, sent: Instant) {
+        match self.phase {
+            Phase::Ramping { since, .. } if sent < since => {}
+            Phase::Steady | Phase::Ramping { .. } => self.relapses = 0,
+        }
+    }
+
     /// Records that a request ended and that this host still has `running` in progress.
     pub fn end(&mut self, running: u32) {
         if let Phase::Ramping { base, .. } = &mut self.phase {
--- a/crates/tamarackdock_route/src/pace/silence.rs
+++ b/crates/tamarackdock_route/src/pace/silence.rs
@@ -110,12 +110,6 @@
         self.next_check = None;
     }
 
-    /// Returns when the run was sent.
-    #[must_use]
-    pub fn sent(&self) -> Instant {
-        self.sent
-    }
-
     /// Returns the time since the run was sent.
     #[must_use]
     pub fn elapsed(&self, now: Instant) -> Duration {
--- a/crates/tamarackdock_route/src/pace/tests/ramp.rs
+++ b/crates/tamarackdock_route/src/pace/tests/ramp.rs
@@ -185,3 +185,49 @@
     // The target is used no later than the probes of one host would allow.
     assert!(learned.full_at.unwrap() <= baseline.full_at.unwrap() + 1_000);
 }
+
+/// Guards against a target that is held back because single requests on it break while the others
+/// go on, as on one that fails some of its requests.
+#[test]
+fn a_break_among_requests_that_go_on_changes_nothing() {
+    let busy = |own| Running { own, others: 0 };
+    let mut pace = Pace::default();
+    pace.reset(Cause::Broken, 5, Turn::default(), at(1_000));
+    pace.go_on(at(500), at(1_099));
+    assert_eq!(pace.allowed(busy(5), at(1_150)), Some(1), "events may have been on their way");
+    pace.go_on(at(1_000), at(1_150));
+    assert_eq!(pace.allowed(busy(5), at(1_150)), Some(1), "a run from after the break");
+    pace.go_on(at(500), at(1_150));
+    assert_eq!(pace, Pace::default());
+    // A refusal says something about further requests, also while others go on.
+    pace.reset(Cause::Refused, 5, Turn::default(), at(2_000));
+    pace.go_on(at(500), at(2_200));
+    assert_eq!(pace.allowed(busy(5), at(2_200)), Some(1));
+    // One break after another, as when a target goes down.
+    let mut pace = Pace::default();
+    for running in [2, 1, 0] {
+        pace.reset(Cause::Broken, running, Turn::default(), at(3_000));
+    }
+    pace.go_on(at(500), at(3_200));
+    assert_eq!(pace.allowed(busy(0), at(3_200)), Some(1));
+}
+
+/// Guards against a target that is taken for a flapping one because it runs items that break it,
+/// although it completes the others.
+#[test]
+fn a_target_that_completes_items_does_not_flap() {
+    let pause_after = |completes: bool| {
+        let mut pace = Pace::default();
+        for now in [0, 1_000, 2_000] {
+            pace.reset(Cause::Broken, 0, Turn::default(), at(now));
+            pace.respond(at(now + 500), USUAL, SLOTS, at(now + 570));
+            if completes {
+                pace.complete(at(now + 500));
+            }
+        }
+        pace.reset(Cause::Broken, 0, Turn::default(), at(3_000));
+        (3_000..9_000).find(|now| pace.allowed(Running::default(), at(*now)) != Some(0))
+    };
+    assert_eq!(pause_after(false), Some(3_000 + 150 * 8));
+    assert_eq!(pause_after(true), Some(3_000 + 150 * 2));
+}
