Keep heads in one buffer, and accept any number of fields in head_bytes

Cause: a head of 16,384 bytes of short lines was answered with 431, as it has more than 96 fields. Each field took two allocations, the end of a head was looked for from its start each time bytes arrived, and each forwarded field was looked up in all fields of `Connection`.

Change: names and values lie in one buffer with their ends. The end of a request's head is searched once over its bytes, and the head is parsed when it is complete. The tokens of `Connection` are sorted once for a message. Heads of up to 96 fields are parsed without an allocation as before. The encoding in messages and rows is unchanged.

--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -10,7 +10,7 @@
     migrate, schedule,
 };
 use crate::{
-    call::{Attempt, begins_stream, classify_answer},
+    call::{Attempt, HopByHop, begins_stream, classify_answer},
     event::{Event, EventParser},
     http::{ExchangeError, Headers, Response},
     node::Node,
@@ -297,10 +297,10 @@
     let mut headers = Headers::default();
     headers.push("Host", job.head.host.as_bytes());
     let replaced = [fields.request_id, fields.account, fields.expected_target, fields.deadline];
+    let hop_by_hop = HopByHop::of(&item.request.headers);
     for (name, value) in item.request.headers.iter() {
         let is_replaced = replaced.iter().any(|field| field.eq_ignore_ascii_case(name));
-        let is_hop_by_hop = crate::call::is_hop_by_hop(&item.request.headers, name);
-        if !is_replaced && !is_hop_by_hop && !name.eq_ignore_ascii_case("host") {
+        if !is_replaced && !hop_by_hop.contains(name) && !name.eq_ignore_ascii_case("host") {
             headers.push(name, value);
         }
     }
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -1,6 +1,6 @@
 //! The calls of callers and of scoring, and what the answers of targets mean for them.
 
-use std::{rc::Rc, time::Duration};
+use std::{cmp::Ordering, rc::Rc, time::Duration};
 
 use futures_util::future::Either;
 use monoio::time::sleep;
@@ -156,9 +156,10 @@
         // That of a stream moves on with the events that were sent.
         let is_stream = matches!(self.route.kind, CallKind::Stream { .. });
         let replaced_event = if is_stream { fields.last_event } else { "" };
+        let hop_by_hop = HopByHop::of(source);
         let mut headers = Headers::default();
         for (name, value) in source.iter() {
-            let dropped = is_hop_by_hop(source, name)
+            let dropped = hop_by_hop.contains(name)
                 || replaced.iter().any(|field| field.eq_ignore_ascii_case(name))
                 || replaced_event.eq_ignore_ascii_case(name);
             if !dropped {
@@ -250,10 +251,30 @@
     hash ^ (hash >> 33)
 }
 
-/// Returns whether a header field is for one connection only and not forwarded.
-pub(crate) fn is_hop_by_hop(headers: &Headers, name: &str) -> bool {
-    HOP_BY_HOP.iter().any(|hop| hop.eq_ignore_ascii_case(name))
-        || headers.has_token("connection", name)
+/// Names of the header fields of a message that are for one connection only and not forwarded.
+pub(crate) struct HopByHop<'a> {
+    /// Tokens of `Connection`, sorted in lower case, so that many of them do not take the square
+    /// of their number.
+    named: Vec<&'a [u8]>,
+}
+
+impl<'a> HopByHop<'a> {
+    pub(crate) fn of(headers: &'a Headers) -> Self {
+        let mut named: Vec<_> = headers.tokens("connection").collect();
+        named.sort_unstable_by(|left, right| ascii_order(left, right));
+        Self { named }
+    }
+
+    pub(crate) fn contains(&self, name: &str) -> bool {
+        HOP_BY_HOP.iter().any(|hop| hop.eq_ignore_ascii_case(name))
+            || self.named.binary_search_by(|token| ascii_order(token, name.as_bytes())).is_ok()
+    }
+}
+
+/// Compares names in lower case.
+fn ascii_order(left: &[u8], right: &[u8]) -> Ordering {
+    let left = left.iter().map(u8::to_ascii_lowercase);
+    left.cmp(right.iter().map(u8::to_ascii_lowercase))
 }
 
 /// Returns the response to a caller after the last attempt. `may_have_run` says
@@ -318,8 +339,9 @@
 
 /// Returns the header fields of a response without the hop-by-hop ones.
 pub(crate) fn end_to_end_headers(head: &ResponseHead) -> Headers {
+    let hop_by_hop = HopByHop::of(&head.headers);
     let mut headers = Headers::default();
-    let kept = head.headers.iter().filter(|(name, _)| !is_hop_by_hop(&head.headers, name));
+    let kept = head.headers.iter().filter(|(name, _)| !hop_by_hop.contains(name));
     for (name, value) in kept {
         headers.push(name, value);
     }
--- a/crates/tamarackdock_gateway/src/http/connection.rs
+++ b/crates/tamarackdock_gateway/src/http/connection.rs
@@ -10,6 +10,8 @@
     time::timeout,
 };
 
+use super::{HeadEnd, HeadError, RequestHead};
+
 /// Buffer size of one read, in bytes. Events and most heads fit.
 const READ_SIZE: usize = 4 * 1024;
 
@@ -24,6 +26,8 @@
     half: OwnedReadHalf<TcpStream>,
     /// Received bytes that are not parsed yet.
     pub(crate) buffer: BytesMut,
+    /// How far the next head has arrived.
+    head_end: HeadEnd,
 }
 
 /// The sending half of a connection.
@@ -40,7 +44,7 @@
         let _ = stream.set_nodelay(true);
         let (reader, writer) = stream.into_split();
         Self {
-            reader: Reader { half: reader, buffer: BytesMut::new() },
+            reader: Reader { half: reader, buffer: BytesMut::new(), head_end: HeadEnd::default() },
             writer: Writer::new(writer),
         }
     }
@@ -64,6 +68,11 @@
 }
 
 impl Reader {
+    /// Takes the head of a request from the received bytes. Returns `None` if it is not complete.
+    pub(crate) fn take_head(&mut self, limit: usize) -> Result<Option<RequestHead>, HeadError> {
+        RequestHead::parse_next(&mut self.buffer, &mut self.head_end, limit)
+    }
+
     /// Receives more bytes into the buffer. Returns `false` at the end of the stream.
     pub(crate) async fn fill(&mut self) -> io::Result<bool> {
         let (result, bytes) = self.half.read(BytesMut::with_capacity(READ_SIZE)).await;
--- a/crates/tamarackdock_gateway/src/http/head.rs
+++ b/crates/tamarackdock_gateway/src/http/head.rs
@@ -1,19 +1,24 @@
-use std::fmt::Write as _;
+use std::fmt::{self, Write as _};
 
 use bytes::{Buf, BytesMut};
 use derive_more::{Display, Error};
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize, Deserializer, Serialize, Serializer,
+    de::{SeqAccess, Visitor},
+    ser::SerializeSeq as _,
+};
 
 use super::{Framing, FramingError};
 
-/// Most header fields of a message, more than any expected client or target sends.
-const MAX_FIELDS: usize = 96;
+/// Header fields that are parsed without an allocation. More than any expected client or target
+/// sends; a head with more of them takes memory in proportion to its lines.
+const USUAL_FIELDS: usize = 96;
 
 /// The reason why a message head was rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum HeadError {
-    /// The head is longer than the limit, or has too many fields.
-    #[display("the head is too large or has too many fields")]
+    /// The head is longer than the limit.
+    #[display("the head is too large")]
     TooLarge,
     /// The bytes are not a head of HTTP/1.1.
     #[display("the bytes are not a head of HTTP/1.1")]
@@ -29,26 +34,51 @@
     }
 }
 
-/// Header fields, in the order in which they are sent.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Headers(Vec<(String, Vec<u8>)>);
+/// Header fields, in the order in which they are sent. Names and values lie in one buffer, so that
+/// many short fields take little more memory than their bytes.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Headers {
+    /// Names and values, one after the other.
+    bytes: Vec<u8>,
+    fields: Vec<Field>,
+}
+
+/// Where a field ends in [`Headers::bytes`]. It begins where the one before it ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Field {
+    name_end: u32,
+    value_end: u32,
+}
 
 impl Headers {
-    /// Adds a field.
-    pub fn push(&mut self, name: &str, value: impl Into<Vec<u8>>) {
-        self.0.push((name.into(), value.into()));
+    /// Adds a field. One that would make the fields longer than 4 GB is left out.
+    pub fn push(&mut self, name: &str, value: impl AsRef<[u8]>) {
+        let value = value.as_ref();
+        let name_end = self.bytes.len() + name.len();
+        let ends = (u32::try_from(name_end), u32::try_from(name_end + value.len()));
+        if let (Ok(name_end), Ok(value_end)) = ends {
+            self.bytes.extend_from_slice(name.as_bytes());
+            self.bytes.extend_from_slice(value);
+            self.fields.push(Field { name_end, value_end });
+        }
     }
 
     /// Returns the first value of a field, or `None` if it is absent or not UTF-8.
     #[must_use]
     pub fn get(&self, name: &str) -> Option<&str> {
-        let found = self.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self.raw().find(|(key, _)| key.eq_ignore_ascii_case(name.as_bytes()));
         found.and_then(|(_, value)| std::str::from_utf8(value).ok()).map(str::trim)
     }
 
     /// Removes all fields with a name.
     pub(crate) fn remove(&mut self, name: &str) {
-        self.0.retain(|(key, _)| !key.eq_ignore_ascii_case(name));
+        if self.raw().all(|(key, _)| !key.eq_ignore_ascii_case(name.as_bytes())) {
+            return;
+        }
+        let mut kept = Self::default();
+        let others = self.iter().filter(|(key, _)| !key.eq_ignore_ascii_case(name));
+        others.for_each(|(key, value)| kept.push(key, value));
+        *self = kept;
     }
 
     /// Returns a field as a number, or `None` if it is absent or not a number.
@@ -59,26 +89,53 @@
 
     /// Returns the names and values of all fields.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
-        self.0.iter().map(|(name, value)| (name.as_str(), value.as_slice()))
+        // Names are added as text.
+        self.raw().map(|(name, value)| (std::str::from_utf8(name).unwrap_or_default(), value))
+    }
+
+    fn raw(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
+        let mut start = 0;
+        self.fields.iter().map(move |field| {
+            let (name_end, value_end) = (field.name_end as usize, field.value_end as usize);
+            let name = &self.bytes[start..name_end];
+            start = value_end;
+            (name, &self.bytes[name_end..value_end])
+        })
+    }
+
+    /// Returns the comma-separated tokens of all fields with a name.
+    pub(crate) fn tokens<'a>(&'a self, name: &str) -> impl Iterator<Item = &'a [u8]> {
+        self.raw()
+            .filter(|(key, _)| key.eq_ignore_ascii_case(name.as_bytes()))
+            .flat_map(|(_, value)| value.split(|byte| *byte == b','))
+            .map(<[u8]>::trim_ascii)
     }
 
     /// Returns whether a comma-separated field contains a token, in any case.
     #[must_use]
     pub fn has_token(&self, name: &str, token: &str) -> bool {
-        self.iter().filter(|(key, _)| key.eq_ignore_ascii_case(name)).any(|(_, value)| {
-            value
-                .split(|byte| *byte == b',')
-                .any(|part| part.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
-        })
+        self.tokens(name).any(|part| part.eq_ignore_ascii_case(token.as_bytes()))
     }
 
     fn from_parsed(fields: &[httparse::Header<'_>]) -> Self {
-        Self(fields.iter().map(|field| (field.name.into(), field.value.into())).collect())
+        let bytes = fields.iter().map(|field| field.name.len() + field.value.len()).sum();
+        let mut headers =
+            Self { bytes: Vec::with_capacity(bytes), fields: Vec::with_capacity(fields.len()) };
+        for field in fields {
+            headers.push(field.name, field.value);
+        }
+        headers
+    }
+
+    /// Returns the bytes of memory that the fields use.
+    #[cfg(test)]
+    pub(crate) fn memory(&self) -> usize {
+        self.bytes.capacity() + self.fields.capacity() * size_of::<Field>()
     }
 
     fn write(&self, head: &mut Vec<u8>) {
-        for (name, value) in self.iter() {
-            head.extend_from_slice(name.as_bytes());
+        for (name, value) in self.raw() {
+            head.extend_from_slice(name);
             head.extend_from_slice(b": ");
             head.extend_from_slice(value);
             head.extend_from_slice(b"\r\n");
@@ -87,6 +144,93 @@
     }
 }
 
+/// The fields are a sequence of pairs of a name and a value in messages to other nodes and in rows.
+impl Serialize for Headers {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut sequence = serializer.serialize_seq(Some(self.fields.len()))?;
+        for field in self.iter() {
+            sequence.serialize_element(&field)?;
+        }
+        sequence.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for Headers {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        struct Fields;
+        impl<'de> Visitor<'de> for Fields {
+            type Value = Headers;
+
+            fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str("a sequence of header fields")
+            }
+
+            fn visit_seq<A: SeqAccess<'de>>(self, mut sequence: A) -> Result<Headers, A::Error> {
+                let mut headers = Headers::default();
+                while let Some((name, value)) = sequence.next_element::<(String, Vec<u8>)>()? {
+                    headers.push(&name, value);
+                }
+                Ok(headers)
+            }
+        }
+        deserializer.deserialize_seq(Fields)
+    }
+}
+
+/// Looks for the end of a head in bytes that arrive one part after the other, and looks at each
+/// of them once.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct HeadEnd {
+    /// Bytes that contain no end.
+    searched: usize,
+    /// Whether the first line has begun. Empty lines before it are skipped.
+    has_begun: bool,
+}
+
+impl HeadEnd {
+    /// Returns the length of the head at the start of the buffer, or `None` if it is not complete.
+    pub(crate) fn find(&mut self, buffer: &[u8]) -> Option<usize> {
+        if !self.has_begun {
+            let blank = |byte: &u8| matches!(byte, b'\r' | b'\n');
+            let skipped = buffer[self.searched..].iter().take_while(|byte| blank(byte)).count();
+            self.searched += skipped;
+            self.has_begun = self.searched < buffer.len();
+        }
+        loop {
+            let rest = &buffer[self.searched..];
+            let Some(line) = rest.iter().position(|byte| *byte == b'\n') else {
+                self.searched = buffer.len();
+                return None;
+            };
+            let end = self.searched + line + 1;
+            match &rest[line + 1..] {
+                [b'\n', ..] => return Some(end + 1),
+                [b'\r', b'\n', ..] => return Some(end + 2),
+                // The next bytes may end the head.
+                [] | [b'\r'] => {
+                    self.searched += line;
+                    return None;
+                }
+                _ => self.searched = end,
+            }
+        }
+    }
+}
+
+/// Calls a parser with room for the header fields of a head.
+fn with_fields<'a, T>(
+    head: &'a [u8],
+    mut parse: impl FnMut(&mut [httparse::Header<'a>]) -> Result<T, httparse::Error>,
+) -> Result<T, httparse::Error> {
+    match parse(&mut [httparse::EMPTY_HEADER; USUAL_FIELDS]) {
+        Err(httparse::Error::TooManyHeaders) => {
+            let lines = head.split(|byte| *byte == b'\n').count();
+            parse(&mut vec![httparse::EMPTY_HEADER; lines])
+        }
+        result => result,
+    }
+}
+
 /// The head of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestHead {
@@ -110,25 +254,54 @@
     /// Returns [`HeadError`] if the buffer does not start with a valid head of at most
     /// `limit` bytes.
     pub fn parse(buffer: &mut BytesMut, limit: usize) -> Result<Option<Self>, HeadError> {
-        let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
-        let mut request = httparse::Request::new(&mut fields);
-        let length = match request.parse(buffer) {
-            Ok(httparse::Status::Complete(length)) if length <= limit => length,
-            Ok(httparse::Status::Partial) if buffer.len() <= limit => return Ok(None),
-            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
-            Err(_) => return Err(HeadError::Malformed),
+        Self::parse_next(buffer, &mut HeadEnd::default(), limit)
+    }
+
+    /// Takes a head from the start of the buffer like [`Self::parse`]. `search` looks for its end,
+    /// and has looked at the bytes of earlier calls that returned `None`.
+    pub(crate) fn parse_next(
+        buffer: &mut BytesMut,
+        search: &mut HeadEnd,
+        limit: usize,
+    ) -> Result<Option<Self>, HeadError> {
+        match search.find(buffer) {
+            None if buffer.len() <= limit => Ok(None),
+            Some(end) if end <= limit => {
+                *search = HeadEnd::default();
+                Self::take(buffer, end).map(Some)
+            }
+            None | Some(_) => Err(HeadError::TooLarge),
+        }
+    }
+
+    /// Takes a head that ends after `end` bytes from the start of the buffer.
+    fn take(buffer: &mut BytesMut, end: usize) -> Result<Self, HeadError> {
+        let parsed = with_fields(&buffer[..end], |fields| {
+            let mut request = httparse::Request::new(fields);
+            let status = request.parse(&buffer[..end])?;
+            let line = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
+            let headers = Headers::from_parsed(request.headers);
+            Ok((status, line, headers, request.version == Some(1)))
+        });
+        let Ok((httparse::Status::Complete(length), line, headers, http_1_1)) = parsed else {
+            return Err(HeadError::Malformed);
         };
-        let headers = Headers::from_parsed(request.headers);
-        let http_1_1 = request.version == Some(1);
+        let (method, target) = line;
         let head = Self {
-            method: request.method.unwrap_or_default().into(),
-            target: request.path.unwrap_or_default().into(),
+            method: method.into(),
+            target: target.into(),
             keep_alive: keep_alive(&headers, http_1_1),
             framing: Framing::of_request(&headers, http_1_1)?,
             headers,
         };
         buffer.advance(length);
-        Ok(Some(head))
+        Ok(head)
+    }
+
+    /// Returns the bytes of memory that the head uses.
+    #[cfg(test)]
+    pub(crate) fn memory(&self) -> usize {
+        self.method.capacity() + self.target.capacity() + self.headers.memory()
     }
 
     /// Returns the path without the query.
@@ -161,17 +334,22 @@
     /// `limit` bytes.
     pub fn parse(buffer: &mut BytesMut, limit: usize) -> Result<Option<Self>, HeadError> {
         loop {
-            let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
-            let mut response = httparse::Response::new(&mut fields);
-            let length = match response.parse(buffer) {
-                Ok(httparse::Status::Complete(length)) if length <= limit => length,
-                Ok(httparse::Status::Partial) if buffer.len() <= limit => return Ok(None),
-                Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
+            let parsed = with_fields(buffer, |fields| {
+                let mut response = httparse::Response::new(fields);
+                let length = match response.parse(buffer)? {
+                    httparse::Status::Complete(length) => length,
+                    httparse::Status::Partial => return Ok(None),
+                };
+                let headers = Headers::from_parsed(response.headers);
+                Ok(Some((length, response.code, headers, response.version == Some(1))))
+            });
+            let (length, code, headers, http_1_1) = match parsed {
+                Ok(Some(parsed)) if parsed.0 <= limit => parsed,
+                Ok(None) if buffer.len() <= limit => return Ok(None),
+                Ok(_) => return Err(HeadError::TooLarge),
                 Err(_) => return Err(HeadError::Malformed),
             };
-            let status = response.code.unwrap_or_default();
-            let headers = Headers::from_parsed(response.headers);
-            let http_1_1 = response.version == Some(1);
+            let status = code.unwrap_or_default();
             buffer.advance(length);
             match status {
                 100..=199 => {}
--- a/crates/tamarackdock_gateway/src/http/mod.rs
+++ b/crates/tamarackdock_gateway/src/http/mod.rs
@@ -13,6 +13,7 @@
 pub use connection::Connection;
 pub(crate) use connection::{Reader, Writer};
 pub use exchange::{Exchange, ExchangeError, Response, send_message};
+use head::HeadEnd;
 pub(crate) use head::response as response_head;
 pub use head::{HeadError, Headers, RequestHead, ResponseHead};
 
--- a/crates/tamarackdock_gateway/src/http/tests/heads.rs
+++ b/crates/tamarackdock_gateway/src/http/tests/heads.rs
@@ -1,6 +1,10 @@
 use bytes::BytesMut;
 
-use crate::http::{Framing, HeadError, RequestHead, ResponseHead};
+use crate::{
+    call::HopByHop,
+    codec,
+    http::{Framing, HeadError, Headers, RequestHead, ResponseHead, head::HeadEnd},
+};
 
 const LIMIT: usize = 1024;
 
@@ -93,3 +97,71 @@
     );
     assert!(!kept("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n"));
 }
+
+/// Guards against the rejection of a head within the limit because of the number of its fields,
+/// and against fields that take many times the memory of their bytes.
+#[test]
+fn heads_of_short_lines_are_accepted() {
+    let limit = 16_384;
+    let lines = "a:\r\n".repeat(4_000);
+    let text = format!("GET / HTTP/1.1\r\n{lines}Host: h\r\n\r\n");
+    let head = RequestHead::parse(&mut BytesMut::from(&*text), limit).unwrap().unwrap();
+    assert_eq!(head.headers.iter().count(), 4_001);
+    assert_eq!(head.headers.get("host"), Some("h"));
+    let size = head.memory();
+    assert!(size <= 4 * text.len(), "{size} bytes for a head of {}", text.len());
+}
+
+/// Guards against an end of a head that is found too early, too late or never, wherever the parts
+/// in which it arrives end.
+#[test]
+fn the_end_of_a_head_is_found_in_parts() {
+    for end in ["\r\n\r\n", "\n\n", "\n\r\n", "\r\n\n"] {
+        let head = format!("\r\n\nGET / HTTP/1.1\r\nA: b\rc\nD:{end}");
+        let text = format!("{head}\n\nnext");
+        for first in 0..=text.len() {
+            let mut search = HeadEnd::default();
+            let early = search.find(&text.as_bytes()[..first]);
+            assert_eq!(early, (first >= head.len()).then_some(head.len()), "{first} of {text:?}");
+            if early.is_none() {
+                assert_eq!(search.find(text.as_bytes()), Some(head.len()), "{first} of {text:?}");
+            }
+        }
+        let mut search = HeadEnd::default();
+        let found = (0..=text.len()).find_map(|length| search.find(&text.as_bytes()[..length]));
+        assert_eq!(found, Some(head.len()), "{text:?}");
+    }
+}
+
+/// Guards against fields of one connection that are forwarded, in any case of their names.
+#[test]
+fn fields_named_by_connection_are_dropped() {
+    let mut headers = Headers::default();
+    headers.push("Connection", "x, B , a");
+    headers.push("connection", "Close");
+    let hop_by_hop = HopByHop::of(&headers);
+    for name in ["A", "b", "X", "close", "Keep-Alive", "connection"] {
+        assert!(hop_by_hop.contains(name), "{name}");
+    }
+    for name in ["", "c", "ab", "host"] {
+        assert!(!hop_by_hop.contains(name), "{name}");
+    }
+}
+
+/// Guards against rows and messages of earlier releases that are not read, or not written in the
+/// same way.
+#[test]
+fn fields_are_encoded_as_pairs() {
+    let pairs = vec![("A".to_owned(), b"b".to_vec()), ("c".to_owned(), vec![0, 255])];
+    let mut headers = Headers::default();
+    for (name, value) in &pairs {
+        headers.push(name, value);
+    }
+    let encoded = codec::encode(&headers).unwrap();
+    assert_eq!(encoded, codec::encode(&pairs).unwrap());
+    assert_eq!(codec::decode::<Headers>(&encoded).unwrap(), headers);
+    let text = serde_json::to_string(&headers).unwrap();
+    assert_eq!(text, serde_json::to_string(&pairs).unwrap());
+    headers.remove("a");
+    assert_eq!(headers.iter().collect::<Vec<_>>(), [("c", &[0, 255][..])]);
+}
--- a/crates/tamarackdock_gateway/src/reading.rs
+++ b/crates/tamarackdock_gateway/src/reading.rs
@@ -78,7 +78,7 @@
             if is_counted && !reader.buffer.is_empty() && call.is_none() {
                 *call = Some(self.node.calls.begin());
             }
-            match RequestHead::parse(&mut reader.buffer, self.limits.head_bytes) {
+            match reader.take_head(self.limits.head_bytes) {
                 Ok(Some(head)) => return Ok(head),
                 Ok(None) => {}
                 Err(HeadError::TooLarge) => {
