Bound memory and connections of all callers together

Cause: each connection of a caller read 64 KB ahead, held unfinished heads and responses that nobody read, and took any number of descriptors. Only bodies had a common bound.

Change: the module `callers` accounts for all connections of the callers' listener. A response counts only if the socket does not take it at once, so that small messages cost two entries in a map. New settings: `limits.descriptors` and `limits.unread_s`.

--- a/crates/tamarackdock_gateway/src/http/connection.rs
+++ b/crates/tamarackdock_gateway/src/http/connection.rs
@@ -1,19 +1,29 @@
-use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, future::poll_fn, io, net::SocketAddr, pin::Pin, rc::Rc, task::Poll, time::Duration,
+};
 
-use bytes::BytesMut;
-use futures_util::FutureExt;
+use bytes::{Buf, Bytes, BytesMut};
+use futures_util::{
+    FutureExt,
+    future::{Either, select},
+    pin_mut,
+};
 use monoio::{
-    io::{
-        AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable,
-    },
+    buf::IoBuf,
+    io::{AsyncReadRent, AsyncWriteRent, OwnedReadHalf, OwnedWriteHalf, Splitable},
     net::TcpStream,
     time::timeout,
 };
 
 use super::{HeadEnd, HeadError, RequestHead};
+use crate::callers::Account;
 
 /// Buffer size of one read, in bytes. Events and most heads fit.
 const READ_SIZE: usize = 4 * 1024;
+/// Largest buffer that is kept for the next read.
+const MAX_KEPT_BUFFER: usize = 2 * READ_SIZE;
+/// Largest body that is copied behind its head, so that both are sent at once.
+const MAX_COPIED_BODY: usize = 16 * 1024;
 
 /// A TCP connection with a buffer for received bytes.
 pub struct Connection {
@@ -34,6 +44,8 @@
 pub(crate) struct Writer {
     half: OwnedWriteHalf<TcpStream>,
     sent: Rc<Cell<u64>>,
+    /// Memory of the connection, if it is one of a caller.
+    account: Option<Rc<Account>>,
 }
 
 impl Connection {
@@ -49,6 +61,11 @@
         }
     }
 
+    /// Accounts for the memory of responses that are not written.
+    pub(crate) fn charge(&mut self, account: Rc<Account>) {
+        self.writer.account = Some(account);
+    }
+
     /// Opens a connection.
     ///
     /// # Errors
@@ -73,9 +90,15 @@
         RequestHead::parse_next(&mut self.buffer, &mut self.head_end, limit)
     }
 
+    /// Returns the memory that received bytes use which are not parsed.
+    pub(crate) fn held(&self) -> usize {
+        if self.buffer.is_empty() { 0 } else { self.buffer.capacity() }
+    }
+
     /// Receives more bytes into the buffer. Returns `false` at the end of the stream.
     pub(crate) async fn fill(&mut self) -> io::Result<bool> {
-        let (result, bytes) = self.half.read(BytesMut::with_capacity(READ_SIZE)).await;
+        let buffer = self.take_buffer();
+        let (result, bytes) = self.half.read(buffer).await;
         let count = result?;
         if self.buffer.is_empty() {
             self.buffer = bytes;
@@ -84,11 +107,24 @@
         }
         Ok(count > 0)
     }
+
+    /// Returns a buffer for one read: the one of an earlier read if nothing is left in it.
+    fn take_buffer(&mut self) -> BytesMut {
+        if !self.buffer.is_empty() {
+            return BytesMut::with_capacity(READ_SIZE);
+        }
+        let mut buffer = std::mem::take(&mut self.buffer);
+        if buffer.capacity() > MAX_KEPT_BUFFER {
+            return BytesMut::with_capacity(READ_SIZE);
+        }
+        buffer.reserve(READ_SIZE);
+        buffer
+    }
 }
 
 impl Writer {
     fn new(half: OwnedWriteHalf<TcpStream>) -> Self {
-        Self { half, sent: Rc::default() }
+        Self { half, sent: Rc::default(), account: None }
     }
 
     /// Returns the number of messages whose sending has begun, which changes with each one.
@@ -99,8 +135,69 @@
     /// Sends all bytes.
     pub(crate) async fn send(&mut self, bytes: impl Into<Vec<u8>>) -> io::Result<()> {
         self.sent.set(self.sent.get() + 1);
-        let (result, _) = self.half.write_all(bytes.into()).await;
-        result.map(drop)
+        self.send_all(bytes.into(), 0).await
+    }
+
+    /// Sends a head and a body. Only a small body is copied.
+    pub(crate) async fn send_message(&mut self, mut head: Vec<u8>, body: Bytes) -> io::Result<()> {
+        self.sent.set(self.sent.get() + 1);
+        if body.len() <= MAX_COPIED_BODY {
+            head.extend_from_slice(&body);
+            return self.send_all(head, 0).await;
+        }
+        self.send_all(head, body.len()).await?;
+        let unsent = body.len();
+        Box::pin(self.send_rest(body, unsent)).await
+    }
+
+    /// Sends all bytes, behind which a number of others is in memory.
+    async fn send_all(&mut self, bytes: Vec<u8>, behind: usize) -> io::Result<()> {
+        let held = bytes.len() + behind;
+        let (count, bytes) = self.write(bytes, held).await?;
+        if count == bytes.len() {
+            self.accepted();
+            return Ok(());
+        }
+        let mut rest = Bytes::from(bytes);
+        rest.advance(count);
+        Box::pin(self.send_rest(rest, held)).await
+    }
+
+    async fn send_rest(&mut self, mut rest: Bytes, held: usize) -> io::Result<()> {
+        while !rest.is_empty() {
+            match self.write(rest.clone(), held).await? {
+                (0, _) => return Err(io::ErrorKind::WriteZero.into()),
+                (count, _) => rest.advance(count),
+            }
+        }
+        self.accepted();
+        Ok(())
+    }
+
+    fn accepted(&self) {
+        if let Some(account) = &self.account {
+            account.sent();
+        }
+    }
+
+    /// Sends some of the bytes, and returns their number. `held` is the memory of the response that
+    /// is not sent yet. Fails if the connection of a caller is to be closed.
+    async fn write<T: IoBuf>(&mut self, bytes: T, held: usize) -> io::Result<(usize, T)> {
+        let writing = self.half.write(bytes);
+        let Some(account) = &self.account else {
+            let (result, bytes) = writing.await;
+            return Ok((result?, bytes));
+        };
+        pin_mut!(writing);
+        // Most responses are accepted at once, and need no entry and no timer.
+        let (result, bytes) = match poll_once(writing.as_mut()).await {
+            Poll::Ready(written) => written,
+            Poll::Pending => {
+                account.send(held);
+                Box::pin(until_accepted(account, writing)).await?
+            }
+        };
+        Ok((result?, bytes))
     }
 
     /// Tells the other side that nothing more is sent.
@@ -108,3 +205,24 @@
         self.half.shutdown().await
     }
 }
+
+/// Waits until the client accepts bytes. Fails if that takes too long, or the connection is to be
+/// closed.
+async fn until_accepted<T>(account: &Account, accepted: impl Future<Output = T>) -> io::Result<T> {
+    let closed = account.closed();
+    let accepted = timeout(account.unread_time(), accepted);
+    pin_mut!(closed, accepted);
+    match select(closed, accepted).await {
+        Either::Left(_) => Err(io::ErrorKind::ConnectionAborted.into()),
+        Either::Right((Ok(written), _)) => Ok(written),
+        Either::Right((Err(_), _)) => {
+            account.expire();
+            Err(io::ErrorKind::TimedOut.into())
+        }
+    }
+}
+
+/// Polls a future once, on behalf of the current task.
+async fn poll_once<F: Future>(mut future: Pin<&mut F>) -> Poll<F::Output> {
+    poll_fn(|context| Poll::Ready(future.as_mut().poll(context))).await
+}
--- a/crates/tamarackdock_gateway/src/http/head.rs
+++ b/crates/tamarackdock_gateway/src/http/head.rs
@@ -128,7 +128,6 @@
     }
 
     /// Returns the bytes of memory that the fields use.
-    #[cfg(test)]
     pub(crate) fn memory(&self) -> usize {
         self.bytes.capacity() + self.fields.capacity() * size_of::<Field>()
     }
@@ -299,7 +298,6 @@
     }
 
     /// Returns the bytes of memory that the head uses.
-    #[cfg(test)]
     pub(crate) fn memory(&self) -> usize {
         self.method.capacity() + self.target.capacity() + self.headers.memory()
     }
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod balance;
 mod call;
+mod callers;
 mod codec;
 mod continuation;
 mod counter;
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -20,6 +20,7 @@
 use crate::{
     balance::TargetLoads,
     batch::{self, index::JobIndex},
+    callers::{self, Callers},
     clock::{StoreClock, unix_millis},
     continuation::{self, Beginnings, Ledger, Stored},
     counter::Counter,
@@ -51,9 +52,11 @@
 /// that are gone.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Part of the memory limit that the bodies of requests may use. A growing buffer can take
-/// twice its content.
+/// Part of the memory limit that requests may use. A growing buffer can take twice its content.
 const REQUEST_BUDGET_DIVISOR: usize = 5;
+/// Bytes that requests may use besides, so that the heads of others do not refuse a body that is as
+/// large as that part.
+const REQUEST_BUDGET_MARGIN: usize = 1024 * 1024;
 /// Part of the memory limit that the bodies of incomplete responses may use.
 const RESPONSE_BUDGET_DIVISOR: usize = 10;
 
@@ -113,6 +116,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) log: Logger,
     pub(crate) output: Output,
+    /// Connections of callers and their memory.
+    pub(crate) callers: Rc<Callers>,
     /// Bytes of requests that are received or in progress.
     pub(crate) request_budget: Budget,
     /// Bytes of responses of targets that are being received.
@@ -172,7 +177,16 @@
         let metrics = Metrics::new()?;
         let memory_mb = usize::try_from(settings.limits.memory_mb).unwrap_or(usize::MAX);
         let memory = memory_mb.saturating_mul(1024 * 1024);
+        let request_budget = Budget::new(memory / REQUEST_BUDGET_DIVISOR + REQUEST_BUDGET_MARGIN);
+        let callers = Callers::new(
+            callers::Limits::of_process(memory, descriptors(&settings)),
+            request_budget.clone(),
+            settings.limits.unread,
+            log.clone(),
+            metrics.caller_connections_closed.clone(),
+        );
         Ok(Rc::new(Self {
+            callers: Rc::new(callers),
             pool: Pool::default(),
             peer_pool: Pool::default(),
             paths: PathState::default(),
@@ -199,7 +213,7 @@
             metrics,
             log,
             output,
-            request_budget: Budget::new(memory / REQUEST_BUDGET_DIVISOR),
+            request_budget,
             response_budget: Budget::new(memory / RESPONSE_BUDGET_DIVISOR),
             connections: Counter::default(),
             calls: Counter::default(),
@@ -393,6 +407,13 @@
     }
 }
 
+/// Returns the number of descriptors that the process may have open.
+fn descriptors(settings: &Settings) -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    let limit = limit.and_then(|limit| usize::try_from(limit).ok()).unwrap_or(usize::MAX);
+    settings.limits.descriptors.map_or(limit, |descriptors| descriptors.min(limit))
+}
+
 /// Removes expired connections and state at intervals, and updates gauges.
 async fn sweep(node: Rc<Node>) {
     loop {
@@ -407,9 +428,18 @@
         }
         node.stored_beginnings.sweep(BootClock.now());
         node.limiter.sweep(|id| targets.get(id).is_some());
+        node.callers.report();
+        let (connections, requests, responses) = node.callers.usage();
+        node.metrics.caller_connections.set(gauge(connections));
+        node.metrics.caller_request_bytes.set(gauge(requests));
+        node.metrics.caller_response_bytes.set(gauge(responses));
         node.metrics
             .deployment
             .set(i64::try_from(node.view.deployment().version).unwrap_or(i64::MAX));
-        node.metrics.jobs.set(i64::try_from(node.jobs.open_jobs().len()).unwrap_or(i64::MAX));
+        node.metrics.jobs.set(gauge(node.jobs.open_jobs().len()));
     }
 }
+
+fn gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/tamarackdock_gateway/src/path/link.rs
+++ b/crates/tamarackdock_gateway/src/path/link.rs
@@ -277,6 +277,7 @@
         limit: usize,
         due: Instant,
     ) -> Result<(Response, Self), ExchangeError> {
+        node.callers.released().await;
         let mut body = Vec::new();
         let mut reservation = node.response_budget.reservation();
         while let Some(data) = self.next(node, due).await? {
--- a/crates/tamarackdock_gateway/src/reading.rs
+++ b/crates/tamarackdock_gateway/src/reading.rs
@@ -11,6 +11,7 @@
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
+    callers::{Account, Exhausted, Phase, TASK_BYTES},
     counter::InProgress,
     deployment::Limits,
     http::{Body, HeadError, Reader, RequestHead, Reservation, Writer},
@@ -19,7 +20,7 @@
     server::{ListenerKind, Request},
 };
 
-/// `Retry-After` of a node whose memory for request bodies is used up.
+/// `Retry-After` of a node whose memory for requests is used up.
 const RETRY_FULL: Duration = Duration::from_millis(500);
 /// Longest time between two parts of a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -31,6 +32,29 @@
     pub(crate) limits: Limits,
     /// When the connection was accepted, if this is its first request.
     pub(crate) accepted: Option<Instant>,
+    /// Memory of the connection, if it is one of a caller.
+    pub(crate) account: Option<&'a Account>,
+}
+
+/// Memory of a request that is being received.
+struct Memory<'a> {
+    /// That of a caller's connection.
+    account: Option<&'a Account>,
+    /// That of any other request.
+    reservation: Reservation,
+    /// Memory of the head.
+    head: usize,
+}
+
+impl Memory<'_> {
+    /// Accounts for a part of a body, and returns whether there is memory for it. `received` is
+    /// the memory of the body with that part, `buffered` that of the bytes behind it.
+    fn grow(&mut self, part: usize, received: usize, buffered: usize) -> bool {
+        match self.account {
+            Some(account) => account.receive(Phase::Body, self.head + received + buffered).is_ok(),
+            None => self.reservation.grow(part),
+        }
+    }
 }
 
 impl Reading<'_> {
@@ -47,9 +71,13 @@
         if head.headers.has_token("expect", "100-continue") {
             writer.send(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]).await.map_err(|_| None)?;
         }
-        let mut reservation = self.node.request_budget.reservation();
+        let mut memory = Memory {
+            account: self.account,
+            reservation: self.node.request_budget.reservation(),
+            head: head.memory(),
+        };
         let body = {
-            let reading = read_body(reader, &head, self.limits.body_bytes, &mut reservation);
+            let reading = read_body(reader, &head, self.limits.body_bytes, &mut memory);
             let ended = self.node.shutdown.ends();
             pin_mut!(reading, ended);
             match select(reading, ended).await {
@@ -57,7 +85,11 @@
                 Either::Right(_) => return Err(Some(self.incomplete())),
             }
         };
-        Ok(Request { head, body, arrived, _reservation: Some(reservation) })
+        if let Some(account) = self.account {
+            let bytes = TASK_BYTES + memory.head + body.len() + reader.held();
+            account.receive(Phase::Running, bytes).map_err(|Exhausted| Some(full()))?;
+        }
+        Ok(Request { head, body, arrived, _reservation: Some(memory.reservation) })
     }
 
     /// Returns the answer to a request that is not complete when the process is about to end.
@@ -90,6 +122,9 @@
             let idle = reader.buffer.is_empty();
             if idle {
                 *call = None;
+            } else if let Some(account) = self.account {
+                let received = account.receive(Phase::Head, reader.held());
+                received.map_err(|Exhausted| Some(full()))?;
             }
             let left = if idle {
                 self.limits.idle_time
@@ -120,22 +155,29 @@
     }
 }
 
+/// Returns the answer to a request for which there is no memory.
+pub(crate) fn full() -> Reply {
+    let message = "this node holds too many requests; this one has not run";
+    Reply::not_run(message, RETRY_FULL).closing()
+}
+
 async fn read_body(
     reader: &mut Reader,
     head: &RequestHead,
     limit: usize,
-    reservation: &mut Reservation,
+    memory: &mut Memory<'_>,
 ) -> Result<Bytes, Option<Reply>> {
     let mut body = Body::new(head.framing);
-    let mut received = Vec::new();
+    let mut received: Vec<u8> = Vec::new();
     loop {
         match body.take(&mut reader.buffer) {
             Ok(Some(data)) if received.len() + data.len() > limit => {
                 return Err(Some(Reply::error(413, "the request body is too large")));
             }
-            Ok(Some(data)) if !reservation.grow(data.len()) => {
-                let message = "this node holds too many request bodies; nothing has run";
-                return Err(Some(Reply::not_run(message, RETRY_FULL).closing()));
+            Ok(Some(data))
+                if !memory.grow(data.len(), received.len() + data.len(), reader.held()) =>
+            {
+                return Err(Some(full()));
             }
             Ok(Some(data)) => received.extend_from_slice(&data),
             Ok(None) if body.is_done() => return Ok(received.into()),
--- a/crates/tamarackdock_gateway/src/server.rs
+++ b/crates/tamarackdock_gateway/src/server.rs
@@ -11,10 +11,12 @@
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
+    callers::{Account, Phase, yield_now},
+    counter::InProgress,
     forward,
     http::{Connection, Reader, RequestHead, Reservation, Writer, response_head},
     node::{Node, StartError},
-    reading::Reading,
+    reading::{self, Reading},
     reply::Reply,
 };
 
@@ -63,8 +65,8 @@
     pub(crate) body: Bytes,
     /// When the head was received completely.
     pub(crate) arrived: Instant,
-    /// Memory that the body uses while the request is in progress. `None` if the node made the
-    /// request itself.
+    /// Memory that the body uses while the request is in progress. The connections of callers have
+    /// an account instead. `None` if the node made the request itself.
     pub(crate) _reservation: Option<Reservation>,
 }
 
@@ -92,11 +94,29 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
+                    let account = match kind {
+                        ListenerKind::Callers => {
+                            let opened = node.callers.open();
+                            opened.map(|(account, closes)| (Some(Rc::new(account)), closes))
+                        }
+                        ListenerKind::Health | ListenerKind::Peers | ListenerKind::Metrics => {
+                            Some((None, false))
+                        }
+                    };
+                    let Some((account, closes_another)) = account else {
+                        drop(stream);
+                        yield_now().await;
+                        continue;
+                    };
                     let node = node.clone();
                     monoio::spawn(async move {
                         let _open = node.connections.begin();
-                        serve(&node, Connection::new(stream), kind).await;
+                        serve(&node, Connection::new(stream), kind, account).await;
                     });
+                    if closes_another {
+                        // The descriptor of the other one is free when its task has run.
+                        yield_now().await;
+                    }
                 }
                 Err(error) => {
                     slog::warn!(node.log, "server: accept failed"; "error" => %error);
@@ -109,7 +129,16 @@
 }
 
 /// Serves the requests of a connection until it closes.
-async fn serve(node: &Rc<Node>, mut connection: Connection, kind: ListenerKind) {
+async fn serve(
+    node: &Rc<Node>,
+    mut connection: Connection,
+    kind: ListenerKind,
+    account: Option<Rc<Account>>,
+) {
+    if let Some(account) = &account {
+        connection.charge(account.clone());
+    }
+    let account = account.as_deref();
     let mut accepted = Some(BootClock.now());
     loop {
         let mut limits = node.view.deployment().limits;
@@ -119,8 +148,8 @@
         let Connection { reader, writer } = &mut connection;
         // A planned stop waits from the first byte of a call until the response is written.
         let mut call = None;
-        let reading = Reading { node, kind, limits, accepted: accepted.take() };
-        let request = match reading.read(reader, writer, &mut call).await {
+        let reading = Reading { node, kind, limits, accepted: accepted.take(), account };
+        let request = match read(&reading, reader, writer, &mut call).await {
             Ok(request) => request,
             Err(None) => return,
             Err(Some(reply)) => {
@@ -135,11 +164,15 @@
         let keep_alive = request.head.keep_alive;
         let call = call.filter(|_| kind.carries_calls(request.head.path()));
         let subject = Subject::of(node, kind, &request);
+        if account.is_some() {
+            node.callers.released().await;
+        }
         let outcome = {
             let ended = answer_due(node, writer, call.is_some());
-            let handling = node.handle(kind, request, writer);
-            let closed = wait_for_close(reader);
-            pin_mut!(handling, closed, ended);
+            // Connections without a request have no memory for its handler.
+            let handling = Box::pin(node.handle(kind, request, writer));
+            let closed = wait_for_close(reader, account);
+            pin_mut!(closed, ended);
             match select(handling, select(closed, ended)).await {
                 Either::Left((outcome, _)) => outcome,
                 Either::Right((Either::Left(_), _)) => return,
@@ -158,6 +191,27 @@
         if !open {
             return;
         }
+        if let Some(account) = account {
+            account.idle(reader.held());
+        }
+    }
+}
+
+/// Reads a request like [`Reading::read`], unless the connection is closed by its limits.
+async fn read(
+    reading: &Reading<'_>,
+    reader: &mut Reader,
+    writer: &mut Writer,
+    call: &mut Option<InProgress>,
+) -> Result<Request, Option<Reply>> {
+    let Some(account) = reading.account else { return reading.read(reader, writer, call).await };
+    let closed = account.closed();
+    let received = reading.read(reader, writer, call);
+    pin_mut!(closed, received);
+    match select(closed, received).await {
+        Either::Left((Phase::Head | Phase::Body, _)) => Err(Some(reading::full())),
+        Either::Left(_) => Err(None),
+        Either::Right((received, _)) => received,
     }
 }
 
@@ -201,14 +255,24 @@
     }
 }
 
-/// Waits until the client closes the connection, and buffers pipelined requests.
-async fn wait_for_close(reader: &mut Reader) {
+/// Waits until the client closes the connection, and buffers pipelined requests as far as there is
+/// memory for them.
+async fn wait_for_close(reader: &mut Reader, account: Option<&Account>) {
     loop {
-        if reader.buffer.len() >= MAX_PIPELINED {
+        let held = reader.held();
+        let may_read = match account {
+            Some(account) => account.may_read_ahead(held),
+            None => reader.buffer.len() < MAX_PIPELINED,
+        };
+        if !may_read {
             return pending().await;
         }
         match reader.fill().await {
-            Ok(true) => {}
+            Ok(true) => {
+                if let Some(account) = account {
+                    account.add(reader.held().saturating_sub(held));
+                }
+            }
             Ok(false) | Err(_) => return,
         }
     }
@@ -236,7 +300,6 @@
     if close {
         reply.headers.push("Connection", "close");
     }
-    let mut bytes = response_head(reply.status, &reply.headers);
-    bytes.extend_from_slice(&reply.body);
-    writer.send(bytes).await
+    let head = response_head(reply.status, &reply.headers);
+    writer.send_message(head, reply.body).await
 }
--- a/crates/tamarackdock_gateway/src/settings.rs
+++ b/crates/tamarackdock_gateway/src/settings.rs
@@ -82,6 +82,7 @@
 }
 
 /// Limits of a process.
+#[serde_as]
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Limits {
@@ -92,6 +93,13 @@
     pub cores: f64,
     /// Largest value of a row in the store, in bytes.
     pub row_bytes: usize,
+    /// Descriptors that the process may have open. If it is left out or larger, the limit of the
+    /// operating system counts.
+    pub descriptors: Option<usize>,
+    /// Longest time in which a caller accepts no byte of a response.
+    #[serde(rename = "unread_s", default = "unread_time")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    pub unread: Duration,
     /// Rates that the store accepts from all nodes together.
     #[serde(default)]
     pub store: Rates,
@@ -111,6 +119,10 @@
     1.0
 }
 
+fn unread_time() -> Duration {
+    Duration::from_secs(30)
+}
+
 /// The reason why settings can't be used.
 #[derive(Debug, Display, Error)]
 #[display("`{path}`: {reason}")]
@@ -145,12 +157,13 @@
                 .map_err(|error| invalid(error.to_string()))?;
         let settings: Self =
             serde_json::from_value(value).map_err(|error| invalid(error.to_string()))?;
-        let Limits { row_bytes, cores, store, .. } = settings.limits;
+        let Limits { row_bytes, cores, store, unread, .. } = settings.limits;
         match row_bytes {
             0..1024 => Err(invalid("`limits.row_bytes` must be 1024 or more".into())),
             _ if !cores.is_finite() || cores <= 0.0 => {
                 Err(invalid("`limits.cores` must be more than 0".into()))
             }
+            _ if unread.is_zero() => Err(invalid("`limits.unread_s` must be more than 0".into())),
             _ if store.reads_per_s == 0 || store.part_writes_per_s == 0 => {
                 Err(invalid("the rates of `limits.store` must be 1 or more".into()))
             }
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -136,6 +136,14 @@
     pub(crate) orders: IntCounterVec,
     /// Whether the paths to all targets are lost.
     pub(crate) paths_lost: IntGauge,
+    /// Open connections of callers.
+    pub(crate) caller_connections: IntGauge,
+    /// Bytes of requests that these hold.
+    pub(crate) caller_request_bytes: IntGauge,
+    /// Bytes of their responses that are not written.
+    pub(crate) caller_response_bytes: IntGauge,
+    /// Connections of callers that were closed by limits, by reason.
+    pub(crate) caller_connections_closed: IntCounterVec,
     /// Batch jobs that this node runs.
     pub(crate) jobs: IntGauge,
     /// Version of the configuration in force.
@@ -182,6 +190,27 @@
                 &registry,
                 IntGauge::new("tamarackdock_paths_lost", "Whether no target can be reached.")?,
             )?,
+            caller_connections: gauge(
+                &registry,
+                "caller_connections",
+                "Open connections of callers.",
+            )?,
+            caller_request_bytes: gauge(
+                &registry,
+                "caller_request_bytes",
+                "Bytes of requests that connections of callers hold.",
+            )?,
+            caller_response_bytes: gauge(
+                &registry,
+                "caller_response_bytes",
+                "Bytes of responses to callers that are not written.",
+            )?,
+            caller_connections_closed: counter_vec(
+                &registry,
+                "caller_connections_closed",
+                "Connections of callers closed by limits.",
+                &["reason"],
+            )?,
             jobs: register(&registry, IntGauge::new("tamarackdock_jobs", "Batch jobs run here.")?)?,
             deployment: register(
                 &registry,
@@ -214,6 +243,10 @@
     Ok(metric)
 }
 
+fn gauge(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntGauge> {
+    register(registry, IntGauge::new(format!("tamarackdock_{name}"), help)?)
+}
+
 fn counter_vec(
     registry: &Registry,
     name: &str,
