Wait for closed connections to release their memory

Cause: a connection that is closed for another one holds its response until its task runs. When the responses of many calls arrived in one turn of the runtime, all of them were received before any closed connection was dropped. A task that wakes itself does not let others run, as monoio puts it at the front of its queue. Reads of a job that the node does not run held the whole submission for each caller. Since heads of any number of fields are accepted, responses whose fields never end were parsed up to 32 KB each time bytes arrived.

Change: parts of responses are received, requests handled and connections accepted only when closed connections have released enough, and the release wakes the tasks that wait. Two reads of batch jobs from the store run at the same time for callers; pages of other nodes take memory from the budget for responses. Connections closed by limits are not kept to linger. Responses are limited to 96 fields again, as before.

--- a/crates/tamarackdock_gateway/src/batch/read.rs
+++ b/crates/tamarackdock_gateway/src/batch/read.rs
@@ -94,6 +94,9 @@
     if let Some(found) = owner_results(node, id, entry, after, wait_until).await {
         return page("owner", &found);
     }
+    let Some(_reading) = node.job_reads.enter(BootClock.now() + MAX_WAIT).await else {
+        return store_unavailable();
+    };
     match commit::read_results(node, id, after).await {
         Ok(results) => {
             let results: Vec<_> = results.into_iter().map(Rc::new).collect();
@@ -159,7 +162,8 @@
     let wait_ms = wait_until.since(BootClock.now()).as_millis();
     let wait_ms = u64::try_from(wait_ms).unwrap_or_default();
     let request = PeerRequest::Results { job: id.clone(), after, wait_ms };
-    match peer::ask(address, &request, Duration::from_millis(wait_ms)).await {
+    let wait = Duration::from_millis(wait_ms);
+    match peer::ask_within(address, &request, wait, Some(&node.response_budget)).await {
         Ok(PeerResponse::Results(page)) => page,
         Ok(_) => None,
         Err(error) => {
@@ -172,9 +176,18 @@
 
 async fn item_body(node: &Rc<Node>, id: &Name, entry: &VersionedHead, item: &str) -> Reply {
     let missing = || Reply::error(404, "no such item");
-    let submission = match node.jobs.own_job(id) {
-        Some(job) => Ok(job.borrow().submission.clone()),
-        None => takeover::load_submission(node, id, &entry.head).await.map(Rc::new),
+    let own = || node.jobs.own_job(id).map(|job| job.borrow().submission.clone());
+    let submission = if let Some(submission) = own() {
+        Ok(submission)
+    } else {
+        let Some(_reading) = node.job_reads.enter(BootClock.now() + MAX_WAIT).await else {
+            return store_unavailable();
+        };
+        // This node can have taken the job over meanwhile.
+        match own() {
+            Some(submission) => Ok(submission),
+            None => takeover::load_submission(node, id, &entry.head).await.map(Rc::new),
+        }
     };
     match submission {
         Ok(submission) => {
--- a/crates/tamarackdock_gateway/src/callers/account.rs
+++ b/crates/tamarackdock_gateway/src/callers/account.rs
@@ -21,13 +21,12 @@
 /// fill the log with them.
 const MAX_LOGGED: usize = 10;
 
-/// Most turns that a task leaves to those of closed connections. Each of them needs one.
-const MAX_YIELDS: usize = 8;
-
 /// The connections of the callers' listener.
 pub(crate) struct Callers {
     ledger: RefCell<Ledger>,
     signals: RefCell<BTreeMap<Id, Rc<Signal>>>,
+    /// Tasks that wait for closed connections.
+    waiting: RefCell<Vec<Waker>>,
     /// Longest time in which a client accepts no byte of a response.
     unread: Duration,
     log: Logger,
@@ -62,6 +61,7 @@
         Self {
             ledger: RefCell::new(Ledger::new(limits, requests)),
             signals: RefCell::default(),
+            waiting: RefCell::default(),
             unread,
             log,
             closed,
@@ -69,9 +69,9 @@
         }
     }
 
-    /// Admits a connection. Also returns whether another one is closed for it, or `None` if it
-    /// can't be admitted.
-    pub(crate) fn open(self: &Rc<Self>) -> Option<(Account, bool)> {
+    /// Admits a connection, for which another one may be closed. Returns `None` if it can't be
+    /// admitted.
+    pub(crate) fn open(self: &Rc<Self>) -> Option<Account> {
         let opened = self.ledger.borrow_mut().open(BootClock.now());
         let Some((id, closing)) = opened else {
             self.record(Reason::NotAccepted, None);
@@ -80,8 +80,7 @@
         self.close_all(closing.as_slice());
         let signal = Rc::new(Signal::default());
         self.signals.borrow_mut().insert(id, signal.clone());
-        let account = Account { callers: self.clone(), id, signal, is_sending: Cell::new(false) };
-        Some((account, closing.is_some()))
+        Some(Account { callers: self.clone(), id, signal, is_sending: Cell::new(false) })
     }
 
     /// Returns the number of connections, and the bytes of requests and of responses.
@@ -94,12 +93,29 @@
     /// Waits until the tasks of closed connections have released their memory. Many tasks that are
     /// ready at the same time would otherwise each receive a message before any of these runs.
     pub(crate) async fn released(&self) {
-        for _ in 0..MAX_YIELDS {
-            if !self.ledger.borrow().is_releasing() {
-                return;
+        self.wait_while(Ledger::is_releasing).await;
+    }
+
+    /// Waits until the tasks of closed connections have released their descriptors.
+    pub(crate) async fn closed(&self) {
+        self.wait_while(Ledger::is_closing_many).await;
+    }
+
+    async fn wait_while(&self, waits: impl Fn(&Ledger) -> bool) {
+        poll_fn(|context| {
+            if !waits(&self.ledger.borrow()) {
+                return Poll::Ready(());
             }
-            yield_now().await;
-        }
+            self.waiting.borrow_mut().push(context.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
+    /// Wakes the tasks that wait for closed connections.
+    fn wake(&self) {
+        let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
+        waiting.into_iter().for_each(Waker::wake);
     }
 
     /// Logs how many connections were closed by decisions since the last report, if these are more
@@ -197,6 +213,17 @@
         self.callers.close_all(closing.as_slice());
     }
 
+    /// Records that the connection, which is to be closed, has released its memory.
+    pub(crate) fn release(&self) {
+        self.callers.ledger.borrow_mut().release(self.id);
+        self.callers.wake();
+    }
+
+    /// Returns whether the connection is to be closed.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.signal.closing.get().is_some()
+    }
+
     /// Waits until the connection is to be closed, and returns what it did when that was decided.
     pub(crate) async fn closed(&self) -> Phase {
         poll_fn(|context| {
@@ -218,18 +245,6 @@
     fn drop(&mut self) {
         self.callers.signals.borrow_mut().remove(&self.id);
         self.callers.ledger.borrow_mut().close(self.id);
+        self.callers.wake();
     }
 }
-
-/// Lets other tasks run.
-pub(crate) async fn yield_now() {
-    let mut has_yielded = false;
-    poll_fn(|context| {
-        if std::mem::replace(&mut has_yielded, true) {
-            return Poll::Ready(());
-        }
-        context.waker().wake_by_ref();
-        Poll::Pending
-    })
-    .await;
-}
--- a/crates/tamarackdock_gateway/src/callers/ledger.rs
+++ b/crates/tamarackdock_gateway/src/callers/ledger.rs
@@ -21,6 +21,8 @@
 /// Part of the other descriptors that callers may use. The rest is for targets, the store and
 /// peers.
 const DESCRIPTORS_DIVISOR: usize = 2;
+/// Part of the connections that may be about to be closed while others are accepted.
+const MAX_CLOSING_DIVISOR: usize = 8;
 /// Fewest connections of callers, where the limits leave room for less.
 const MIN_CONNECTIONS: usize = 16;
 /// Bytes that a connection may buffer behind a request in progress.
@@ -271,10 +273,26 @@
         self.condemn(id, Reason::Unread, now)
     }
 
-    /// Returns whether connections that are about to be closed still hold memory. No large message
-    /// is received meanwhile.
+    /// Returns whether connections that are about to be closed still hold so much memory that no
+    /// further message may be received.
     pub(crate) fn is_releasing(&self) -> bool {
-        self.closing_bytes > 0
+        self.closing_bytes > self.limits.response_bytes / 2
+    }
+
+    /// Returns whether so many connections are about to be closed that no further one may be
+    /// accepted, since they still have their descriptors.
+    pub(crate) fn is_closing_many(&self) -> bool {
+        self.closing > self.limits.connections / MAX_CLOSING_DIVISOR
+    }
+
+    /// Records that a connection that is about to be closed holds no memory any more.
+    pub(crate) fn release(&mut self, id: Id) {
+        let connection = self.connections.get_mut(&id);
+        if let Some(connection) = connection.filter(|other| other.phase == Phase::Closing) {
+            let request_bytes = std::mem::take(&mut connection.request_bytes);
+            let response_bytes = std::mem::take(&mut connection.response_bytes);
+            self.closing_bytes -= request_bytes + response_bytes;
+        }
     }
 
     /// Forgets a connection that is closed.
--- a/crates/tamarackdock_gateway/src/callers/mod.rs
+++ b/crates/tamarackdock_gateway/src/callers/mod.rs
@@ -9,6 +9,6 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use account::{Account, Callers, yield_now};
+pub(crate) use account::{Account, Callers};
 use ledger::Ledger;
 pub(crate) use ledger::{Exhausted, Limits, Phase, TASK_BYTES};
--- a/crates/tamarackdock_gateway/src/callers/tests.rs
+++ b/crates/tamarackdock_gateway/src/callers/tests.rs
@@ -188,3 +188,24 @@
     assert_eq!(Limits::of_process(48 * MB, usize::MAX).connections, 614);
     assert_eq!(Limits::of_process(MB, 0).connections, 16);
 }
+
+/// Guards against further messages that are received, and connections that are accepted, before
+/// those that were closed for them have released what they hold.
+#[test]
+fn closed_connections_count_until_they_are_released() {
+    let (mut ledger, _) = ledger();
+    let [first, second, third] = [0; CONNECTIONS].map(|_| open(&mut ledger, 0));
+    assert_eq!(send(&mut ledger, first, RESPONSE_BYTES, 0), []);
+    assert!(!ledger.is_releasing() && !ledger.is_closing_many());
+    let closed = send(&mut ledger, second, RESPONSE_BYTES, 1);
+    assert_eq!(closed, [closing(first, Reason::ResponseMemory, Phase::Sending, 1)]);
+    assert!(ledger.is_releasing() && ledger.is_closing_many());
+    ledger.release(first);
+    assert!(!ledger.is_releasing() && ledger.is_closing_many());
+    ledger.close(first);
+    assert!(!ledger.is_closing_many());
+    // One that is not about to be closed keeps its memory.
+    ledger.release(second);
+    assert_eq!(ledger.bytes(), (0, RESPONSE_BYTES));
+    ledger.close(third);
+}
--- a/crates/tamarackdock_gateway/src/http/connection.rs
+++ b/crates/tamarackdock_gateway/src/http/connection.rs
@@ -95,6 +95,11 @@
         if self.buffer.is_empty() { 0 } else { self.buffer.capacity() }
     }
 
+    /// Drops received bytes that are not parsed.
+    pub(crate) fn clear(&mut self) {
+        self.buffer = BytesMut::new();
+    }
+
     /// Receives more bytes into the buffer. Returns `false` at the end of the stream.
     pub(crate) async fn fill(&mut self) -> io::Result<bool> {
         let buffer = self.take_buffer();
--- a/crates/tamarackdock_gateway/src/http/exchange.rs
+++ b/crates/tamarackdock_gateway/src/http/exchange.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Body, Connection, Headers, ResponseHead, head};
+use super::{Body, Budget, Connection, Headers, ResponseHead, head};
 use crate::wire_format::OutgoingRequest;
 
 /// Largest response head, in bytes. Targets send far smaller ones.
@@ -79,13 +79,24 @@
     message: &OutgoingRequest,
     host: SocketAddr,
     limit: usize,
+) -> Result<(Response, Option<Connection>), ExchangeError> {
+    send_message_within(connection, message, host, limit, None).await
+}
+
+/// Sends a request like [`send_message`]. The response takes its memory from a budget, if any.
+pub(crate) async fn send_message_within(
+    connection: Connection,
+    message: &OutgoingRequest,
+    host: SocketAddr,
+    limit: usize,
+    budget: Option<&Budget>,
 ) -> Result<(Response, Option<Connection>), ExchangeError> {
     let mut headers = message.headers.clone();
     headers.push("Host", host.to_string());
     headers.push("Content-Length", message.body.len().to_string());
     let exchange =
         Exchange::begin(connection, message.method, &message.path, &headers, &message.body);
-    exchange.await?.collect(limit).await
+    exchange.await?.collect_within(limit, budget).await
 }
 
 /// One request and its response on a connection. The body of the response is read
@@ -195,12 +206,23 @@
     /// Returns the [`ExchangeError`], which is [`ExchangeError::TooLarge`] if the body
     /// has more than `limit` bytes.
     pub async fn collect(
+        self,
+        limit: usize,
+    ) -> Result<(Response, Option<Connection>), ExchangeError> {
+        self.collect_within(limit, None).await
+    }
+
+    /// Reads the body like [`Self::collect`], with memory from a budget, if any.
+    async fn collect_within(
         mut self,
         limit: usize,
+        budget: Option<&Budget>,
     ) -> Result<(Response, Option<Connection>), ExchangeError> {
         let mut body = Vec::new();
+        let mut reservation = budget.map(Budget::reservation);
         while let Some(data) = self.next().await? {
-            if body.len() + data.len() > limit {
+            let fits = reservation.as_mut().is_none_or(|reservation| reservation.grow(data.len()));
+            if body.len() + data.len() > limit || !fits {
                 return Err(ExchangeError::TooLarge);
             }
             body.extend_from_slice(&data);
--- a/crates/tamarackdock_gateway/src/http/head.rs
+++ b/crates/tamarackdock_gateway/src/http/head.rs
@@ -10,8 +10,9 @@
 
 use super::{Framing, FramingError};
 
-/// Header fields that are parsed without an allocation. More than any expected client or target
-/// sends; a head with more of them takes memory in proportion to its lines.
+/// Header fields that are parsed without an allocation, more than any expected client or target
+/// sends. A request with more of them takes memory in proportion to its lines; a response is
+/// rejected, before it has arrived if it never ends.
 const USUAL_FIELDS: usize = 96;
 
 /// The reason why a message head was rejected.
@@ -332,22 +333,17 @@
     /// `limit` bytes.
     pub fn parse(buffer: &mut BytesMut, limit: usize) -> Result<Option<Self>, HeadError> {
         loop {
-            let parsed = with_fields(buffer, |fields| {
-                let mut response = httparse::Response::new(fields);
-                let length = match response.parse(buffer)? {
-                    httparse::Status::Complete(length) => length,
-                    httparse::Status::Partial => return Ok(None),
-                };
-                let headers = Headers::from_parsed(response.headers);
-                Ok(Some((length, response.code, headers, response.version == Some(1))))
-            });
-            let (length, code, headers, http_1_1) = match parsed {
-                Ok(Some(parsed)) if parsed.0 <= limit => parsed,
-                Ok(None) if buffer.len() <= limit => return Ok(None),
-                Ok(_) => return Err(HeadError::TooLarge),
+            let mut fields = [httparse::EMPTY_HEADER; USUAL_FIELDS];
+            let mut response = httparse::Response::new(&mut fields);
+            let length = match response.parse(buffer) {
+                Ok(httparse::Status::Complete(length)) if length <= limit => length,
+                Ok(httparse::Status::Partial) if buffer.len() <= limit => return Ok(None),
+                Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
                 Err(_) => return Err(HeadError::Malformed),
             };
-            let status = code.unwrap_or_default();
+            let status = response.code.unwrap_or_default();
+            let headers = Headers::from_parsed(response.headers);
+            let http_1_1 = response.version == Some(1);
             buffer.advance(length);
             match status {
                 100..=199 => {}
--- a/crates/tamarackdock_gateway/src/http/mod.rs
+++ b/crates/tamarackdock_gateway/src/http/mod.rs
@@ -12,6 +12,7 @@
 pub use budget::{Budget, Reservation};
 pub use connection::Connection;
 pub(crate) use connection::{Reader, Writer};
+pub(crate) use exchange::send_message_within;
 pub use exchange::{Exchange, ExchangeError, Response, send_message};
 use head::HeadEnd;
 pub(crate) use head::response as response_head;
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod duty;
 mod event;
 mod forward;
+mod gate;
 mod grace;
 mod hedge;
 mod limit;
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -28,6 +28,7 @@
     deployment::Name,
     duty::{self, lease::DutyLease, usage::UsageCounter, weight_loads::LoadOrders},
     freshness::Freshness,
+    gate::Gate,
     http::{Budget, Headers, ResponseHead},
     limit::{
         Observation, TargetLimits,
@@ -52,6 +53,9 @@
 /// that are gone.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Most reads of batch jobs from the store for callers at the same time. Each one can hold a whole
+/// submission several times while it is decoded.
+const MAX_JOB_READS: usize = 2;
 /// Part of the memory limit that requests may use. A growing buffer can take twice its content.
 const REQUEST_BUDGET_DIVISOR: usize = 5;
 /// Bytes that requests may use besides, so that the heads of others do not refuse a body that is as
@@ -122,6 +126,8 @@
     pub(crate) request_budget: Budget,
     /// Bytes of responses of targets that are being received.
     pub(crate) response_budget: Budget,
+    /// Reads of batch jobs from the store for callers.
+    pub(crate) job_reads: Gate,
     /// Open connections of all listeners.
     pub(crate) connections: Counter,
     /// Calls of callers in progress, until their responses are written.
@@ -215,6 +221,7 @@
             output,
             request_budget,
             response_budget: Budget::new(memory / RESPONSE_BUDGET_DIVISOR),
+            job_reads: Gate::new(MAX_JOB_READS),
             connections: Counter::default(),
             calls: Counter::default(),
             shutdown: Shutdown::default(),
--- a/crates/tamarackdock_gateway/src/path/link.rs
+++ b/crates/tamarackdock_gateway/src/path/link.rs
@@ -277,10 +277,10 @@
         limit: usize,
         due: Instant,
     ) -> Result<(Response, Self), ExchangeError> {
-        node.callers.released().await;
         let mut body = Vec::new();
         let mut reservation = node.response_budget.reservation();
         while let Some(data) = self.next(node, due).await? {
+            node.callers.released().await;
             if body.len() + data.len() > limit || !reservation.grow(data.len()) {
                 return Err(ExchangeError::TooLarge);
             }
--- a/crates/tamarackdock_gateway/src/peer.rs
+++ b/crates/tamarackdock_gateway/src/peer.rs
@@ -11,7 +11,7 @@
     batch::{self, Page, index::VersionedHead, rows::JobHead},
     codec, continuation,
     deployment::Name,
-    http::{Connection, Headers, send_message},
+    http::{Budget, Connection, Headers, send_message_within},
     limit::permits::{self, PermitRequest, PermitResponse},
     node::Node,
     relay::{StoreAnswer, StoreCall},
@@ -124,6 +124,16 @@
     address: SocketAddr,
     request: &PeerRequest,
     wait: Duration,
+) -> Result<PeerResponse, PeerError> {
+    ask_within(address, request, wait, None).await
+}
+
+/// Sends a request like [`ask`], and receives the response within a budget.
+pub(crate) async fn ask_within(
+    address: SocketAddr,
+    request: &PeerRequest,
+    wait: Duration,
+    budget: Option<&Budget>,
 ) -> Result<PeerResponse, PeerError> {
     let opened = Connection::open(address, CONNECT_TIMEOUT).await;
     let connection = opened.map_err(|_| PeerError::Unreachable)?;
@@ -136,7 +146,7 @@
         PeerRequest::Store(_) => MAX_RELAYED_BYTES,
         _ => MAX_RESPONSE_BYTES,
     };
-    let sent = send_message(connection, &message, address, limit);
+    let sent = send_message_within(connection, &message, address, limit, budget);
     let (response, _) = timeout(wait + RESPONSE_TIMEOUT, sent)
         .await
         .map_err(|_| PeerError::NoResponse)?
--- a/crates/tamarackdock_gateway/src/server.rs
+++ b/crates/tamarackdock_gateway/src/server.rs
@@ -11,7 +11,7 @@
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
-    callers::{Account, Phase, yield_now},
+    callers::{Account, Phase},
     counter::InProgress,
     forward,
     http::{Connection, Reader, RequestHead, Reservation, Writer, response_head},
@@ -22,6 +22,8 @@
 
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Pause after a connection that was not accepted, in which others can end.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(1);
 /// Time in which a client that still sends a request reads the response to it. A close while bytes
 /// arrive would reset the connection, and the response could be lost.
 const LINGER_TIME: Duration = Duration::from_millis(100);
@@ -96,26 +98,22 @@
                 Ok((stream, _)) => {
                     let account = match kind {
                         ListenerKind::Callers => {
-                            let opened = node.callers.open();
-                            opened.map(|(account, closes)| (Some(Rc::new(account)), closes))
+                            let Some(account) = node.callers.open() else {
+                                drop(stream);
+                                monoio::time::sleep(REFUSAL_PAUSE).await;
+                                continue;
+                            };
+                            Some(Rc::new(account))
                         }
-                        ListenerKind::Health | ListenerKind::Peers | ListenerKind::Metrics => {
-                            Some((None, false))
-                        }
-                    };
-                    let Some((account, closes_another)) = account else {
-                        drop(stream);
-                        yield_now().await;
-                        continue;
+                        ListenerKind::Health | ListenerKind::Peers | ListenerKind::Metrics => None,
                     };
-                    let node = node.clone();
+                    let task_node = node.clone();
                     monoio::spawn(async move {
-                        let _open = node.connections.begin();
-                        serve(&node, Connection::new(stream), kind, account).await;
+                        let _open = task_node.connections.begin();
+                        serve(&task_node, Connection::new(stream), kind, account).await;
                     });
-                    if closes_another {
-                        // The descriptor of the other one is free when its task has run.
-                        yield_now().await;
+                    if kind == ListenerKind::Callers {
+                        node.callers.closed().await;
                     }
                 }
                 Err(error) => {
@@ -154,8 +152,13 @@
             Err(None) => return,
             Err(Some(reply)) => {
                 slog::info!(node.log, "server: request rejected"; "status" => reply.status);
+                reader.clear();
+                if let Some(account) = account {
+                    account.idle(0);
+                }
                 // The client may be gone, and then nobody needs the error.
-                if send_reply(writer, reply, true).await.is_ok() {
+                let is_closing = account.is_some_and(Account::is_closing);
+                if send_reply(writer, reply, true).await.is_ok() && !is_closing {
                     linger(reader, writer).await;
                 }
                 return;
@@ -205,14 +208,18 @@
     call: &mut Option<InProgress>,
 ) -> Result<Request, Option<Reply>> {
     let Some(account) = reading.account else { return reading.read(reader, writer, call).await };
-    let closed = account.closed();
-    let received = reading.read(reader, writer, call);
-    pin_mut!(closed, received);
-    match select(closed, received).await {
-        Either::Left((Phase::Head | Phase::Body, _)) => Err(Some(reading::full())),
-        Either::Left(_) => Err(None),
-        Either::Right((received, _)) => received,
-    }
+    let phase = {
+        let closed = account.closed();
+        let received = reading.read(reader, writer, call);
+        pin_mut!(closed, received);
+        match select(closed, received).await {
+            Either::Left((phase, _)) => phase,
+            Either::Right((received, _)) => return received,
+        }
+    };
+    reader.clear();
+    account.release();
+    Err(matches!(phase, Phase::Head | Phase::Body).then(reading::full))
 }
 
 /// What is known of a request while it is handled.
