Test the settings of the limits of callers

Cause: no test covered that `limits.descriptors` and `limits.unread_s` may be left out or null.

Change: unit tests of their defaults, values and the rejection of zero.

--- a/crates/tamarackdock_gateway/src/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/tests/mod.rs
@@ -17,6 +17,7 @@
 mod members;
 mod periodic;
 mod relay;
+mod settings;
 mod stop;
 mod target;
 
