--- a/crates/tamarackdock_gateway/src/http/mod.rs
+++ b/crates/tamarackdock_gateway/src/http/mod.rs
@@ -12,7 +12,9 @@
 pub use budget::{Budget, Reservation};
 pub use connection::Connection;
 pub(crate) use connection::{Reader, Writer};
+pub(crate) use exchange::send_message_within;
 pub use exchange::{Exchange, ExchangeError, Response, send_message};
+use head::HeadEnd;
 pub(crate) use head::response as response_head;
 pub use head::{HeadError, Headers, RequestHead, ResponseHead};
 
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod balance;
 mod call;
+mod callers;
 mod codec;
 mod continuation;
 mod counter;
@@ -27,6 +28,7 @@
 mod event;
 mod explain;
 mod forward;
+mod gate;
 mod grace;
 mod hedge;
 mod limit;
--- a/crates/tamarackdock_gateway/src/path/link.rs
+++ b/crates/tamarackdock_gateway/src/path/link.rs
@@ -280,6 +280,7 @@
         let mut body = Vec::new();
         let mut reservation = node.response_budget.reservation();
         while let Some(data) = self.next(node, due).await? {
+            node.callers.released().await;
             if body.len() + data.len() > limit || !reservation.grow(data.len()) {
                 return Err(ExchangeError::TooLarge);
             }
--- a/crates/tamarackdock_gateway/src/server.rs
+++ b/crates/tamarackdock_gateway/src/server.rs
@@ -14,10 +14,12 @@
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
+    callers::{Account, Phase},
+    counter::InProgress,
     forward,
     http::{Connection, Reader, RequestHead, Reservation, Writer, response_head},
     node::{Node, StartError},
-    reading::Reading,
+    reading::{self, Reading},
     reply::Reply,
     settings::Settings,
 };
@@ -29,6 +31,8 @@
 const BIND_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two attempts to bind it.
 const BIND_PAUSE: Duration = Duration::from_millis(20);
+/// Pause after a connection that was not accepted, in which others can end.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(1);
 /// Time in which a client that still sends a request reads the response to it. A close while bytes
 /// arrive would reset the connection, and the response could be lost.
 const LINGER_TIME: Duration = Duration::from_millis(100);
@@ -72,8 +76,8 @@
     pub(crate) body: Bytes,
     /// When the head was received completely.
     pub(crate) arrived: Instant,
-    /// Memory that the body uses while the request is in progress. `None` if the node made the
-    /// request itself.
+    /// Memory that the body uses while the request is in progress. The connections of callers have
+    /// an account instead. `None` if the node made the request itself.
     pub(crate) _reservation: Option<Reservation>,
 }
 
@@ -128,11 +132,25 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let node = node.clone();
+                    let account = match kind {
+                        ListenerKind::Callers => {
+                            let Some(account) = node.callers.open() else {
+                                drop(stream);
+                                monoio::time::sleep(REFUSAL_PAUSE).await;
+                                continue;
+                            };
+                            Some(Rc::new(account))
+                        }
+                        ListenerKind::Health | ListenerKind::Peers | ListenerKind::Metrics => None,
+                    };
+                    let task_node = node.clone();
                     monoio::spawn(async move {
-                        let _open = node.connections.begin();
-                        serve(&node, Connection::new(stream), kind).await;
+                        let _open = task_node.connections.begin();
+                        serve(&task_node, Connection::new(stream), kind, account).await;
                     });
+                    if kind == ListenerKind::Callers {
+                        node.callers.closed().await;
+                    }
                 }
                 Err(error) => {
                     slog::warn!(node.log, "server: accept failed"; "error" => %error);
@@ -144,7 +162,16 @@
 }
 
 /// Serves the requests of a connection until it closes.
-async fn serve(node: &Rc<Node>, mut connection: Connection, kind: ListenerKind) {
+async fn serve(
+    node: &Rc<Node>,
+    mut connection: Connection,
+    kind: ListenerKind,
+    account: Option<Rc<Account>>,
+) {
+    if let Some(account) = &account {
+        connection.charge(account.clone());
+    }
+    let account = account.as_deref();
     let mut accepted = Some(BootClock.now());
     loop {
         let mut limits = node.view.deployment().limits;
@@ -154,14 +181,19 @@
         let Connection { reader, writer } = &mut connection;
         // A planned stop waits from the first byte of a call until the response is written.
         let mut call = None;
-        let reading = Reading { node, kind, limits, accepted: accepted.take() };
-        let request = match reading.read(reader, writer, &mut call).await {
+        let reading = Reading { node, kind, limits, accepted: accepted.take(), account };
+        let request = match read(&reading, reader, writer, &mut call).await {
             Ok(request) => request,
             Err(None) => return,
             Err(Some(reply)) => {
                 slog::info!(node.log, "server: request rejected"; "status" => reply.status);
+                reader.clear();
+                if let Some(account) = account {
+                    account.idle(0);
+                }
                 // The client may be gone, and then nobody needs the error.
-                if send_reply(writer, reply, true).await.is_ok() {
+                let is_closing = account.is_some_and(Account::is_closing);
+                if send_reply(writer, reply, true).await.is_ok() && !is_closing {
                     linger(reader, writer).await;
                 }
                 return;
@@ -170,11 +202,15 @@
         let keep_alive = request.head.keep_alive;
         let call = call.filter(|_| kind.carries_calls(request.head.path()));
         let subject = Subject::of(node, kind, &request);
+        if account.is_some() {
+            node.callers.released().await;
+        }
         let outcome = {
             let ended = answer_due(node, writer, call.is_some());
-            let handling = node.handle(kind, request, writer);
-            let closed = wait_for_close(reader);
-            pin_mut!(handling, closed, ended);
+            // Connections without a request have no memory for its handler.
+            let handling = Box::pin(node.handle(kind, request, writer));
+            let closed = wait_for_close(reader, account);
+            pin_mut!(closed, ended);
             match select(handling, select(closed, ended)).await {
                 Either::Left((outcome, _)) => outcome,
                 Either::Right((Either::Left(_), _)) => return,
@@ -193,9 +229,34 @@
         if !open {
             return;
         }
+        if let Some(account) = account {
+            account.idle(reader.held());
+        }
     }
 }
 
+/// Reads a request like [`Reading::read`], unless the connection is closed by its limits.
+async fn read(
+    reading: &Reading<'_>,
+    reader: &mut Reader,
+    writer: &mut Writer,
+    call: &mut Option<InProgress>,
+) -> Result<Request, Option<Reply>> {
+    let Some(account) = reading.account else { return reading.read(reader, writer, call).await };
+    let phase = {
+        let closed = account.closed();
+        let received = reading.read(reader, writer, call);
+        pin_mut!(closed, received);
+        match select(closed, received).await {
+            Either::Left((phase, _)) => phase,
+            Either::Right((received, _)) => return received,
+        }
+    };
+    reader.clear();
+    account.release();
+    Err(matches!(phase, Phase::Head | Phase::Body).then(reading::full))
+}
+
 /// What is known of a request while it is handled.
 struct Subject {
     kind: ListenerKind,
@@ -236,14 +297,24 @@
     }
 }
 
-/// Waits until the client closes the connection, and buffers pipelined requests.
-async fn wait_for_close(reader: &mut Reader) {
+/// Waits until the client closes the connection, and buffers pipelined requests as far as there is
+/// memory for them.
+async fn wait_for_close(reader: &mut Reader, account: Option<&Account>) {
     loop {
-        if reader.buffer.len() >= MAX_PIPELINED {
+        let held = reader.held();
+        let may_read = match account {
+            Some(account) => account.may_read_ahead(held),
+            None => reader.buffer.len() < MAX_PIPELINED,
+        };
+        if !may_read {
             return pending().await;
         }
         match reader.fill().await {
-            Ok(true) => {}
+            Ok(true) => {
+                if let Some(account) = account {
+                    account.add(reader.held().saturating_sub(held));
+                }
+            }
             Ok(false) | Err(_) => return,
         }
     }
@@ -271,7 +342,6 @@
     if close {
         reply.headers.push("Connection", "close");
     }
-    let mut bytes = response_head(reply.status, &reply.headers);
-    bytes.extend_from_slice(&reply.body);
-    writer.send(bytes).await
+    let head = response_head(reply.status, &reply.headers);
+    writer.send_message(head, reply.body).await
 }
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -155,6 +155,8 @@
     pub(crate) reports_sent: IntCounterVec,
     /// Reports of observations of other nodes, by outcome.
     pub(crate) reports_received: IntCounterVec,
+    /// Connections of callers.
+    pub(crate) callers: CallerMetrics,
     /// Batch jobs that this node runs.
     pub(crate) jobs: IntGauge,
     /// Version of the configuration in force.
@@ -163,6 +165,42 @@
     pub(crate) log_dropped: IntCounter,
 }
 
+/// Metrics of the callers' listener.
+pub(crate) struct CallerMetrics {
+    /// Open connections.
+    pub(crate) connections: IntGauge,
+    /// Bytes of requests that these hold.
+    pub(crate) request_bytes: IntGauge,
+    /// Bytes of their responses that are not written.
+    pub(crate) response_bytes: IntGauge,
+    /// Connections that were closed by limits, by reason.
+    pub(crate) closed: IntCounterVec,
+}
+
+impl CallerMetrics {
+    fn new(registry: &Registry) -> prometheus::Result<Self> {
+        Ok(Self {
+            connections: gauge(registry, "caller_connections", "Open connections of callers.")?,
+            request_bytes: gauge(
+                registry,
+                "caller_request_bytes",
+                "Bytes of requests that connections of callers hold.",
+            )?,
+            response_bytes: gauge(
+                registry,
+                "caller_response_bytes",
+                "Bytes of responses to callers that are not written.",
+            )?,
+            closed: counter_vec(
+                registry,
+                "caller_connections_closed",
+                "Connections of callers closed by limits.",
+                &["reason"],
+            )?,
+        })
+    }
+}
+
 impl Metrics {
     pub(crate) fn new() -> prometheus::Result<Self> {
         let registry = Registry::new();
@@ -241,6 +279,7 @@
                 "Reports of other nodes.",
                 &["outcome"],
             )?,
+            callers: CallerMetrics::new(&registry)?,
             jobs: register(&registry, IntGauge::new("tamarackdock_jobs", "Batch jobs run here.")?)?,
             deployment: register(
                 &registry,
@@ -273,6 +312,10 @@
     Ok(metric)
 }
 
+fn gauge(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntGauge> {
+    register(registry, IntGauge::new(format!("tamarackdock_{name}"), help)?)
+}
+
 fn counter_vec(
     registry: &Registry,
     name: &str,
--- a/crates/tamarackdock_gateway/src/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/tests/mod.rs
@@ -19,6 +19,7 @@
 mod pace;
 mod periodic;
 mod relay;
+mod settings;
 mod silence;
 mod stop;
 mod target;
