--- a/crates/tamarackdock_node/tests/untrusted.rs
+++ b/crates/tamarackdock_node/tests/untrusted.rs
@@ -18,7 +18,7 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::{Client, connect_with_small_window};
+use platform_standin::{Client, connect_with_small_window, raw};
 
 use crate::cluster::{Cluster, KEY, Programs};
 
@@ -153,7 +153,7 @@
 
 /// Returns the start of a request head.
 fn head(line: &str, id: &str) -> String {
-    format!("{line} HTTP/1.1\r\nHost: a.example\r\nApi-Key: {KEY}\r\nX-Attempt-Id: {id}\r\n")
+    raw::head(line, KEY, id)
 }
 
 /// Fills a head up to `bytes` with fewer than 96 lines, which a limit of that number permits.
@@ -217,17 +217,7 @@
 /// Submits a job whose only item has a large body and never starts, as its weights are not
 /// published.
 fn submit_waiting_job(address: SocketAddr, job: &str) {
-    let body = format!(
-        r#"{{"step": 1, "model": "m0", "minVersion": 99, "targetGroups": 1, "requests": [
-            {{"id": "large", "group": "g", "path": "/rollout/large", "tokens": 400,
-              "headers": {{"X-Model": "m0"}}, "body": "{}"}}]}}"#,
-        "AAAA".repeat(ITEM_BYTES / 3)
-    );
-    let request = format!(
-        "{}Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
-        head("POST /rollout/jobs", job),
-        body.len()
-    );
+    let request = raw::waiting_job(job, KEY, ITEM_BYTES);
     let mut stream = TcpStream::connect(address).unwrap();
     stream.set_read_timeout(Some(CLIENT_TIMEOUT)).unwrap();
     stream.write_all(request.as_bytes()).unwrap();
@@ -275,7 +265,7 @@
     let target = Target::start("untrusted-ahead", MANY_DESCRIPTORS);
     let address = target.address();
     submit_waiting_job(address, "ahead");
-    let waiting = format!("{}X-Wait-Ms: 1000\r\n\r\n", head("GET /-/lots/ahead?after=0", "wait"));
+    let waiting = raw::waiting_read("ahead", KEY);
     let mut next = head("POST /app/", "next");
     // The largest number of such lines that fits below 96 fields.
     fill(&mut next, 600);
@@ -317,7 +307,7 @@
         }
     }
     eprintln!("pages of {} bytes", page.len());
-    let request = format!("{}\r\n", head("GET /-/lots/pages?after=0", "page"));
+    let request = raw::results_read("pages", KEY);
     let crowd = send_unread(target.address(), &request);
     target.check(MANY_DESCRIPTORS);
     drop(crowd);
@@ -328,7 +318,7 @@
 fn unread_items_are_bounded() {
     let target = Target::start("untrusted-items", MANY_DESCRIPTORS);
     submit_waiting_job(target.address(), "items");
-    let request = format!("{}\r\n", head("GET /-/items/items?id=large", "item"));
+    let request = raw::item_read("items", "large", KEY);
     let crowd = send_unread(target.address(), &request);
     target.check(MANY_DESCRIPTORS);
     drop(crowd);
