--- a/crates/tamarackdock_gateway/src/http/head.rs
+++ b/crates/tamarackdock_gateway/src/http/head.rs
@@ -37,7 +37,7 @@
 
 /// Header fields, in the order in which they are sent. Names and values lie in one buffer, so that
 /// many short fields take little more memory than their bytes.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Clone, Default, PartialEq, Eq)]
 pub struct Headers {
     /// Names and values, one after the other.
     bytes: Vec<u8>,
@@ -144,6 +144,13 @@
     }
 }
 
+impl fmt::Debug for Headers {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let fields: Vec<_> = self.iter().collect();
+        formatter.debug_tuple("Headers").field(&fields).finish()
+    }
+}
+
 /// The fields are a sequence of pairs of a name and a value in messages to other nodes and in rows.
 impl Serialize for Headers {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
