Give models the rank of their jobs when loads are shared

Cause: the decision about loads takes a rank, but all models had the same one. Change: a model has the highest rank among the routes and accounts of its open jobs. Tests of jobs share one route.

--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -21,7 +21,7 @@
 };
 use crate::{
     balance::NodeRank,
-    deployment::Name,
+    deployment::{Deployment, Name},
     members::NodeRun,
     node::Node,
     notify::Notify,
@@ -211,6 +211,21 @@
         steps
     }
 
+    /// Returns by model the highest rank among its open jobs.
+    pub(crate) fn ranks(&self, deployment: &Deployment) -> BTreeMap<Name, u32> {
+        let heads = self.heads.borrow();
+        let mut ranks: BTreeMap<Name, u32> = BTreeMap::new();
+        for VersionedHead { head, .. } in heads.values().filter(|entry| !entry.head.ended) {
+            let route = deployment.route(&head.host, &head.path);
+            if let (Some(model), Some(route)) = (&head.model, route) {
+                let rank = deployment.rank(&route, head.account.as_ref());
+                let known = ranks.entry(model.clone()).or_insert(rank);
+                *known = rank.min(*known);
+            }
+        }
+        ranks
+    }
+
     /// Returns by model the mean work of its newest jobs, in estimated output tokens.
     pub(crate) fn demand(&self) -> BTreeMap<Name, u64> {
         let heads = self.heads.borrow();
--- a/crates/tamarackdock_gateway/src/batch/tests/estimate.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/estimate.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{at, item, job};
+use super::{at, item, job, route};
 use crate::{
     batch::{
         estimate::{finish_targets, running_step, shared_step},
@@ -8,7 +8,7 @@
         placement::PlacementTarget,
         progress::Progress,
     },
-    deployment::{CallKind, Deployment, Route},
+    deployment::{Deployment, Route},
     target::Software,
 };
 
@@ -67,24 +67,10 @@
     let items = vec![item("a", "g", 100), item("b", "h", 300)];
     let mut job = job(items);
     job.start(0, "fast".into());
-    let route = |due| Route {
-        name: "r".into(),
-        host: "h".into(),
-        prefix: "/r/".into(),
-        kind: CallKind::Batch,
-        timeout: Duration::from_secs(3),
-        objective: Duration::from_secs(1),
-        services: vec![("llm".into(), 1)],
-        attempts: 4,
-        item_lifetime: Duration::from_mins(1),
-        due,
-        single_version: false,
-        public: false,
-        rank: 2,
-    };
+    let due = |due| Route { due, ..route() };
     let shared = |due_ms| {
         let mut deployment = Deployment { version: 1, ..Deployment::default() };
-        deployment.add_route(route(Duration::from_millis(due_ms)));
+        deployment.add_route(due(Duration::from_millis(due_ms)));
         shared_step(&job, &deployment, 0, 500.0, 1.0, at(100)).0
     };
     insta::assert_debug_snapshot!([shared(200), shared(7_500), shared(0)]);
--- a/crates/tamarackdock_gateway/src/batch/tests/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/index.rs
@@ -1,12 +1,12 @@
 use tamarackdock_platform::table::{Batch, Change};
 
-use super::head;
+use super::{head, route};
 use crate::{
     batch::{
         index::{JobIndex, VersionedHead},
         rows::{self, JobHead},
     },
-    deployment::Name,
+    deployment::{Deployment, Name, Route},
 };
 
 fn entry(revision: u64) -> VersionedHead {
@@ -76,6 +76,25 @@
     assert_eq!(index.open_steps(), [("m".into(), vec![4, 6])].into());
 }
 
+/// Guards against loads in the order of names where trainers have ranks, and against the rank of a
+/// job that has ended.
+#[test]
+fn a_model_has_the_highest_rank_of_its_open_jobs() {
+    let index = JobIndex::default();
+    let mut deployment = Deployment::default();
+    deployment.add_route(Route { rank: 3, ..route() });
+    deployment.account_ranks = [("first".into(), 0), ("second".into(), 1)].into();
+    let heads = [(None, false), (Some("second"), false), (Some("first"), true)];
+    let mut ranks = Vec::new();
+    for (number, (account, ended)) in heads.into_iter().enumerate() {
+        let head = JobHead { account: account.map(Into::into), ended, ..head(1) };
+        let id = format!("j{number}").as_str().into();
+        index.update_head(&id, VersionedHead { head, revision: 1 });
+        ranks.push(index.ranks(&deployment).remove("m"));
+    }
+    assert_eq!(ranks, [Some(3), Some(1), Some(1)]);
+}
+
 /// Guards against reads of a job while its rows are being removed.
 #[test]
 fn a_job_that_is_being_removed_counts_as_removed() {
--- a/crates/tamarackdock_gateway/src/batch/tests/lifetime.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/lifetime.rs
@@ -1,34 +1,18 @@
 use std::time::Duration;
 
-use super::head;
+use super::{LIFETIME, head, route};
 use crate::{
     batch::{
         lifetime::{Expiry, JobRoute},
         rows::JobHead,
     },
-    deployment::{CallKind, Deployment, Route},
+    deployment::Deployment,
 };
 
-const LIFETIME: Duration = Duration::from_mins(1);
-
 fn deployment(version: u64, has_route: bool) -> Deployment {
     let mut deployment = Deployment { version, ..Deployment::default() };
     if has_route {
-        deployment.add_route(Route {
-            name: "r".into(),
-            host: "h".into(),
-            prefix: "/r/".into(),
-            kind: CallKind::Batch,
-            timeout: Duration::from_secs(3),
-            objective: Duration::from_secs(1),
-            services: vec![("llm".into(), 1)],
-            attempts: 4,
-            item_lifetime: LIFETIME,
-            due: LIFETIME,
-            single_version: false,
-            public: false,
-            rank: 0,
-        });
+        deployment.add_route(route());
     }
     deployment
 }
--- a/crates/tamarackdock_gateway/src/batch/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/mod.rs
@@ -13,12 +13,37 @@
 mod scoring;
 mod share;
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use tamarackdock_types::clock::Instant;
 
 use super::{Item, ScoringCall, Submission, job::Job, rows::JobHead};
-use crate::{event::Event, http::Headers};
+use crate::{
+    deployment::{CallKind, Route},
+    event::Event,
+    http::Headers,
+};
+
+pub(super) const LIFETIME: Duration = Duration::from_mins(1);
+
+/// Returns the route of the jobs that [`head`] describes.
+pub(super) fn route() -> Route {
+    Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/r/".into(),
+        kind: CallKind::Batch,
+        timeout: Duration::from_secs(3),
+        objective: Duration::from_secs(1),
+        services: vec![("llm".into(), 1)],
+        attempts: 4,
+        item_lifetime: LIFETIME,
+        due: LIFETIME,
+        single_version: false,
+        public: false,
+        rank: 2,
+    }
+}
 
 pub(super) fn at(millis: u64) -> Instant {
     Instant::from_millis(millis)
--- a/crates/tamarackdock_gateway/src/duty/weight_loads.rs
+++ b/crates/tamarackdock_gateway/src/duty/weight_loads.rs
@@ -183,18 +183,20 @@
     node.metrics.loads.set(i64::try_from(orders.loading.len()).unwrap_or(i64::MAX));
 }
 
-/// Returns the models that jobs use, as input of the decision. The configuration gives no ranks, so
-/// that all have the same one.
+/// Returns the models that jobs use, as input of the decision. A model without an open job has the
+/// lowest rank.
 fn models(
     node: &Node,
     demand: BTreeMap<Name, u64>,
     published: &BTreeMap<Name, u64>,
 ) -> BTreeMap<Name, Model> {
     let mut open_steps = node.jobs.open_steps();
+    let ranks = node.jobs.ranks(&node.view.deployment());
     let model = |(name, demand): (Name, u64)| {
         let published = plan::newest(&name, published);
         let open_steps = open_steps.remove(&name).unwrap_or_default();
-        (name, Model { published, demand, open_steps, rank: 0 })
+        let rank = ranks.get(&name).copied().unwrap_or(u32::MAX);
+        (name, Model { published, demand, open_steps, rank })
     };
     demand.into_iter().map(model).collect()
 }
