--- a/crates/tamarackdock_gateway/src/duty/plan.rs
+++ b/crates/tamarackdock_gateway/src/duty/plan.rs
@@ -51,6 +51,23 @@
     }
 }
 
+/// Adds the models that services list to the demand, each with the mean of the others. The intended
+/// load is the first step of several trainers, which is requested by all of them at the same time:
+/// each owner of a job would take all targets for its own model, and two thirds of the items would
+/// wait in the queues of the targets, long ones among them.
+pub(crate) fn expected_demand<'a>(
+    demand: BTreeMap<Name, u64>,
+    listed: impl Iterator<Item = &'a Name>,
+) -> BTreeMap<Name, u64> {
+    let total: u64 = demand.values().sum();
+    let Some(mean) = total.checked_div(demand.len() as u64) else { return demand };
+    let mut expected = demand;
+    for model in listed {
+        expected.entry(model.clone()).or_insert(mean);
+    }
+    expected
+}
+
 /// Assigns each target to one model, in proportion to demand. Targets stay with the
 /// model that they are most up to date for, unless the difference to the proportional
 /// shares is too large.
--- a/crates/tamarackdock_gateway/src/duty/tests/plan.rs
+++ b/crates/tamarackdock_gateway/src/duty/tests/plan.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     deployment::Name,
-    duty::plan::{PlanTarget, assign, due_loads},
+    duty::plan::{PlanTarget, assign, due_loads, expected_demand},
 };
 
 type Numbers = BTreeMap<Name, u64>;
@@ -106,3 +106,20 @@
         prop_assert_eq!(assign(&targets, &demand, &published), first);
     }
 }
+
+/// Guards against owners that each take all targets when their trainers request the first step at
+/// the same time: they agree on the targets of each model, whichever jobs they know.
+#[test]
+fn models_without_a_job_keep_their_share_of_the_first_step() {
+    let listed: [Name; 3] = ["a", "b", "c"].map(Into::into);
+    let targets: Vec<PlanTarget> = (0..45).map(|id| target(id, 0, 0)).collect();
+    let assigned = |known: &[(&str, u64)]| {
+        let demand = expected_demand(numbers(known), listed.iter());
+        assign(&targets, &demand, &numbers(&[]))
+    };
+    let all = assigned(&[("a", 300), ("b", 300), ("c", 300)]);
+    assert_eq!(counts(&all), [("a".into(), 15), ("b".into(), 15), ("c".into(), 15)].into());
+    assert_eq!(assigned(&[("a", 300)]), all);
+    assert_eq!(assigned(&[("c", 200)]), all);
+    assert!(assigned(&[]).is_empty());
+}
--- a/crates/tamarackdock_gateway/src/duty/weight_loads.rs
+++ b/crates/tamarackdock_gateway/src/duty/weight_loads.rs
@@ -130,10 +130,18 @@
         .collect()
 }
 
-/// Returns the model to which each target is assigned.
+/// Returns the model to which each target is assigned. With `scheduling.adaptive`, all models that
+/// the configuration lists count until the first version is published, when the trainers that take
+/// part have requested their first step.
 pub(crate) fn assignment(node: &Node) -> BTreeMap<Name, Name> {
     let published = node.view.published.borrow();
-    plan::assign(&plan_targets(node), &node.jobs.demand(), &published)
+    let mut demand = node.jobs.demand();
+    if node.settings().scheduling.adaptive && published.is_empty() {
+        let deployment = node.view.deployment();
+        let listed = deployment.services.values().flat_map(|service| &service.models);
+        demand = plan::expected_demand(demand, listed);
+    }
+    plan::assign(&plan_targets(node), &demand, &published)
 }
 
 /// Orders the loads that are due while this node holds the duties. Never returns.
