Compare the first step of a trainer with the previous decision

Cause: the test of placement left out the first step, before which no target is measured, after it had been seen to end later.

--- a/crates/tamarackdock_gateway/src/batch/tests/finish.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/finish.rs
@@ -3,7 +3,7 @@
 //! them. Intervals between events are measured by a host that is out of processor time now and
 //! then.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, ops::Range};
 
 use rand::Rng as _;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
@@ -19,11 +19,11 @@
 
 const SEEDS: u64 = 20;
 const STEPS: usize = 3;
-/// Number of steps at the start that are not compared: no target was measured before them.
+/// Number of steps at the start that are compared apart: no target was measured before them.
 const FIRST_MEASURED: usize = 1;
 /// Step during which a target is slow.
 const SLOW_STEP: usize = 1;
-const SLOW_MS: std::ops::Range<f64> = 800.0..4_000.0;
+const SLOW_MS: Range<f64> = 800.0..4_000.0;
 const SLOW_FACTOR: f64 = 3.0;
 const TARGETS: usize = 44;
 const SLOTS: u32 = 6;
@@ -386,17 +386,17 @@
 }
 
 #[allow(clippy::cast_precision_loss)]
-fn summarize(policy: Policy, targets: usize) -> Summary {
+fn summarize(policy: Policy, targets: usize, steps: Range<usize>) -> Summary {
     let outcomes: Vec<Outcome> =
         (0..SEEDS).map(|seed| Model::new(policy, seed, targets).run()).collect();
-    let ends = outcomes.iter().flat_map(|outcome| outcome.ends_ms[FIRST_MEASURED..].to_vec());
+    let ends = outcomes.iter().flat_map(|outcome| outcome.ends_ms[steps.clone()].to_vec());
     let ends: Vec<f64> = ends.collect();
     let summary = Summary {
         mean_ms: ends.iter().sum::<f64>() / ends.len() as f64,
         worst_ms: ends.iter().copied().fold(0.0, f64::max),
         moves: outcomes.iter().map(|outcome| outcome.moves).sum(),
     };
-    println!("{targets} targets, seeds 0 to {}: {summary:.0?}", SEEDS - 1);
+    println!("{targets} targets, steps {steps:?}, seeds 0 to {}: {summary:.0?}", SEEDS - 1);
     summary
 }
 
@@ -404,10 +404,18 @@
 /// that turns slow while it holds items that decide when the step ends.
 #[test]
 fn steps_end_no_later_with_far_fewer_moves() {
-    let baseline = summarize(Policy::Baseline, TARGETS);
-    let finish = summarize(Policy::Finish, TARGETS);
+    let baseline = summarize(Policy::Baseline, TARGETS, FIRST_MEASURED..STEPS);
+    let finish = summarize(Policy::Finish, TARGETS, FIRST_MEASURED..STEPS);
     assert!(finish.mean_ms <= baseline.mean_ms, "{finish:.0?} against {baseline:.0?}");
     assert!(finish.worst_ms <= baseline.worst_ms, "{finish:.0?} against {baseline:.0?}");
     assert!(finish.worst_ms <= DUE_MS, "{finish:.0?}");
     assert!(finish.moves * 4 <= baseline.moves, "{finish:.0?} against {baseline:.0?}");
 }
+
+/// Guards against a first step, before which no target was measured, that ends later.
+#[test]
+fn the_first_step_ends_no_later() {
+    let baseline = summarize(Policy::Baseline, TARGETS, 0..FIRST_MEASURED);
+    let finish = summarize(Policy::Finish, TARGETS, 0..FIRST_MEASURED);
+    assert!(finish.mean_ms <= baseline.mean_ms, "{finish:.0?} against {baseline:.0?}");
+}
