End runs on dark targets after a learned time between events

Change: with scheduling.adaptive, a run on a target that has the newest weights of its model and no reason to pause ends after 15 usual intervals, 0.6 s at least.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -375,6 +375,12 @@
         }
     }
 
+    /// Returns the moving average of the time between two events on a target.
+    pub(crate) fn event_interval(&self, target: &str) -> Option<Duration> {
+        let millis = self.loads.get(target)?.event_interval_ms?;
+        Duration::try_from_secs_f64(millis / 1000.0).ok()
+    }
+
     /// Removes the state of targets that are neither in use nor running a request.
     pub(crate) fn sweep(&mut self, in_use: impl Fn(&str) -> bool) {
         self.loads.retain(|target, load| load.running > 0 || in_use(target));
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::future::{Either, select};
+use tamarackdock_route::pace::LONGEST_STALL;
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use super::{
@@ -17,6 +18,7 @@
 };
 use crate::{
     call::{Attempt, HopByHop, begins_stream, classify_answer},
+    deployment::Name,
     event::{Event, EventParser},
     http::{ExchangeError, Headers, Response},
     node::Node,
@@ -24,14 +26,12 @@
     pace,
     path::{self, Choice, Link, Permission},
     pool::Reuse,
-    silence::FirstEvent,
+    silence::{self, FirstEvent},
     target::Registration,
 };
 
 /// Longest wait for the body of an answer that is not a stream. Its head has arrived.
 const BODY_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Longest silence of a stream between events, which come every few tens of milliseconds.
-const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Least time between two checks whether a run should move.
 const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Largest answer that is not a stream, in bytes.
@@ -178,22 +178,17 @@
     node.observe_answer(target, &head, &request.id, sent_at);
     let is_own = head.headers.get(fields.request_id) == Some(&*request.id);
     if !begins_stream(&fields, &request.id, &head) {
-        let due = BootClock.now() + BODY_TIMEOUT;
-        let (response, link) = match link.collect(node, MAX_ERROR_BYTES, due).await {
-            Ok(collected) => collected,
-            Err(error) => return broken(error),
-        };
-        // After an answer to another request, the one to this request may follow.
-        if is_own {
-            link.keep(node);
-        }
-        return classify_non_stream(node, response, &request.id, target);
+        let collected = collect_non_stream(node, link, is_own).await;
+        return collected.map_or_else(broken, |response| {
+            classify_non_stream(node, response, &request.id, target)
+        });
     }
     node.target_loads.borrow_mut().record_accepted(&target.id);
     let mut version: Option<u64> = head.headers.number(fields.weight_version);
     let mut events = EventParser::new(fields.weight_version);
     let mut last_event = None;
     let mut last_check = BootClock.now();
+    let mut stall_timeout = LONGEST_STALL;
     // Only whole events count as progress: a stalled target may still send a byte now and then.
     let mut event_due = last_check + first_event.longest();
     first_event.record_head(last_check);
@@ -214,7 +209,7 @@
             };
             version = event.version.or(version);
             let now = BootClock.now();
-            event_due = now + NEXT_EVENT_TIMEOUT;
+            event_due = now + stall_timeout;
             if let Err(outcome) =
                 append_event(&mut job.borrow_mut(), index, &event, version, &request)
             {
@@ -225,6 +220,7 @@
         let now = BootClock.now();
         if now.since(last_check) > MOVE_CHECK_INTERVAL {
             last_check = now;
+            stall_timeout = silence::next_event_timeout(node, target, request.model.as_ref(), now);
             if should_move(node, &job.borrow(), index, target, now) {
                 return RunOutcome::Moved;
             }
@@ -278,6 +274,8 @@
     min_version: u64,
     /// Whether a single version must produce the whole text.
     single_version: bool,
+    /// Model that the item is for, if any.
+    model: Option<Name>,
 }
 
 impl ItemRequest {
@@ -387,9 +385,25 @@
         until: job.accepted + route.item_lifetime,
         min_version: job.submission.min_version,
         single_version: route.single_version,
+        model: job.submission.model.clone(),
     })
 }
 
+/// Reads an answer that is not a stream. `is_own` says whether it names the request.
+async fn collect_non_stream(
+    node: &Rc<Node>,
+    link: Link,
+    is_own: bool,
+) -> Result<Response, ExchangeError> {
+    let due = BootClock.now() + BODY_TIMEOUT;
+    let (response, link) = link.collect(node, MAX_ERROR_BYTES, due).await?;
+    // After an answer to another request, the one to this request may follow.
+    if is_own {
+        link.keep(node);
+    }
+    Ok(response)
+}
+
 /// Returns the outcome of a run whose answer is not a stream of the item.
 fn classify_non_stream(
     node: &Node,
--- a/crates/tamarackdock_gateway/src/silence.rs
+++ b/crates/tamarackdock_gateway/src/silence.rs
@@ -10,7 +10,9 @@
 };
 
 use futures_util::future::{Either, select};
-use tamarackdock_route::pace::{Contact, FirstEvents, LONGEST_TIMEOUT, Patience, Verdict, Wait};
+use tamarackdock_route::pace::{
+    Contact, FirstEvents, LONGEST_STALL, LONGEST_TIMEOUT, Patience, Verdict, Wait, stall_timeout,
+};
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use crate::{
@@ -93,6 +95,25 @@
     !target.versions.is_empty() && published.iter().map(lag).min().is_some_and(|least| least >= 2)
 }
 
+/// Returns the silence between two events after which a run ends. A target that has the newest
+/// weights of the run's model is not ordered to load, and so does not pause its runs.
+pub(crate) fn next_event_timeout(
+    node: &Node,
+    target: &Registration,
+    model: Option<&Name>,
+    now: Instant,
+) -> Duration {
+    if !node.settings().scheduling.adaptive {
+        return LONGEST_STALL;
+    }
+    let is_behind = |model: &Name| {
+        let newest = node.view.published.borrow().get(model).copied().unwrap_or(1);
+        target.versions.get(model).copied().unwrap_or_default() < newest
+    };
+    let may_pause = model.is_some_and(is_behind) || late_reason(node, target, now).is_some();
+    stall_timeout(node.target_loads.borrow().event_interval(&target.id), may_pause)
+}
+
 /// The target of a run was silent.
 #[derive(Debug)]
 pub(crate) struct Silent;
--- a/crates/tamarackdock_route/src/pace/mod.rs
+++ b/crates/tamarackdock_route/src/pace/mod.rs
@@ -9,6 +9,7 @@
 mod first_event;
 mod ramp;
 mod silence;
+mod stall;
 mod turn;
 
 #[cfg(test)]
@@ -17,4 +18,5 @@
 pub use first_event::{FirstEvents, LONGEST_TIMEOUT, SHORTEST_TIMEOUT};
 pub use ramp::{Cause, Pace, Running};
 pub use silence::{Contact, Patience, Verdict, Wait};
+pub use stall::{LONGEST_STALL, stall_timeout};
 pub use turn::Turn;
--- a/crates/tamarackdock_route/src/pace/tests/silence.rs
+++ b/crates/tamarackdock_route/src/pace/tests/silence.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use super::at;
-use crate::pace::{Contact, FirstEvents, LONGEST_TIMEOUT, Patience, Verdict, Wait};
+use crate::pace::{Contact, FirstEvents, LONGEST_TIMEOUT, Patience, Verdict, Wait, stall_timeout};
 
 /// Timeout of the previous decision, the same for all targets.
 const BASELINE: Duration = Duration::from_millis(2500);
@@ -127,3 +127,18 @@
     contact.record_event(at(3100));
     assert!(!contact.may_be_loading(at(3200)));
 }
+
+/// Guards against runs that a dark target holds for as long as a load of weights takes, against
+/// runs that are broken off while their target loads or has only turned slow, and against a timeout
+/// that is shorter than a host needs to find its own paths lost.
+#[test]
+fn a_run_stalls_after_many_usual_intervals() {
+    let timeout = |interval: Option<u64>, may_pause| {
+        stall_timeout(interval.map(Duration::from_millis), may_pause).as_millis()
+    };
+    assert_eq!(timeout(Some(48), false), 720);
+    assert_eq!(timeout(Some(10), false), 600);
+    assert_eq!(timeout(Some(200), false), 1800);
+    assert_eq!(timeout(Some(48), true), 1800);
+    assert_eq!(timeout(None, false), 1800);
+}
