--- a/crates/tamarackdock_node/tests/gateway/adaptive.rs
+++ b/crates/tamarackdock_node/tests/gateway/adaptive.rs
@@ -18,8 +18,8 @@
 const LOG_BOUND: Duration = Duration::from_secs(20);
 
 /// Starts nodes that reach the targets through proxies and learn their pace.
-fn start(name: &str, nodes: usize) -> Cluster {
-    let mut cluster = Cluster::start_gated(name, nodes, 0);
+pub(crate) fn start(name: &str, nodes: usize, seed: u64) -> Cluster {
+    let mut cluster = Cluster::start_gated(name, nodes, seed);
     for node in &mut cluster.nodes {
         node.kill();
         node.set("scheduling", "adaptive", true);
@@ -33,7 +33,7 @@
 /// are lost or run twice at once when they are started elsewhere.
 #[test]
 fn items_leave_a_silent_engine_after_the_learned_timeout() {
-    let cluster = start("adaptive-silent", 1);
+    let cluster = start("adaptive-silent", 1, 0);
     let violations = Violations::default();
     let nodes = cluster.addresses();
     let mut trainer = Trainer::new("t", nodes, cluster.store.clone(), violations.clone());
@@ -58,7 +58,7 @@
 /// and come back are used by their learned pace.
 #[test]
 fn steps_complete_while_engines_come_and_go() {
-    let cluster = start("adaptive-flapping", 3);
+    let cluster = start("adaptive-flapping", 3, 0);
     let violations = Violations::default();
     let nodes = cluster.addresses();
     let mut trainer = Trainer::new("t", nodes, cluster.store.clone(), violations.clone());
@@ -83,7 +83,7 @@
 /// an owner that does not ask the others when it takes a job over.
 #[test]
 fn owners_tell_each_other_what_they_observe() {
-    let mut cluster = start("adaptive-owners", 3);
+    let mut cluster = start("adaptive-owners", 3, 0);
     let violations = Violations::default();
     let nodes = cluster.addresses();
     let mut trainer = Trainer::new("t", nodes, cluster.store.clone(), violations.clone());
--- a/crates/tamarackdock_node/tests/gateway/soak.rs
+++ b/crates/tamarackdock_node/tests/gateway/soak.rs
@@ -12,6 +12,7 @@
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng as _};
 
 use crate::{
+    adaptive,
     cluster::{
         CallRecord, Cluster, KEY, KEY_WITHDRAWAL_BOUND, OLD_KEY, Programs, StopFlag, Trainer,
         Violations, call_until,
@@ -29,6 +30,8 @@
 /// 124: another program, run at the same time, bound the port of a stopped node
 /// and answered in its place. Since then each node has its own loopback address.
 const SEEDS: [u64; 3] = [1, 2, 124];
+/// Seed of CI with `scheduling.adaptive`.
+const ADAPTIVE_SEED: u64 = 3;
 /// Longest delay of the store's responses: some of them arrive after the node has
 /// given up the call.
 const MAX_DELAY_MS: u64 = 1500;
@@ -63,9 +66,10 @@
     });
     let seconds = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(SECONDS));
     let nodes = number("SOAK_NODES").and_then(|nodes| nodes.try_into().ok()).unwrap_or(NODES);
+    let is_adaptive = number("SOAK_ADAPTIVE") == Some(1);
     let mut failed = Vec::new();
     for seed in seeds.unwrap_or_else(|| SEEDS.to_vec()) {
-        let violations = soak(seed, nodes, seconds);
+        let violations = soak(seed, nodes, seconds, is_adaptive);
         println!("seed {seed}: {} broken promises", violations.len());
         if !violations.is_empty() {
             failed.push((seed, violations));
@@ -74,8 +78,19 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
-fn soak(seed: u64, nodes: usize, time: Duration) -> Vec<String> {
-    let mut cluster = Cluster::start_gated(&format!("soak-{seed}"), nodes, seed);
+/// Guards against the same on nodes that learn the pace of targets.
+#[test]
+fn promises_hold_with_learned_scheduling() {
+    let violations = soak(ADAPTIVE_SEED, NODES, Duration::from_secs(SECONDS), true);
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+fn soak(seed: u64, nodes: usize, time: Duration, is_adaptive: bool) -> Vec<String> {
+    let mut cluster = if is_adaptive {
+        adaptive::start(&format!("soak-adaptive-{seed}"), nodes, seed)
+    } else {
+        Cluster::start_gated(&format!("soak-{seed}"), nodes, seed)
+    };
     cluster.engines[1].install(NEWER_SOFTWARE);
     cluster.services[1].install(NEWER_SOFTWARE);
     // Entries are written again in the meantime.
