Record changes of pace in one place, and speeds only where they are used

Cause: two functions repeated how a target becomes steady, and each event of a run computed a power for a speed that only scheduling.adaptive reads, also in the deployments without it. Change: advance_pace; the speed of a single run is recorded with the setting only. Measured: 201 unit tests of the gateway pass, clippy is clean; the saving was not measured.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -235,9 +235,14 @@
         slots: u32,
         now: Instant,
     ) {
+        self.advance_pace(target, now, |pace| pace.respond(sent, usual, slots, now));
+    }
+
+    /// Applies an observation to the pace of a target, and records that the target became steady.
+    fn advance_pace(&mut self, target: &str, now: Instant, observe: impl FnOnce(&mut Pace)) {
         let Some(load) = self.loads.get_mut(target) else { return };
         let was_ramping = load.pace.window().is_some();
-        load.pace.respond(sent, usual, slots, now);
+        observe(&mut load.pace);
         if was_ramping && load.pace.window().is_none() {
             let running = load.running;
             self.add_pace_change(target, None, running, now);
@@ -340,12 +345,7 @@
     pub(crate) fn record_event(&mut self, target: &str, sent: Instant, now: Instant) {
         let Some(load) = self.loads.get_mut(target) else { return };
         load.sampled = now;
-        let was_ramping = load.pace.window().is_some();
-        load.pace.go_on(sent, now);
-        if was_ramping && load.pace.window().is_none() {
-            let running = load.running;
-            self.add_pace_change(target, None, running, now);
-        }
+        self.advance_pace(target, now, |pace| pace.go_on(sent, now));
     }
 
     /// Records that a run that was sent at `sent` was completed.
@@ -369,7 +369,9 @@
             Some(load) if gap < MAX_EVENT_GAP => {
                 let mean = load.event_interval_ms.unwrap_or(millis);
                 load.event_interval_ms = Some(mean + EVENT_GAP_WEIGHT * (millis - mean));
-                load.single.record(millis, load.running);
+                if self.is_adaptive {
+                    load.single.record(millis, load.running);
+                }
             }
             _ => {}
         }
@@ -496,9 +498,9 @@
 }
 
 /// Returns the best target for a call. Targets for which permits can be had come first, then
-/// those that are not avoided and whose pace allows a call, then those with free slots, then those without a limit, then
-/// those in the node's own data centre, then those with the fewest requests of this node
-/// relative to their slots.
+/// those that are not avoided and whose pace allows a call, then those with free slots, then those
+/// without a limit, then those in the node's own data centre, then those with the fewest requests
+/// of this node relative to their slots.
 pub(crate) fn choose<'a>(
     requirements: &Requirements<'_>,
     targets: impl Iterator<Item = &'a Target>,
