--- a/review/lib-2/trainer.py
+++ b/review/lib-2/trainer.py
@@ -29,6 +29,7 @@
                     "itemTtlS": 40},
         "idempotent": {"timeoutMs": 1500, "targetLatencyMs": 150},
         "non_idempotent": {"timeoutMs": 2000, "targetLatencyMs": 800},
+        "streaming": {"timeoutMs": 12000, "targetLatencyMs": 400},
     }[kind]
     return {"name": name, "host": HOST_NAME, "prefix": f"/{name}/", "kind": kind, "service": service,
             "attempts": 3, **terms, **options}
