--- a/review/8/case.py
+++ b/review/8/case.py
@@ -51,10 +51,12 @@
             broken.append(status)
             record.add("BROKEN:", status, "for an accepted batch job")
         whole = len(second.whole()) >= WANTED
+    ended = await second.end()
     ran = {name for engine in engines for _, name, _ in engine.arrivals}
     ran &= {one["id"] for one in second.body["requests"]}
     print(f"step after the change: {len(ran)} of {GROUPS * SIZE} items ran,",
-          f"{len(second.results)} results read, answers 404 or 410 after {SETTLE} s: {len(broken)}")
+          f"{len(second.results)} results read, answers 404 or 410 after {SETTLE} s: {len(broken)};",
+          f"the end of the batch job: {ended}")
     return not broken
 
 
--- a/review/lib-2/trainer.py
+++ b/review/lib-2/trainer.py
@@ -99,5 +99,7 @@
         return False
 
     async def end(self):
+        """Ends the batch job. Returns the status."""
         status, _, _ = await call(self.nodes[0].front, "DELETE", f"/-/lots/{self.job}", KEY)
         self.record.add("trainer ends step", self.body["step"], "and gets", status)
+        return status
