Decide whether a refusal concerns the target or the item

Cause: each refusal marked its target as full for 150 ms and left it to one probe at a time. The order of placement gave that probe to the largest item of the earliest step, which was refused again. The record of the engines shows only the four large items, 54 to 62 times a second, for 12 s.

Change: `tamarackdock_route::refusal` takes a refusal as contradicted if its target accepts another item of the same model afterwards. After three of these in a row, refusals concern the item: they mark no target, the item goes last, and its pause doubles up to 2 s. Targets that refuse are probed by the items that were refused least, which brings the evidence about. An item that was not sent at all no longer counts as refused.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -72,6 +72,10 @@
     sampled: Instant,
     /// When a request last began.
     used: Instant,
+    /// Whether it has refused a request and accepted none since.
+    pub(crate) refuses: bool,
+    /// When it last accepted a request, by model.
+    accepted: BTreeMap<Option<Name>, Instant>,
 }
 
 /// Whether a target that refused a request has accepted one since. A target that loads weights
@@ -303,13 +307,20 @@
         }
     }
 
-    /// Records that a target has begun to process a request.
-    pub(crate) fn record_accepted(&mut self, target: &str) {
+    /// Records that a target has begun to process a request for a model, if it has one.
+    pub(crate) fn record_accepted(&mut self, target: &str, model: Option<&Name>, now: Instant) {
         if let Some(load) = self.loads.get_mut(target) {
             load.recovery = Recovery::Recovered;
+            load.refuses = false;
+            load.accepted.insert(model.cloned(), now);
         }
     }
 
+    /// Returns when a target last began to process a request for a model.
+    pub(crate) fn last_accepted(&self, target: &str, model: Option<&Name>) -> Option<Instant> {
+        self.loads.get(target)?.accepted.get(&model.cloned()).copied()
+    }
+
     /// Records that the connection of a request to a target broke, or that the target did
     /// not respond.
     pub(crate) fn mark_suspect(&mut self, target: &str, now: Instant) {
@@ -323,6 +334,7 @@
     pub(crate) fn mark_full(&mut self, target: &str, now: Instant) {
         if let Some(load) = self.loads.get_mut(target) {
             load.full_until = now + FULL_FOR;
+            load.refuses = true;
             if !self.is_adaptive {
                 load.recovery = Recovery::Refusing;
             }
@@ -337,6 +349,7 @@
             load.suspect_until = Instant::default();
             load.full_until = Instant::default();
             load.recovery = Recovery::Recovered;
+            load.refuses = false;
             load.pace = Pace::default();
         }
     }
--- a/crates/tamarackdock_gateway/src/batch/backoff.rs
+++ b/crates/tamarackdock_gateway/src/batch/backoff.rs
@@ -1,8 +1,10 @@
 use std::time::Duration;
 
+use tamarackdock_route::refusal;
+
 /// Shortest pause of an item after a target refused it or its scoring call, or had the wrong
 /// weights.
-pub(crate) const REFUSED_PAUSE: Duration = Duration::from_millis(30);
+pub(crate) const REFUSED_PAUSE: Duration = refusal::SHORTEST_PAUSE;
 /// Pause after the first attempt that broke. It doubles with each one in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Largest number of doublings.
--- a/crates/tamarackdock_gateway/src/batch/estimate.rs
+++ b/crates/tamarackdock_gateway/src/batch/estimate.rs
@@ -12,7 +12,7 @@
 use super::{
     job::{Job, JobItem, Phase, TOKENS_PER_EVENT},
     lifetime::JobRoute,
-    placement::{Assignment, PlacementTarget, WaitingItem},
+    placement::{self, Assignment, PlacementTarget, Usable, WaitingItem},
     schedule,
 };
 use crate::{
@@ -141,7 +141,22 @@
         }
         steps.push(step);
     }
-    let waiting = in_order(&steps, waiting);
+    let mut waiting = in_order(&steps, waiting);
+    waiting.sort_by_key(|item| item.is_unfit);
+    placement::with_probes(waiting, targets, |waiting, targets, usable| {
+        assign_usable(jobs, &ends_ms, waiting, targets, &mut finish_targets, usable)
+    })
+}
+
+/// Assigns items, in order, to the usable ones of the targets. Updates the targets accordingly.
+fn assign_usable(
+    jobs: &[Rc<RefCell<Job>>],
+    ends_ms: &[f64],
+    waiting: Vec<WaitingItem>,
+    targets: &mut [PlacementTarget],
+    finish_targets: &mut [Target],
+    usable: Usable,
+) -> Assignment {
     let items: Vec<Waiting> = waiting
         .iter()
         .map(|item| {
@@ -154,8 +169,10 @@
             }
         })
         .collect();
-    let fits = |item: usize, target: usize| targets[target].fits(&waiting[item]);
-    let chosen = finish::assign(&items, &mut finish_targets, fits);
+    let fits = |item: usize, target: usize| {
+        usable.contains(&targets[target]) && targets[target].fits(&waiting[item])
+    };
+    let chosen = finish::assign(&items, finish_targets, fits);
     let mut assignment = Assignment::default();
     for (item, target) in waiting.into_iter().zip(chosen) {
         match target {
--- a/crates/tamarackdock_gateway/src/batch/job.rs
+++ b/crates/tamarackdock_gateway/src/batch/job.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use tamarackdock_route::refusal;
 use tamarackdock_types::clock::Instant;
 
 use super::{
@@ -62,6 +63,8 @@
     pub(crate) group: usize,
     /// Number of runs for which a target reported a failure.
     failures: u32,
+    /// Refusals since a target last accepted the item.
+    pub(crate) refusals: refusal::History,
     /// Runs in a row that broke without an event.
     breaks: Backoff,
     /// Number of runs that were moved to another target.
@@ -139,6 +142,9 @@
     PathLost,
     /// No node has a path to the target.
     NoPath,
+    /// The request was not sent: the item's route is gone, or the target can't continue its text.
+    /// That says nothing about the target.
+    NotSent,
 }
 
 /// A batch job that this node runs.
@@ -192,6 +198,7 @@
             progress: Progress::default(),
             carried: false,
             failures: 0,
+            refusals: refusal::History::default(),
             breaks: Backoff::default(),
             moves: 0,
             not_before: accepted,
@@ -370,7 +377,11 @@
                 item.failures += 1;
                 (item.failures >= max_failures).then_some(ItemOutcome::Aborted)
             }
-            RunOutcome::Refused | RunOutcome::WrongVersion | RunOutcome::PathLost => {
+            RunOutcome::Refused => {
+                item.not_before = now + item.refusals.pause();
+                None
+            }
+            RunOutcome::WrongVersion | RunOutcome::PathLost | RunOutcome::NotSent => {
                 item.not_before = now + REFUSED_PAUSE;
                 None
             }
@@ -398,6 +409,11 @@
         self.changed.notify_all();
     }
 
+    /// Records that a target has begun to process an item.
+    pub(crate) fn record_accepted(&mut self, index: usize) {
+        self.items[index].refusals = refusal::History::default();
+    }
+
     /// Records that a run has produced text, which resets the item's backoff.
     pub(crate) fn record_progress(&mut self, index: usize) {
         self.items[index].breaks = Backoff::default();
--- a/crates/tamarackdock_gateway/src/batch/placement.rs
+++ b/crates/tamarackdock_gateway/src/batch/placement.rs
@@ -6,6 +6,10 @@
 //! given what they already run, and short ones fill the remaining slots. Groups that the
 //! trainer waits for in any case go before others, and earlier steps before those that
 //! are requested in advance.
+//!
+//! Some items may fit no target. A target that refuses requests is probed by the items that were
+//! refused least, so that none of the others has to wait for one that is always refused. Items that
+//! targets refuse while they accept others go last. See [`tamarackdock_route::refusal`].
 
 use std::{cmp::Reverse, time::Duration};
 
@@ -31,13 +35,17 @@
     pub(crate) remaining_tokens: u64,
     /// Software that alone can continue the item's text, if it has one.
     pub(crate) made_by: Option<Software>,
+    /// Number of refusals since a target last accepted the item.
+    pub(crate) refusals: u32,
+    /// Whether targets refuse the item while they accept others.
+    pub(crate) is_unfit: bool,
 }
 
 impl WaitingItem {
-    /// Returns the key by which items are sorted: earlier steps first, then groups that the
-    /// trainer waits for in any case, then the longest.
-    pub(crate) fn order(&self) -> (usize, bool, Reverse<u64>, usize) {
-        (self.job, !self.carried, Reverse(self.remaining_tokens), self.item)
+    /// Returns the key by which items are sorted: those that fit no target last, then earlier
+    /// steps first, then groups that the trainer waits for in any case, then the longest.
+    pub(crate) fn order(&self) -> (bool, usize, bool, Reverse<u64>, usize) {
+        (self.is_unfit, self.job, !self.carried, Reverse(self.remaining_tokens), self.item)
     }
 }
 
@@ -59,6 +67,8 @@
     pub(crate) allowed_starts: u32,
     /// Whether it failed or refused a request a short time ago.
     pub(crate) is_avoided: bool,
+    /// Whether it has refused a request and accepted none since.
+    pub(crate) refuses: bool,
     /// Whether it is in the data centre of the node.
     pub(crate) is_local: bool,
     /// Indexes of the jobs that it can serve.
@@ -122,12 +132,49 @@
     targets: &mut [PlacementTarget],
 ) -> Assignment {
     waiting.sort_by_key(WaitingItem::order);
+    with_probes(waiting, targets, assign_usable)
+}
+
+/// Which of the targets items are assigned to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Usable {
+    /// Those that have accepted a request since they last refused one.
+    Accepting,
+    /// Those that have not.
+    Refusing,
+}
+
+impl Usable {
+    pub(crate) fn contains(self, target: &PlacementTarget) -> bool {
+        target.refuses == (self == Self::Refusing)
+    }
+}
+
+/// Assigns items, in order, to the targets that accept requests, and then the remaining ones to
+/// those that refused the last request. The latter are probed by the items that were refused least,
+/// which are those of which it is least likely that they fit no target.
+pub(crate) fn with_probes(
+    waiting: Vec<WaitingItem>,
+    targets: &mut [PlacementTarget],
+    mut assign: impl FnMut(Vec<WaitingItem>, &mut [PlacementTarget], Usable) -> Assignment,
+) -> Assignment {
+    let mut assignment = assign(waiting, targets, Usable::Accepting);
+    assignment.unplaced.sort_by_key(|item| item.refusals);
+    let probes = assign(assignment.unplaced, targets, Usable::Refusing);
+    assignment.placed.extend(probes.placed);
+    Assignment { placed: assignment.placed, unplaced: probes.unplaced }
+}
+
+fn assign_usable(
+    waiting: Vec<WaitingItem>,
+    targets: &mut [PlacementTarget],
+    usable: Usable,
+) -> Assignment {
     let mut assignment = Assignment::default();
     for item in waiting {
-        let fitting = targets
-            .iter()
-            .enumerate()
-            .filter(|(_, target)| target.has_room() && target.fits(&item));
+        let fitting = targets.iter().enumerate().filter(|(_, target)| {
+            usable.contains(target) && target.has_room() && target.fits(&item)
+        });
         let best = fitting.min_by(|(_, left), (_, right)| left.cost().total_cmp(&right.cost()));
         match best.map(|(index, _)| index) {
             Some(index) => {
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::future::{Either, select};
-use tamarackdock_route::pace::LONGEST_STALL;
+use tamarackdock_route::{pace::LONGEST_STALL, refusal::Subject};
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use super::{
@@ -72,10 +72,8 @@
         Some(RunOutcome::Completed) => {
             node.target_loads.borrow_mut().record_completed(&target.id, began);
         }
-        Some(RunOutcome::Refused | RunOutcome::WrongVersion) => {
-            node.target_loads.borrow_mut().mark_full(&target.id, now);
-            node.silence.record_refusal(&target.id, now);
-        }
+        Some(RunOutcome::Refused) => record_refusal(&node, &job, index, &target, now),
+        Some(RunOutcome::WrongVersion) => mark_full(&node, &target, now),
         _ => {}
     }
     if let Some(outcome) = outcome {
@@ -84,6 +82,37 @@
     node.jobs.changed.notify_all();
 }
 
+/// Decides what the refusal of an item concerns. A target that refuses an item which fits no
+/// target is as usable as before for others.
+fn record_refusal(
+    node: &Node,
+    job: &RefCell<Job>,
+    index: usize,
+    target: &Registration,
+    now: Instant,
+) {
+    let mut job = job.borrow_mut();
+    let model = job.submission.model.clone();
+    let item = &mut job.items[index];
+    let subject = {
+        let loads = node.target_loads.borrow();
+        let last_accepted = |target: &str| loads.last_accepted(target, model.as_ref());
+        item.refusals.record(&target.id, last_accepted, now)
+    };
+    slog::info!(node.log, "item: refused"; "job" => &*job.id,
+        "item" => &*job.items[index].request.id, "target" => &*target.id,
+        "concerns" => ?subject, "refusals" => job.items[index].refusals.count(),
+        "pause_ms" => job.items[index].refusals.pause().as_millis());
+    if subject == Subject::Target {
+        mark_full(node, target, now);
+    }
+}
+
+fn mark_full(node: &Node, target: &Registration, now: Instant) {
+    node.target_loads.borrow_mut().mark_full(&target.id, now);
+    node.silence.record_refusal(&target.id, now);
+}
+
 /// Returns the label of an outcome in logs and metrics. Labels are part of that interface
 /// and don't follow renames.
 fn outcome_label(outcome: RunOutcome) -> &'static str {
@@ -98,6 +127,7 @@
         RunOutcome::Stale => "stale",
         RunOutcome::PathLost => "path_lost",
         RunOutcome::NoPath => "no_path",
+        RunOutcome::NotSent => "not_sent",
     }
 }
 
@@ -149,7 +179,7 @@
         }
     };
     let Some(request) = prepare_request(node, job, index, target) else {
-        return RunOutcome::Refused;
+        return RunOutcome::NotSent;
     };
     let sent_at = BootClock.now();
     let first_event = FirstEvent::new(node, target, sent_at);
@@ -183,7 +213,10 @@
             classify_non_stream(node, response, &request.id, target)
         });
     }
-    node.target_loads.borrow_mut().record_accepted(&target.id);
+    let accepted_at = BootClock.now();
+    let model = request.model.as_ref();
+    node.target_loads.borrow_mut().record_accepted(&target.id, model, accepted_at);
+    job.borrow_mut().record_accepted(index);
     let mut version: Option<u64> = head.headers.number(fields.weight_version);
     let mut events = EventParser::new(fields.weight_version);
     let mut last_event = None;
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -4,6 +4,7 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use monoio::time::{sleep, timeout};
+use tamarackdock_route::refusal::Subject;
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use super::{
@@ -126,6 +127,8 @@
             carried: job_item.carried,
             remaining_tokens: job_item.remaining_tokens(),
             made_by: job_item.progress.made_by().cloned(),
+            refusals: job_item.refusals.count(),
+            is_unfit: job_item.refusals.subject() == Subject::Request,
         }));
     }
     waiting
@@ -181,6 +184,7 @@
                 .min(load.allowed_by_pace(merged.others, now).unwrap_or(u32::MAX))
                 .min(limits.allowed_items(registration, now)),
             is_avoided: load.is_avoided(now),
+            refuses: load.refuses,
             is_local: registration.data_centre == node.data_centre,
             fitting_jobs: jobs.iter().enumerate().filter_map(fitting).collect(),
         });
--- a/crates/tamarackdock_gateway/src/batch/tests/estimate.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/estimate.rs
@@ -22,6 +22,7 @@
         samples: 9,
         allowed_starts: 2,
         is_avoided: false,
+        refuses: false,
         is_local: true,
         fitting_jobs: vec![0],
     }
--- a/crates/tamarackdock_gateway/src/batch/tests/finish.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/finish.rs
@@ -324,6 +324,8 @@
                 carried: false,
                 remaining_tokens: (item.remaining() * 50.0) as u64,
                 made_by: None,
+                refusals: 0,
+                is_unfit: false,
             })
             .collect();
         if waiting.is_empty() {
@@ -371,6 +373,7 @@
             samples: 0,
             allowed_starts: u32::MAX,
             is_avoided: false,
+            refuses: false,
             is_local: true,
             fitting_jobs: vec![0],
         }
--- a/crates/tamarackdock_gateway/src/batch/tests/placement.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/placement.rs
@@ -35,6 +35,7 @@
         samples: 99,
         allowed_starts: u32::MAX,
         is_avoided: false,
+        refuses: false,
         is_local: true,
         fitting_jobs: vec![0],
     }
@@ -107,6 +108,8 @@
             carried: false,
             remaining_tokens: items[index].1,
             made_by: None,
+            refusals: 0,
+            is_unfit: false,
         });
         for (item, target) in policy(waiting.collect(), &mut targets) {
             started[item.item] = true;
@@ -145,7 +148,15 @@
 }
 
 fn waiting(item: usize, job: usize, carried: bool, remaining_tokens: u64) -> WaitingItem {
-    WaitingItem { job, item, carried, remaining_tokens, made_by: None }
+    WaitingItem {
+        job,
+        item,
+        carried,
+        remaining_tokens,
+        made_by: None,
+        refusals: 0,
+        is_unfit: false,
+    }
 }
 
 fn order(items: Vec<WaitingItem>) -> Vec<usize> {
@@ -166,6 +177,35 @@
     assert_eq!(order(items), [3, 2, 1, 0]);
 }
 
+/// Guards against an item that fits no target and keeps others from starting, in its own job and
+/// in later ones, since it is the longest and is always the next to be sent to a target that
+/// refused it.
+#[test]
+fn a_target_that_refuses_is_probed_by_the_item_with_the_fewest_refusals() {
+    let refused = |item, refusals| WaitingItem { refusals, ..waiting(item, 0, true, 900) };
+    let others = [waiting(2, 0, false, 10), waiting(3, 1, false, 10)];
+    let items = [vec![refused(0, 9), refused(1, 2)], others.to_vec()].concat();
+    let probed = |id| PlacementTarget { refuses: true, allowed_starts: 1, ..placement_target(id) };
+    let both = |target| PlacementTarget { fitting_jobs: vec![0, 1], ..target };
+    let mut targets = [both(probed(0)), both(probed(1))];
+    let placed = assign(items.clone(), &mut targets);
+    assert_eq!(placed.iter().map(|(item, _)| item.item).collect::<Vec<_>>(), [2, 3]);
+    // Targets that accept requests get the items in their usual order.
+    let accepting = PlacementTarget { allowed_starts: 3, ..both(placement_target(1)) };
+    let mut targets = [both(probed(0)), accepting];
+    let placed = assign(items, &mut targets);
+    let placed: Vec<_> = placed.iter().map(|(item, target)| (item.item, *target)).collect();
+    assert_eq!(placed, [(0, 1), (1, 1), (2, 1), (3, 0)]);
+}
+
+/// Guards against an item that takes the room of others although targets refuse it while they
+/// accept others.
+#[test]
+fn items_that_fit_no_target_go_last() {
+    let unfit = WaitingItem { is_unfit: true, ..waiting(0, 0, true, 900) };
+    assert_eq!(order(vec![unfit, waiting(1, 0, false, 10), waiting(2, 1, false, 10)]), [1, 2, 0]);
+}
+
 /// Guards against items on targets that are full, cold, to be avoided or without the
 /// weights of the job.
 #[test]
--- a/crates/tamarackdock_gateway/src/batch/tests/share.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/share.rs
@@ -125,6 +125,8 @@
             carried: false,
             remaining_tokens: item.total_ms as u64,
             made_by: None,
+            refusals: 0,
+            is_unfit: false,
         }));
     }
     if order == Order::Baseline {
--- a/crates/tamarackdock_gateway/src/tests/balance.rs
+++ b/crates/tamarackdock_gateway/src/tests/balance.rs
@@ -196,6 +196,6 @@
         loads.start(&target, at(now + 150));
         assert_eq!(probes(&loads), Some(0));
     }
-    loads.record_accepted("a");
+    loads.record_accepted("a", None, at(600));
     assert_eq!(probes(&loads), None);
 }
--- a/crates/tamarackdock_gateway/src/tests/explain.rs
+++ b/crates/tamarackdock_gateway/src/tests/explain.rs
@@ -74,6 +74,7 @@
         samples: 0,
         allowed_starts,
         is_avoided: false,
+        refuses: false,
         is_local: true,
         fitting_jobs: vec![0],
     }
@@ -89,6 +90,8 @@
         carried: false,
         remaining_tokens: 1,
         made_by: made_by.map(|version| Software { service: "llm".into(), version: version.into() }),
+        refusals: 0,
+        is_unfit: false,
     };
     let avoided = PlacementTarget { is_avoided: true, ..target("v1", 8, 9) };
     let targets = [target("v1", 8, 9), target("v1", 0, 0), avoided];
--- a/crates/tamarackdock_gateway/src/tests/pace.rs
+++ b/crates/tamarackdock_gateway/src/tests/pace.rs
@@ -36,7 +36,7 @@
     assert_eq!((loads.get("a").allowed_probes(), allowed(&loads, 150)), (None, Some(1)));
     assert_eq!((fixed.get("a").allowed_probes(), allowed(&fixed, 150)), (Some(1), None));
     loads.start(&target, at(150));
-    loads.record_accepted("a");
+    loads.record_accepted("a", None, at(155));
     assert_eq!(allowed(&loads, 160), Some(0), "an answer without an event tells nothing");
     loads.record_response(&target, at(150), USUAL, 4, at(220));
     assert_eq!(allowed(&loads, 220), Some(1));
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -44,3 +44,5 @@
 mod stop_traffic;
 #[path = "gateway/truncated_answers.rs"]
 mod truncated_answers;
+#[path = "gateway/unfit_requests.rs"]
+mod unfit_requests;
--- a/crates/tamarackdock_route/src/lib.rs
+++ b/crates/tamarackdock_route/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod pace;
 pub mod policy;
 pub mod quarantine;
+pub mod refusal;
 pub mod retry;
 pub mod subset;
 pub mod table;
