Keep the route of a batch job's acceptance

A route that changed its kind ended all open items within a second.

Cause: the run of an item looked up the route of the item's own path, whose kind has no lifetime of items, so that engines rejected it for its deadline. All other lookups took the longest prefix of the job's path, or a route of any kind, in the configuration in force.

Change: the head of a job holds the prefix of its route, the lifetime of its items and whether results must be of one version. `lifetime::route` is the only lookup. Nodes that forward items check them by the same prefix. Heads without these terms get the route for batch jobs with the longest prefix.

--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -16,6 +16,7 @@
     estimate::MovePlan,
     job::Job,
     lease::Lease,
+    lifetime,
     rows::{self, JobHead},
     takeover,
 };
@@ -216,7 +217,7 @@
         let heads = self.heads.borrow();
         let mut ranks: BTreeMap<Name, u32> = BTreeMap::new();
         for VersionedHead { head, .. } in heads.values().filter(|entry| !entry.head.ended) {
-            let route = deployment.route(&head.host, &head.path);
+            let route = lifetime::route(head, deployment);
             if let (Some(model), Some(route)) = (&head.model, route) {
                 let rank = deployment.rank(&route, head.account.as_ref());
                 let known = ranks.entry(model.clone()).or_insert(rank);
--- a/crates/tamarackdock_gateway/src/batch/lifetime.rs
+++ b/crates/tamarackdock_gateway/src/batch/lifetime.rs
@@ -1,5 +1,7 @@
-//! For how long the items of a job run, by the configuration that a node knows. It answers the
-//! load of jobs that are accepted while nodes know different configurations.
+//! The route of a job, and for how long its items run, by the configuration that a node knows. It
+//! answers the load of jobs that are accepted while nodes know different configurations, and of
+//! configurations that change routes while jobs are open. See
+//! `docs/incidents/routes-of-open-jobs.md`.
 
 use std::{rc::Rc, time::Duration};
 
@@ -31,11 +33,31 @@
     Found(Rc<Route>),
 }
 
+/// Returns the route of a job by a configuration, whichever is newer. The route keeps its services,
+/// limits and rank of that configuration, and what it promised when the job was accepted.
+///
+/// A route that was added later for part of the paths changes nothing for the job. A route that
+/// serves calls of another kind by now goes on to run the items of its open jobs.
+pub(crate) fn route(head: &JobHead, deployment: &Deployment) -> Option<Rc<Route>> {
+    let Some(terms) = &head.terms else {
+        return deployment.batch_route(&head.host, &head.path);
+    };
+    let found = deployment
+        .route_at(&head.host, &terms.prefix)
+        .or_else(|| deployment.batch_route(&head.host, &head.path))?;
+    let item_lifetime = found.item_lifetime.max(terms.item_lifetime);
+    let single_version = found.single_version || terms.single_version;
+    if (item_lifetime, single_version) == (found.item_lifetime, found.single_version) {
+        return Some(found);
+    }
+    Some(Rc::new(Route { item_lifetime, single_version, ..Route::clone(&found) }))
+}
+
 impl JobRoute {
     /// Looks up the route of a job. Nodes learn of a configuration at different times, so that
     /// the owner of a job can know an older one than the node that accepted it.
     pub(crate) fn of(head: &JobHead, deployment: &Deployment) -> Self {
-        match deployment.route(&head.host, &head.path) {
+        match route(head, deployment) {
             _ if deployment.version == 0 || deployment.version < head.deployment => Self::Unknown,
             Some(route) => Self::Found(route),
             None => Self::Gone,
--- a/crates/tamarackdock_gateway/src/batch/rows.rs
+++ b/crates/tamarackdock_gateway/src/batch/rows.rs
@@ -5,8 +5,13 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::{call::fingerprint, deployment::Name, members::NodeRun};
+use crate::{
+    call::fingerprint,
+    deployment::{Name, Route},
+    members::NodeRun,
+};
 
 /// Table of the heads of jobs, whose feed all nodes follow.
 pub(crate) const HEADS_TABLE: &str = "job";
@@ -63,6 +68,34 @@
     /// `scheduling.adaptive`, and ignored by earlier releases.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) min_version: Option<u64>,
+    /// What the route of the submission promised. Earlier releases don't write it, and drop it
+    /// when they write the head again.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) terms: Option<Terms>,
+}
+
+/// What a route promised when a job was accepted, which later configurations don't take back.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Terms {
+    /// Path prefix of the route, by which later configurations are searched for it. Routes that
+    /// are added later may have longer prefixes of the same path.
+    pub(crate) prefix: String,
+    /// Time after submission at which an unfinished item is aborted, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub(crate) item_lifetime: Duration,
+    /// Whether all text of a result must come from one weight version.
+    pub(crate) single_version: bool,
+}
+
+impl Terms {
+    pub(crate) fn of(route: &Route) -> Self {
+        Self {
+            prefix: route.prefix.clone(),
+            item_lifetime: route.item_lifetime,
+            single_version: route.single_version,
+        }
+    }
 }
 
 impl JobHead {
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -14,7 +14,7 @@
 use super::{
     estimate,
     job::{Job, RunOutcome},
-    migrate, schedule,
+    lifetime, migrate, schedule,
 };
 use crate::{
     call::{Attempt, HopByHop, begins_stream, classify_answer},
@@ -190,6 +190,7 @@
         headers: &|now| request.headers(fields.deadline, now),
         body: &request.body,
         permission: Permission::Job,
+        job_route: Some(&request.route),
         send_by: sent_at + first_event.longest(),
         give_up_at: sent_at + first_event.longest(),
         can_repeat: true,
@@ -298,6 +299,8 @@
 struct ItemRequest {
     id: String,
     path: String,
+    /// Path prefix of the job's route.
+    route: String,
     /// Header fields but for the time that is left.
     headers: Headers,
     body: Bytes,
@@ -390,7 +393,8 @@
     }
     let job = job.borrow();
     let item = &job.items[index];
-    let route = node.view.deployment().route(&job.head.host, &item.request.path)?;
+    // The route of the job, also if another one leads to the item's path by now.
+    let route = lifetime::route(&job.head, &node.view.deployment())?;
     let mut headers = Headers::default();
     headers.push("Host", job.head.host.as_bytes());
     let replaced = [fields.request_id, fields.account, fields.expected_target, fields.deadline];
@@ -413,6 +417,7 @@
     Some(ItemRequest {
         id: item.request.id.as_ref().into(),
         path: item.request.path.clone(),
+        route: route.prefix.clone(),
         headers,
         body: item.request.body.clone(),
         until: job.accepted + route.item_lifetime,
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -10,7 +10,7 @@
 use super::{
     estimate,
     job::{Job, Room},
-    lifetime::JobRoute,
+    lifetime::{self, JobRoute},
     placement::{self, Assignment, PlacementTarget, WaitingItem},
     run, score,
 };
@@ -195,7 +195,7 @@
 
 /// Returns the service that runs a job's items, or `None` if the job's route is gone.
 pub(crate) fn service_of(node: &Node, job: &Job) -> Option<Name> {
-    let route = node.view.deployment().route(&job.head.host, &job.head.path)?;
+    let route = lifetime::route(&job.head, &node.view.deployment())?;
     Some(pick_service(&route, &job.id))
 }
 
--- a/crates/tamarackdock_gateway/src/batch/score.rs
+++ b/crates/tamarackdock_gateway/src/batch/score.rs
@@ -8,6 +8,7 @@
 use super::{
     ScoringCall,
     job::Job,
+    lifetime,
     run::until_stopped,
     scoring::{self, Outcome, WaitingCall},
 };
@@ -139,7 +140,7 @@
 fn prepare(node: &Node, job: &Job, index: usize, now: Instant) -> Option<Call> {
     let scoring = job.items[index].request.scoring.as_ref()?;
     let route = route(node, scoring)?;
-    let own_route = node.view.deployment().route(&job.head.host, &job.head.path)?;
+    let own_route = lifetime::route(&job.head, &node.view.deployment())?;
     let give_up_at = (now + route.timeout).min(job.accepted + own_route.item_lifetime);
     Some(Call::scoring(node, scoring, route, now, give_up_at))
 }
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -14,7 +14,7 @@
     index::{self, StartGuard, VersionedHead},
     job::Job,
     lifetime::JobRoute,
-    rows::{self, JobHead},
+    rows::{self, JobHead, Terms},
     save, schedule, scoring, takeover,
 };
 use crate::{call::Call, deployment::Name, node::Node, reply::Reply};
@@ -132,6 +132,7 @@
         epoch: 1,
         ended: false,
         removing: false,
+        terms: Some(Terms::of(&call.route)),
         min_version: node.settings().scheduling.adaptive.then_some(submission.min_version),
     }
 }
--- a/crates/tamarackdock_gateway/src/batch/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/mod.rs
@@ -90,6 +90,7 @@
         ended: false,
         removing: false,
         min_version: None,
+        terms: None,
     }
 }
 
--- a/crates/tamarackdock_gateway/src/batch/tests/rows.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/rows.rs
@@ -1,11 +1,11 @@
 use proptest::prelude::*;
 use tamarackdock_platform::table::Row;
 
-use super::head;
+use super::{head, route};
 use crate::batch::{
     ItemOutcome, ItemResult,
     commit::join_rows,
-    rows::{self, JobHead},
+    rows::{self, JobHead, Terms},
 };
 
 fn row(key: String, value: &str) -> Row {
@@ -81,7 +81,7 @@
     let text = head(1).encode();
     assert!(!text.contains("removing"), "{text}");
     assert_eq!(serde_json::from_str::<JobHead>(&text).unwrap(), head(1));
-    let marked = JobHead { removing: true, ..head(1) };
+    let marked = JobHead { removing: true, terms: Some(Terms::of(&route())), ..head(1) };
     assert_eq!(serde_json::from_str::<JobHead>(&marked.encode()).unwrap(), marked);
 }
 
--- a/crates/tamarackdock_gateway/src/deployment.rs
+++ b/crates/tamarackdock_gateway/src/deployment.rs
@@ -160,6 +160,22 @@
         routes.iter().find(|route| path.starts_with(&route.prefix)).cloned()
     }
 
+    /// Returns the route of a host with exactly this prefix.
+    #[must_use]
+    pub fn route_at(&self, host: &str, prefix: &str) -> Option<Rc<Route>> {
+        let routes = self.routes.get(host_name(host).as_str())?;
+        routes.iter().find(|route| route.prefix == prefix).cloned()
+    }
+
+    /// Returns the route for batch jobs of a host with the longest prefix that matches the path.
+    #[must_use]
+    pub fn batch_route(&self, host: &str, path: &str) -> Option<Rc<Route>> {
+        let routes = self.routes.get(host_name(host).as_str())?;
+        let matches =
+            |route: &&Rc<Route>| route.kind == CallKind::Batch && path.starts_with(&route.prefix);
+        routes.iter().find(matches).cloned()
+    }
+
     /// Decides whether a call is allowed.
     #[must_use]
     pub fn authorize(&self, host: &str, path: &str, key: Option<&str>) -> Authorization {
--- a/crates/tamarackdock_gateway/src/forward/admission.rs
+++ b/crates/tamarackdock_gateway/src/forward/admission.rs
@@ -100,7 +100,13 @@
         let path = request.path.split('?').next().unwrap_or_default();
         let named = request.headers.get(self.account_field);
         let route = match &request.permission {
-            Permission::Job => self.deployment.route(host, path),
+            Permission::Job => match &request.job_route {
+                Some(prefix) => self
+                    .deployment
+                    .route_at(host, prefix)
+                    .or_else(|| self.deployment.batch_route(host, prefix)),
+                None => self.deployment.route(host, path),
+            },
             Permission::Key(_) if !self.allows_keys => None,
             Permission::Key(key) => match self.deployment.authorize(host, path, key.as_deref()) {
                 Authorization::Allowed { route, account } if account.as_deref() == named => {
--- a/crates/tamarackdock_gateway/src/forward/ask.rs
+++ b/crates/tamarackdock_gateway/src/forward/ask.rs
@@ -137,6 +137,7 @@
             headers: (request.headers)(now),
             body: request.body.to_vec(),
             permission: request.permission.clone(),
+            job_route: request.job_route.map(str::to_owned),
             sent_ms: node.store_clock.millis(now).ok_or_else(declined)?,
             give_up_ms: u64::try_from(request.give_up_at.since(now).as_millis())
                 .unwrap_or(u64::MAX),
--- a/crates/tamarackdock_gateway/src/forward/mod.rs
+++ b/crates/tamarackdock_gateway/src/forward/mod.rs
@@ -48,6 +48,10 @@
     pub(crate) give_up_ms: u64,
     /// Whether the sender can make another attempt when the paths of the other node are lost.
     pub(crate) can_repeat: bool,
+    /// Path prefix of the route of the batch job that an item belongs to. Earlier releases neither
+    /// write nor read it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) job_route: Option<String>,
 }
 
 /// What a node has done with a request that it was to forward.
--- a/crates/tamarackdock_gateway/src/forward/serve.rs
+++ b/crates/tamarackdock_gateway/src/forward/serve.rs
@@ -72,6 +72,7 @@
         headers: &headers,
         body: &body,
         permission: forwarded.permission.clone(),
+        job_route: forwarded.job_route.as_deref(),
         send_by: received + send_within,
         give_up_at: received + Duration::from_millis(forwarded.give_up_ms),
         can_repeat: forwarded.can_repeat,
--- a/crates/tamarackdock_gateway/src/hedge.rs
+++ b/crates/tamarackdock_gateway/src/hedge.rs
@@ -208,6 +208,7 @@
         headers: &|now| call.headers(node, target, now),
         body: &call.request.body,
         permission: call.permission(node),
+        job_route: None,
         send_by: call.give_up_at,
         give_up_at: call.give_up_at,
         can_repeat: call.may_repeat(),
--- a/crates/tamarackdock_gateway/src/path/link.rs
+++ b/crates/tamarackdock_gateway/src/path/link.rs
@@ -59,6 +59,9 @@
     pub(crate) headers: &'a dyn Fn(Instant) -> Headers,
     pub(crate) body: &'a Bytes,
     pub(crate) permission: Permission,
+    /// Path prefix of the route of the batch job that an item belongs to, whose path may lead to
+    /// another route.
+    pub(crate) job_route: Option<&'a str>,
     /// Time after which it must not be sent any more.
     pub(crate) send_by: Instant,
     /// Time until which the head of the response must arrive.
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -238,6 +238,7 @@
         },
         body: &call.request.body,
         permission: call.permission(node),
+        job_route: None,
         send_by: call.give_up_at,
         give_up_at: call.give_up_at,
         can_repeat: call.route.kind == CallKind::Stream { resumable: true },
--- a/crates/tamarackdock_gateway/src/tests/clear.rs
+++ b/crates/tamarackdock_gateway/src/tests/clear.rs
@@ -22,6 +22,7 @@
         epoch: 1,
         ended,
         removing,
+        terms: None,
         min_version: None,
     }
 }
--- a/crates/tamarackdock_gateway/src/tests/forward.rs
+++ b/crates/tamarackdock_gateway/src/tests/forward.rs
@@ -5,7 +5,7 @@
 use super::{deployment::deployment, registration};
 use crate::{
     codec,
-    deployment::{Deployment, Name},
+    deployment::{Deployment, Name, Route},
     forward::{
         ForwardedRequest,
         admission::{Knowledge, capacity},
@@ -27,6 +27,7 @@
         headers,
         body: Vec::new(),
         permission,
+        job_route: None,
         sent_ms: 0,
         give_up_ms: 1_000,
         can_repeat: true,
@@ -104,6 +105,30 @@
     assert!(knowledge.admit(&request(Permission::Job)).is_ok());
 }
 
+/// Guards against items that other nodes don't forward because a route that was added later leads
+/// to their paths, and against items of a route that now leads elsewhere.
+#[test]
+fn items_are_forwarded_by_the_route_of_their_job() {
+    let (mut deployment, none, target) = (deployment(), BTreeSet::new(), target());
+    let job_route = deployment.route("h.example", "/a/x").unwrap();
+    let item =
+        ForwardedRequest { job_route: Some(job_route.prefix.clone()), ..request(Permission::Job) };
+    let added = Route {
+        prefix: format!("{}x", job_route.prefix),
+        services: vec![("other".into(), 1)],
+        ..Route::clone(&job_route)
+    };
+    deployment.add_route(added.clone());
+    assert!(knowledge(&deployment, &none, &target).admit(&item).is_ok());
+    let added_only = Deployment { routes: [].into(), ..deployment.clone() };
+    let moved = Route { prefix: job_route.prefix.clone(), ..added };
+    let mut moved_only = added_only.clone();
+    moved_only.add_route(moved);
+    for deployment in [&added_only, &moved_only] {
+        assert!(knowledge(deployment, &none, &target).admit(&item).is_err());
+    }
+}
+
 /// Guards against a node that forwards for so many others that its own work stops, and against
 /// requests that go round between nodes without paths.
 #[test]
--- a/crates/tamarackdock_node/tests/gateway/cluster.rs
+++ b/crates/tamarackdock_node/tests/gateway/cluster.rs
@@ -148,6 +148,18 @@
         self.store.configure_without_jobs(self.version, &[KEY]);
     }
 
+    /// Writes the next configuration, with changed values of the route for batch jobs.
+    pub(crate) fn change_jobs(&mut self, changes: &Value) {
+        self.version += 1;
+        self.store.configure_jobs(self.version, &[KEY], changes);
+    }
+
+    /// Writes the next configuration, with one more route for calls.
+    pub(crate) fn add_route(&mut self, prefix: &str, service: &str) {
+        self.version += 1;
+        self.store.configure_with_route(self.version, &[KEY], prefix, service);
+    }
+
     /// Changes the paths from some nodes to all targets.
     pub(crate) fn cut(&self, nodes: &[usize], mode: ProxyMode) {
         let gates = || nodes.iter().flat_map(|node| &self.gates[*node]);
--- a/crates/tamarackdock_node/tests/gateway/configurations.rs
+++ b/crates/tamarackdock_node/tests/gateway/configurations.rs
@@ -5,16 +5,22 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::Client;
+use platform_standin::{Client, ITEMS};
+use serde_json::json;
 
-use crate::cluster::{Cluster, KEY, Step, Trainer, Violations};
+use crate::{
+    cluster::{Cluster, KEY, Step, Trainer, Violations},
+    ownership::{others, owner as owner_of, slow_down},
+};
 
 /// Bound on the time until a configuration is in force, several times that of a poll.
 const IN_FORCE: Duration = Duration::from_secs(5);
-const ITEMS: usize = 12;
+const ITEM_COUNT: usize = 12;
+/// More items than the engines have slots.
+const MANY_ITEMS: usize = 60;
 
 fn items(job: &str) -> Vec<(String, String)> {
-    (0..ITEMS).map(|item| (format!("{job}-{item}"), "g0".to_owned())).collect()
+    (0..ITEM_COUNT).map(|item| (format!("{job}-{item}"), "g0".to_owned())).collect()
 }
 
 /// Submits jobs at a node until one is answered with `status`, and returns its id.
@@ -76,3 +82,53 @@
     cluster.stores[owner].hold_orders(false);
     assert_eq!(violations.all(), Vec::<String>::new());
 }
+
+/// Submits a step of which some items wait for a slot while the configuration changes, lets its
+/// owner end if `takes_over`, and returns what is wrong with the results.
+fn violations_of_change(
+    name: &str,
+    takes_over: bool,
+    change: impl FnOnce(&mut Cluster),
+) -> Vec<String> {
+    let mut cluster = Cluster::start(name, 2, 0);
+    let violations = Violations::default();
+    slow_down(&cluster, true);
+    let nodes = cluster.addresses();
+    let mut trainer = Trainer::new("t", nodes, cluster.store.clone(), violations.clone());
+    let mut step = trainer.submit(0, MANY_ITEMS);
+    let owner = owner_of(&cluster, &step.job);
+    let seen = cluster.log_lines("orders: configuration received").len();
+    change(&mut cluster);
+    wait_for_lines(&cluster, "orders: configuration received", seen + cluster.nodes.len());
+    if takes_over {
+        cluster.nodes[owner].kill();
+        trainer.nodes = others(&cluster, owner);
+    }
+    slow_down(&cluster, false);
+    trainer.finish(&mut step);
+    cluster.check_runs(&violations);
+    violations.all()
+}
+
+/// Guards against accepted items that never run because a route for calls that was added later
+/// leads to their paths.
+#[test]
+fn a_route_that_is_added_below_that_of_an_open_job_ends_none_of_its_items() {
+    for (name, takes_over) in [("added-route", false), ("added-route-takeover", true)] {
+        let violations = violations_of_change(name, takes_over, |cluster| {
+            cluster.add_route(ITEMS, "app");
+        });
+        assert_eq!(violations, Vec::<String>::new(), "{name}");
+    }
+}
+
+/// Guards against accepted items that are given up at once because their route serves calls now,
+/// which has no lifetime of items.
+#[test]
+fn a_route_that_changes_its_kind_ends_no_items_of_its_open_jobs() {
+    let changes = json!({"kind": "idempotent", "itemTtlS": 0, "targetFinishMs": 0});
+    let violations = violations_of_change("changed-kind", true, |cluster| {
+        cluster.change_jobs(&changes);
+    });
+    assert_eq!(violations, Vec::<String>::new());
+}
