Replace polls of the store on silent connections within 3 s

Cause: the store holds a poll of the targets feed back for up to 5 s, and only its timeout 0.9 s later shows that the connection is silent. At a host that no other host helps, the failed poll also counted as an outage of the store, after which targets whose entries were removed stay in use for 1.7 s.

Change: polls are held back for 0.8 s (targets) and 1 s (heads of jobs). A poll after a failed one is answered at once, and polls must fail for 0.6 s before the store counts as away.

--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -31,8 +31,9 @@
     telemetry::excerpt,
 };
 
-/// Time that the store may hold a read of the feed open until there is a change.
-const FEED_WAIT: Duration = Duration::from_secs(5);
+/// Time that the store may hold a read of the feed open until there is a change. Polls on a silent
+/// connection are noticed by their timeout only, within 3 s.
+const FEED_WAIT: Duration = Duration::from_secs(1);
 /// Number of newest jobs whose work is averaged as the demand for a model.
 const DEMAND_JOBS: usize = 3;
 
--- a/crates/tamarackdock_gateway/src/view.rs
+++ b/crates/tamarackdock_gateway/src/view.rs
@@ -28,8 +28,15 @@
 /// time plus the round trip to the store.
 const ORDERS_WAIT: Duration = Duration::from_secs(1);
 /// Longest time that the store holds back a poll of the targets feed without a
-/// change.
-const TARGETS_WAIT: Duration = Duration::from_secs(5);
+/// change. A connection can go silent without an error, which only a missing answer shows, and
+/// a node must follow the targets again within 3 s. That is the time for one more poll that is
+/// answered, and for the next one to time out on a connection that was idle meanwhile. Targets
+/// write about once a second each, so that polls are seldom held back for that long.
+const TARGETS_WAIT: Duration = Duration::from_millis(800);
+/// Time for which polls of the targets feed must have failed to show an outage of the store. A
+/// failure may be that of one silent connection, after which a probe restores the path within
+/// 0.4 s, and entries lapse only after several seconds without the store.
+const SHORTEST_OUTAGE: Duration = Duration::from_millis(600);
 /// Time after an outage of the store during which targets without a row stay in
 /// use for a while. Targets are registered again within 2 s of the store's return.
 const OUTAGE_GRACE: Duration = Duration::from_millis(3500);
@@ -46,7 +53,7 @@
     pub(crate) published: RefCell<BTreeMap<Name, u64>>,
     pub(crate) targets: RefCell<target::TargetList>,
     pub(crate) freshness: RefCell<Freshness>,
-    /// Time of the last failed poll of the targets feed.
+    /// Time of the last failed poll of the targets feed in an outage of the store.
     last_outage: Cell<Option<Instant>>,
 }
 
@@ -128,8 +135,11 @@
         let table = self.wire_format.targets_table();
         let mut revision = None;
         let mut failures = 0;
+        let mut failing_since = None;
         loop {
-            match self.fetch(table, revision, TARGETS_WAIT).await {
+            // The poll after a failed one is answered at once, whether or not there are changes.
+            let wait = if failures == 0 { TARGETS_WAIT } else { Duration::ZERO };
+            match self.fetch(table, revision, wait).await {
                 Ok(FeedResponse::HistoryLost) => {
                     slog::warn!(self.log, "targets: history lost, reading a snapshot"; "after" => revision);
                     revision = None;
@@ -138,15 +148,19 @@
                     self.apply_targets(&batch, revision.is_none());
                     revision = Some(batch.revision);
                     failures = 0;
+                    failing_since = None;
                     monoio::time::sleep(self.members.interval(periodic::TARGETS)).await;
                 }
                 Err(error) => {
                     let now = BootClock.now();
+                    failures += 1;
                     if !self.view.had_recent_outage(now) {
-                        slog::warn!(self.log, "targets: store unreachable"; "error" => %error);
+                        slog::warn!(self.log, "targets: store unreachable";
+                            "error" => %error, "failures" => failures);
+                    }
+                    if now.since(*failing_since.get_or_insert(now)) >= SHORTEST_OUTAGE {
+                        self.view.last_outage.set(Some(now));
                     }
-                    self.view.last_outage.set(Some(now));
-                    failures += 1;
                     monoio::time::sleep(self.members.retry_pause(failures)).await;
                 }
             }
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -30,6 +30,8 @@
 mod removal;
 #[path = "gateway/restart.rs"]
 mod restart;
+#[path = "gateway/silent_polls.rs"]
+mod silent_polls;
 #[path = "gateway/single_faults.rs"]
 mod single_faults;
 #[path = "gateway/soak.rs"]
