Keep the account of batch jobs on public routes

A job that was accepted before could not be submitted again (400), and while a configuration has no accounts, all earlier jobs were answered with 404.

Cause: on a public route a valid key was ignored and the job kept without an account, while reads, which name no route, compare the account of their key.

Change: a submission has the account of its key on any route, and `batch::access` decides for reads, ends and repeated submissions alike. Jobs without an account are open to all who know their id, and all jobs are while there are no accounts. Another account still gets 404, an unknown key 401.

--- a/crates/tamarackdock_gateway/src/batch/mod.rs
+++ b/crates/tamarackdock_gateway/src/batch/mod.rs
@@ -2,6 +2,7 @@
 //! section "Batch jobs" of `docs/platform-system.md` describes the protocol between
 //! nodes.
 
+pub(crate) mod access;
 pub(crate) mod backoff;
 pub(crate) mod commit;
 pub(crate) mod end;
--- a/crates/tamarackdock_gateway/src/batch/read.rs
+++ b/crates/tamarackdock_gateway/src/batch/read.rs
@@ -4,7 +4,7 @@
 
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
-use super::{Page, commit, end, index::VersionedHead, rows, takeover};
+use super::{Page, access::Access, commit, end, index::VersionedHead, rows, takeover};
 use crate::{
     call::timeout_at,
     deployment::Name,
@@ -24,19 +24,30 @@
     Reply::not_run("the store of batch jobs is not available now", RETRY_AFTER)
 }
 
+/// Returns whether a call is about a known job that needs no key.
+pub(crate) fn is_open_to_all(node: &Node, call: &BatchCall) -> bool {
+    node.jobs.head(job_of(call)).is_some_and(|entry| entry.head.account.is_none())
+}
+
+/// Returns the id of the job that a call is about.
+fn job_of(call: &BatchCall) -> &str {
+    let (BatchCall::Read { job, .. } | BatchCall::Item { job, .. } | BatchCall::End { job }) = call;
+    job
+}
+
 /// Serves a call about a batch job: a read of results or of an item, or the job's end.
 pub(crate) async fn serve(
     node: &Rc<Node>,
     call: BatchCall,
     account: Option<Name>,
+    requires_key: bool,
     request: &Request,
 ) -> Reply {
-    let (BatchCall::Read { job, .. } | BatchCall::Item { job, .. } | BatchCall::End { job }) =
-        &call;
+    let job = job_of(&call);
     if !rows::is_valid_id(job) {
         return Reply::error(404, "no such batch job");
     }
-    let id: Name = job.as_str().into();
+    let id: Name = job.into();
     let entry = match node.jobs.head(&id) {
         Some(entry) => entry,
         None => match end::read_head(node, &id).await {
@@ -51,10 +62,16 @@
             }
         },
     };
-    if entry.head.account != account {
-        slog::info!(node.log, "job: of another client account"; "job" => &*id,
-            "revision" => entry.revision);
-        return Reply::error(404, "no such batch job");
+    match Access::of(entry.head.account.as_ref(), account.as_ref(), requires_key) {
+        Access::Allowed => {}
+        access @ (Access::OtherAccount | Access::UnknownKey) => {
+            slog::info!(node.log, "job: of another client account"; "job" => &*id,
+                "revision" => entry.revision, "access" => ?access);
+            return match access {
+                Access::UnknownKey => Reply::error(401, "the key is absent or unknown"),
+                _ => Reply::error(404, "no such batch job"),
+            };
+        }
     }
     match call {
         BatchCall::Read { after, .. } => {
--- a/crates/tamarackdock_gateway/src/batch/rows.rs
+++ b/crates/tamarackdock_gateway/src/batch/rows.rs
@@ -30,7 +30,8 @@
 /// that it fences out earlier owners.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct JobHead {
-    /// Client account that submitted the job and alone may read and end it.
+    /// Client account that submitted the job and alone may read and end it, or `None` if it came
+    /// without one, see [`Access`](super::access::Access).
     pub(crate) account: Option<Name>,
     /// Value of the submission's `Host` field, which selects the route.
     pub(crate) host: String,
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -10,7 +10,9 @@
 use tamarackdock_types::clock::{BootClock, Clock};
 
 use super::{
-    Submission, commit, end,
+    Submission,
+    access::Access,
+    commit, end,
     index::{self, StartGuard, VersionedHead},
     job::Job,
     lifetime::JobRoute,
@@ -101,10 +103,12 @@
 fn resubmission_reply(node: &Node, call: &Call, id: &Name, entry: &VersionedHead) -> Reply {
     slog::info!(node.log, "job: submitted again"; "job" => &**id, "revision" => entry.revision,
         "accepted_ms" => entry.head.accepted_ms, "ended" => entry.head.ended);
-    if entry.head.account == call.account {
-        Reply::empty(202)
-    } else {
-        Reply::error(400, "the id belongs to a batch job of another client account")
+    let requires_key = node.view.deployment().requires_key;
+    match Access::of(entry.head.account.as_ref(), call.account.as_ref(), requires_key) {
+        Access::Allowed => Reply::empty(202),
+        Access::OtherAccount | Access::UnknownKey => {
+            Reply::error(400, "the id belongs to a batch job of another client account")
+        }
     }
 }
 
--- a/crates/tamarackdock_gateway/src/batch/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions about batch jobs, without a network.
 
+mod access;
 mod estimate;
 mod finish;
 mod index;
--- a/crates/tamarackdock_gateway/src/deployment.rs
+++ b/crates/tamarackdock_gateway/src/deployment.rs
@@ -135,8 +135,9 @@
     Allowed {
         /// Route that matches the call.
         route: Rc<Route>,
-        /// Client account of the key, or `None` on public routes and if the deployment
-        /// uses no keys.
+        /// Client account of the key, or `None` if the deployment uses no keys. On public
+        /// routes, calls have none, and batch jobs that of a valid key: they are read later, where
+        /// no route applies.
         account: Option<Name>,
     },
     /// No route matches the host and path.
@@ -183,7 +184,7 @@
             return Authorization::NoRoute;
         };
         match self.account(key) {
-            Some(account) if !route.public => {
+            Some(account) if !route.public || route.kind == CallKind::Batch => {
                 Authorization::Allowed { route, account: Some(account) }
             }
             None if self.requires_key && !route.public => Authorization::UnknownKey,
--- a/crates/tamarackdock_gateway/src/dispatch.rs
+++ b/crates/tamarackdock_gateway/src/dispatch.rs
@@ -109,14 +109,16 @@
         let key = head.headers.get(fields.key);
         if let Some(batch) = self.wire_format.batch_call(&head.method, &head.target) {
             let account = deployment.account(key);
-            if account.is_none() && deployment.requires_key {
+            let requires_key = deployment.requires_key;
+            // The store is not asked for callers without a valid key.
+            if account.is_none() && requires_key && !batch::read::is_open_to_all(self, &batch) {
                 return ("batch", Outcome::Reply(self.unknown_key(id, deployment.version)));
             }
             let arrived = request.arrived;
             if let Some(refused) = self.refuse_late(head.path(), Work::BATCH, arrived) {
                 return ("batch", Outcome::Reply(refused));
             }
-            let reply = batch::read::serve(self, batch, account, &request).await;
+            let reply = batch::read::serve(self, batch, account, requires_key, &request).await;
             return ("batch", Outcome::Reply(reply));
         }
         match deployment.authorize(host, head.path(), key) {
--- a/crates/tamarackdock_gateway/src/tests/deployment.rs
+++ b/crates/tamarackdock_gateway/src/tests/deployment.rs
@@ -55,9 +55,24 @@
     assert_eq!(authorize("/a/", Some("Key")), Authorization::UnknownKey);
     assert_eq!(authorize("/a/", None), Authorization::UnknownKey);
     assert_matches!(authorize("/open/", None), Authorization::Allowed { account: None, .. });
+    assert_matches!(authorize("/open/", Some("key")), Authorization::Allowed { account: None, .. });
     assert_eq!(authorize("/none/", Some("key")), Authorization::NoRoute);
 }
 
+/// Guards against a batch job of a public route that nobody may read.
+#[test]
+fn batch_jobs_of_public_routes_belong_to_the_account_of_the_key() {
+    let mut deployment = deployment();
+    let jobs = Route { kind: CallKind::Batch, ..route("jobs", "h.example", "/jobs/", true) };
+    deployment.add_route(jobs);
+    let account = |key| match deployment.authorize("h.example", "/jobs/", key) {
+        Authorization::Allowed { account, .. } => account.map(|account| account.to_string()),
+        denied => panic!("{denied:?}"),
+    };
+    assert_eq!(account(Some("key")).as_deref(), Some("account"));
+    assert_eq!([account(None), account(Some("other"))], [None, None]);
+}
+
 /// Guards against a service that gets none of its share of the calls, and against a
 /// repeated call that goes to a different service.
 #[test]
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -24,6 +24,8 @@
 mod outlook;
 #[path = "gateway/ownership.rs"]
 mod ownership;
+#[path = "gateway/public_jobs.rs"]
+mod public_jobs;
 #[path = "gateway/releases.rs"]
 mod releases;
 #[path = "gateway/removal.rs"]
--- a/crates/tamarackdock_node/tests/gateway/cluster.rs
+++ b/crates/tamarackdock_node/tests/gateway/cluster.rs
@@ -154,6 +154,12 @@
         self.store.configure_jobs(self.version, &[KEY], changes);
     }
 
+    /// Writes the next configuration, without client accounts.
+    pub(crate) fn remove_accounts(&mut self) {
+        self.version += 1;
+        self.store.configure_without_accounts(self.version);
+    }
+
     /// Writes the next configuration, with one more route for calls.
     pub(crate) fn add_route(&mut self, prefix: &str, service: &str) {
         self.version += 1;
