Test that odd statuses of answers reach no client

It does not happen here: heads with a status outside 100 to 599 are malformed for the one parser that reads answers of targets, the store, the platform's API and other nodes. No test showed it for streams, items and scoring calls.

Change: `odd_statuses` gives 16 status lines, with and without a reason phrase, to calls, streams, items and scoring calls, also through another node; callers get 502 or the answer to a later attempt. It shares its checks with `truncated_answers`, whose own stay as they were.

Nothing was changed in the product.

--- a/crates/tamarackdock_gateway/src/http/tests/heads.rs
+++ b/crates/tamarackdock_gateway/src/http/tests/heads.rs
@@ -63,6 +63,23 @@
     assert_eq!(response("not an answer at all\r\n\r\n"), Err(HeadError::Malformed));
 }
 
+/// Guards against an answer without a status of HTTP that counts as one, whether a target, the
+/// store, the platform's API or another node has sent it: all are read by this parser.
+#[test]
+fn statuses_outside_of_http_are_malformed() {
+    for status in ["000", "099", "600", "999", "20", "2000", "-01", "+20", "2x0", "", " 200", "0x1"]
+    {
+        for reason in [" OK", " ", ""] {
+            let head = format!("HTTP/1.1 {status}{reason}\r\nContent-Length: 0\r\n\r\n");
+            assert_eq!(response(&head), Err(HeadError::Malformed), "{head:?}");
+        }
+    }
+    for status in [200, 299, 404, 599] {
+        let head = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+        assert_eq!(response(&head).map(|head| head.map(|head| head.status)), Ok(Some(status)));
+    }
+}
+
 /// Guards against a pipelined request that is lost or taken for the body of the first.
 #[test]
 fn bytes_after_a_head_stay() {
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -20,6 +20,8 @@
 mod limits;
 #[path = "gateway/odd_entries.rs"]
 mod odd_entries;
+#[path = "gateway/odd_statuses.rs"]
+mod odd_statuses;
 #[path = "gateway/outlook.rs"]
 mod outlook;
 #[path = "gateway/ownership.rs"]
--- a/crates/tamarackdock_node/tests/gateway/truncated_answers.rs
+++ b/crates/tamarackdock_node/tests/gateway/truncated_answers.rs
@@ -63,7 +63,7 @@
 
 /// Starts nodes and engines that follow a script. If `is_cut`, requests at the first node go
 /// through others.
-fn start(name: &str, is_cut: bool) -> (Cluster, Script) {
+pub(crate) fn start(name: &str, is_cut: bool) -> (Cluster, Script) {
     let cluster =
         if is_cut { Cluster::start_with_gates(name, 3, 0, 1) } else { Cluster::start(name, 1, 0) };
     let script = Script::default();
@@ -81,13 +81,27 @@
 /// What a caller is to get: a success with this body and at least two runs, or no success.
 type Expected = Option<Vec<u8>>;
 
-/// Makes calls and streams that are answered by truncated answers, once or always, and returns
-/// descriptions of what was wrong.
+/// Makes calls and streams that are answered by truncated answers, once or always.
 fn check(name: &str, is_cut: bool) {
     let (cluster, script) = start(name, is_cut);
+    // A caller that gets the begin of a stream sees it break off.
+    check_answers(name, &cluster, &script, &truncated(), &[0, 502]);
+    let forwarded = cluster.log_lines("forward: no response").len();
+    assert_eq!(forwarded > 0, is_cut, "{forwarded} answers to forwarded requests ended early");
+}
+
+/// Makes calls and streams that get one of some answers, once or always, and checks that callers
+/// get the sound answer to a later attempt, or one of the statuses of a failure.
+pub(crate) fn check_answers(
+    name: &str,
+    cluster: &Cluster,
+    script: &Script,
+    answers: &[(String, Answer)],
+    failures: &[u16],
+) {
     let node = cluster.addresses()[0];
     let mut faults = Vec::new();
-    for (place, answer) in truncated() {
+    for (place, answer) in answers {
         let mut check = |kind: &str, answers: usize, expected: &dyn Fn(&str) -> Expected| {
             let id = format!("{name}-{place}-{kind}-{answers}");
             script.set(&id, &vec![answer.clone(); answers]);
@@ -96,7 +110,7 @@
             let is_once = kind.starts_with("once");
             let is_right = match expected(&id) {
                 Some(expected) => status == 200 && body == expected && runs >= 2,
-                None => matches!(status, 0 | 502),
+                None => failures.contains(&status),
             };
             if !is_right || runs > if is_once { 1 } else { ATTEMPTS } || script.left(&id) > 0 {
                 let text = String::from_utf8_lossy(&body);
@@ -110,8 +124,6 @@
         check("stream", ATTEMPTS, &|_| None);
         check("once_stream", 1, &|_| None);
     }
-    let forwarded = cluster.log_lines("forward: no response").len();
-    assert_eq!(forwarded > 0, is_cut, "{forwarded} answers to forwarded requests ended early");
     assert!(faults.is_empty(), "{} faults:\n{}", faults.len(), faults.join("\n"));
 }
 
@@ -154,9 +166,19 @@
 #[test]
 fn truncated_answers_complete_no_item() {
     let (cluster, script) = start("truncated-items", false);
-    let answers = truncated();
+    check_items("truncated", &cluster, &script, &truncated());
+}
+
+/// Gives each of some answers to an item and to its scoring call, and checks that all items are
+/// completed by later answers.
+pub(crate) fn check_items(
+    name: &str,
+    cluster: &Cluster,
+    script: &Script,
+    answers: &[(String, Answer)],
+) {
     for (number, (_, answer)) in answers.iter().enumerate() {
-        let id = format!("truncated-0-{number}");
+        let id = format!("{name}-0-{number}");
         script.set(&id, slice::from_ref(answer));
         if !scoring_fails(&id) {
             script.set(&scoring_call(&id), slice::from_ref(answer));
@@ -164,12 +186,12 @@
     }
     let violations = Violations::default();
     let store = cluster.store.clone();
-    let mut trainer = Trainer::new("truncated", cluster.addresses(), store, violations.clone());
+    let mut trainer = Trainer::new(name, cluster.addresses(), store, violations.clone());
     let mut step = trainer.submit(0, answers.len());
     trainer.finish(&mut step);
     cluster.check_scores(&step, &violations);
     let ids = step.items.iter().flat_map(|(id, _)| [id.clone(), scoring_call(id)]);
     let unused: Vec<String> = ids.filter(|id| script.left(id) > 0).collect();
-    assert_eq!(unused, Vec::<String>::new(), "requests without their truncated answer");
+    assert_eq!(unused, Vec::<String>::new(), "requests without their answer of the script");
     assert_eq!(violations.all(), Vec::<String>::new());
 }
