Bound the text of an item

Cause: bytes that are no answer were bounded, as is each event, but not the number of events of an item's text.

Change: a text may take 64 KB and 64 bytes for each token of its item, at most 1 MB. Beyond that the run counts as broken and the item begins again. Further tests let answers to streams, items, scoring calls, reports, orders and calls to the store go on without end, at 11 places; they needed no other change.

--- a/crates/tamarackdock_gateway/src/batch/progress.rs
+++ b/crates/tamarackdock_gateway/src/batch/progress.rs
@@ -19,12 +19,21 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct EventText(Option<u64>, String);
 
+impl EventText {
+    /// Returns the bytes of memory that the event uses.
+    fn memory(&self) -> usize {
+        size_of::<Self>() + self.1.len()
+    }
+}
+
 /// The text of an item so far.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct Progress {
     /// Id of the last event, `None` before the first one.
     last_event: Option<u64>,
     events: Vec<EventText>,
+    /// Bytes of memory that the events use.
+    memory: usize,
     /// Software of the targets that made the events.
     made_by: Option<Software>,
     /// Number of events that the store holds.
@@ -56,7 +65,9 @@
     /// produced it.
     pub(crate) fn append(&mut self, event: &Event, version: Option<u64>) -> Result<(), OutOfOrder> {
         let id = event.follow(self.last_event)?;
-        self.events.push(EventText(version, event.data.clone()));
+        let text = EventText(version, event.data.clone());
+        self.memory += text.memory();
+        self.events.push(text);
         self.last_event = Some(id);
         Ok(())
     }
@@ -76,6 +87,11 @@
         self.events.len()
     }
 
+    /// Returns the bytes of memory that the events use.
+    pub(crate) fn memory(&self) -> usize {
+        self.memory
+    }
+
     /// Returns the number of events that the store does not hold.
     pub(crate) fn unsaved_events(&self) -> usize {
         self.events.len() - self.saved_events
@@ -216,6 +232,7 @@
             *progress = Progress::default();
         }
         if from == progress.events.len() {
+            progress.memory += segment.parts.iter().map(EventText::memory).sum::<usize>();
             progress.events.extend(segment.parts);
             progress.last_event = segment.last;
             progress.made_by = segment.made_by;
--- a/crates/tamarackdock_gateway/src/batch/run.rs
+++ b/crates/tamarackdock_gateway/src/batch/run.rs
@@ -375,6 +375,11 @@
         return Err(RunOutcome::WrongVersion);
     }
     progress.append(event, version).map_err(|_| RunOutcome::Broken)?;
+    // Nothing of such a text can be trusted.
+    if progress.memory() > job.items[index].request.max_text_bytes() {
+        job.items[index].progress.restart();
+        return Err(RunOutcome::Broken);
+    }
     job.record_progress(index);
     Ok(())
 }
--- a/crates/tamarackdock_gateway/src/batch/submission.rs
+++ b/crates/tamarackdock_gateway/src/batch/submission.rs
@@ -53,7 +53,23 @@
     pub body: Bytes,
 }
 
+/// Memory that each token of an item may take in its text. Tokens have a few bytes, and an event may
+/// hold a single one.
+const BYTES_PER_TOKEN: u64 = 64;
+/// Memory that the text of any item may take.
+const MIN_TEXT_BYTES: u64 = 64 * 1024;
+/// Memory that no text may exceed. A page of results has at most 1 MB.
+const MAX_TEXT_BYTES: u64 = 1024 * 1024;
+
 impl Item {
+    /// Returns the bytes of memory that the item's text may take. A target that sends more goes on
+    /// without end.
+    #[must_use]
+    pub fn max_text_bytes(&self) -> usize {
+        let bytes = self.tokens.saturating_mul(BYTES_PER_TOKEN).saturating_add(MIN_TEXT_BYTES);
+        usize::try_from(bytes.min(MAX_TEXT_BYTES)).unwrap_or(usize::MAX)
+    }
+
     /// Returns the estimated output tokens. Without an estimate of the trainer this
     /// is a quarter of the upper bound, as few items reach it.
     #[must_use]
--- a/crates/tamarackdock_gateway/src/batch/tests/progress.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/progress.rs
@@ -1,9 +1,10 @@
 use proptest::prelude::*;
 use tamarackdock_platform::table::Row;
 
-use super::event;
+use super::{event, item};
 use crate::{
     batch::{
+        Item,
         progress::{Progress, join_segments},
         rows,
     },
@@ -180,3 +181,24 @@
         }
     }
 }
+
+/// Guards against texts that are taken to be shorter than they are, after they were read from the
+/// store, and so go on without end.
+#[test]
+fn the_memory_of_a_text_is_known_after_a_takeover() {
+    let mut progress = text(&[("abc", 5), ("d", 5)]);
+    let mut store = Vec::new();
+    save(&mut progress, &mut store, 1);
+    assert!(progress.memory() > "abcd".len());
+    assert_eq!(join_segments("j", &store)["i"].memory(), progress.memory());
+    progress.restart();
+    assert_eq!(progress.memory(), 0);
+}
+
+/// Guards against sound texts that are taken for endless, and against a bound that a job of many
+/// items does not keep within the memory of a host.
+#[test]
+fn texts_may_take_memory_by_their_tokens() {
+    let bytes = |tokens| Item { tokens, ..item("a", "g", 1) }.max_text_bytes();
+    assert_eq!([0, 1_000, 100_000, u64::MAX].map(bytes), [65_536, 129_536, 1_048_576, 1_048_576]);
+}
--- a/crates/tamarackdock_node/tests/gateway/endless.rs
+++ b/crates/tamarackdock_node/tests/gateway/endless.rs
@@ -2,13 +2,20 @@
 
 use std::{
     net::SocketAddr,
-    thread,
+    slice, thread,
     time::{Duration, Instant},
 };
 
-use platform_standin::{Client, ENDLESS_PLACES, STREAM_WITHOUT_END, send_without_end};
+use platform_standin::{
+    Client, ENDLESS_PLACES, ProxyMode, STREAM_WITHOUT_END,
+    script::{Answer, End},
+    send_without_end,
+};
 
-use crate::cluster::{Cluster, KEY, Trainer, Violations};
+use crate::{
+    cluster::{Cluster, KEY, Trainer, Violations},
+    truncated_answers::{check_answers, check_items, start},
+};
 
 /// Connections with bytes without end at the same time.
 const CONNECTIONS: usize = 200;
@@ -16,6 +23,38 @@
 const MEMORY_MB: u64 = 160;
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which all answers of the store go on without end.
+const STORE_TIME: Duration = Duration::from_secs(4);
+/// Items whose streams go on without end at the same time.
+const ENDLESS_ITEMS: usize = 24;
+/// Answers that never end, with the place where they don't: their begin, and what is repeated.
+const ENDLESS: [(&str, &str, &str); 11] = [
+    ("status", "HTTP/1.1 200 ", "a"),
+    ("field", "HTTP/1.1 200 OK\r\n{signed}X: ", "a"),
+    ("fields", "HTTP/1.1 200 OK\r\n{signed}", "A: b\r\n"),
+    ("interim", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+    ("noise", "", "a"),
+    ("length", "HTTP/1.1 200 OK\r\n{signed}Content-Length: 1000000000000\r\n\r\n", "a"),
+    ("close", "HTTP/1.1 200 OK\r\n{signed}\r\n", "a"),
+    ("chunk", "HTTP/1.1 200 OK\r\n{signed}Transfer-Encoding: chunked\r\n\r\nfffffffffff\r\n", "a"),
+    ("extension", "HTTP/1.1 200 OK\r\n{signed}Transfer-Encoding: chunked\r\n\r\n1;", "a"),
+    ("trailers", "HTTP/1.1 200 OK\r\n{signed}Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"),
+    (
+        "line",
+        "HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ",
+        "a",
+    ),
+];
+/// The head of a stream without a length.
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\n\r\n";
+
+fn endless() -> Vec<(String, Answer)> {
+    let answer = |(place, begin, text): &(&str, &'static str, &'static str)| {
+        ((*place).to_owned(), Answer::text(begin, End::Repeat(text)))
+    };
+    ENDLESS.iter().map(answer).collect()
+}
+
 /// Makes calls at the same time and returns their statuses.
 fn call_all(node: SocketAddr, path: impl Fn(usize) -> String) -> Vec<u16> {
     let calls: Vec<_> = (0..CONNECTIONS)
@@ -90,3 +129,77 @@
     assert_eq!(served, 0);
     assert_serves(&cluster);
 }
+
+/// Guards against a client that gets such an answer, or none in time, on each kind of route.
+#[test]
+fn answers_without_end_reach_no_client() {
+    let (cluster, script) = start("endless-kinds", false);
+    check_answers("endless", &cluster, &script, &endless(), &[0, 502, 504]);
+    assert_serves(&cluster);
+}
+
+/// Guards against items and scoring calls that end with such answers, or never.
+#[test]
+fn answers_without_end_complete_no_item() {
+    let (cluster, script) = start("endless-items", false);
+    check_items("endless", &cluster, &script, &endless());
+    assert_serves(&cluster);
+}
+
+/// Guards against a process that keeps all events of streams that go on for ever, each of them
+/// sound by itself.
+#[test]
+fn items_with_events_without_end_begin_again() {
+    let (cluster, script) = start("endless-events", false);
+    let answer = Answer::text(STREAM_HEAD, End::Events);
+    for number in 0..ENDLESS_ITEMS {
+        script.set(&format!("events-0-{number}"), slice::from_ref(&answer));
+    }
+    let violations = Violations::default();
+    let store = cluster.store.clone();
+    let mut trainer = Trainer::new("events", cluster.addresses(), store, violations.clone());
+    let mut step = trainer.submit(0, ENDLESS_ITEMS);
+    trainer.finish(&mut step);
+    assert_serves(&cluster);
+    assert_eq!(violations.all(), Vec::<String>::new());
+}
+
+/// Guards against a holder of the duties that keeps what engines answer to its own calls.
+#[test]
+fn reports_and_orders_without_end_are_broken_off() {
+    let (cluster, script) = start("endless-reports", false);
+    let answers: Vec<Answer> = endless().into_iter().map(|(_, answer)| answer).collect();
+    for path in ["/-/report", "/-/order"] {
+        script.set(path, &answers);
+    }
+    let violations = Violations::default();
+    let nodes = cluster.addresses();
+    let mut trainer = Trainer::new("t", nodes, cluster.store.clone(), violations.clone());
+    for number in 0..6 {
+        let mut step = trainer.submit(number, 8);
+        trainer.finish(&mut step);
+    }
+    assert_eq!(violations.all(), Vec::<String>::new());
+    assert!(script.left("/-/order") < answers.len(), "no order got an answer without end");
+    assert_serves(&cluster);
+}
+
+/// Guards against a process that keeps what the store answers, and against one that does not come
+/// back from it.
+#[test]
+fn answers_of_the_store_without_end_are_broken_off() {
+    let cluster = Cluster::start("endless-store", 1, 0);
+    let violations = Violations::default();
+    let nodes = cluster.addresses();
+    let mut trainer = Trainer::new("t", nodes, cluster.store.clone(), violations.clone());
+    let mut step = trainer.submit(0, 24);
+    cluster.proxies[0].set(ProxyMode::Endless);
+    thread::sleep(STORE_TIME);
+    let begun = cluster.proxies[0].endless_answers();
+    cluster.proxies[0].set(ProxyMode::Open);
+    cluster.wait_until_served();
+    trainer.finish(&mut step);
+    assert_eq!(violations.all(), Vec::<String>::new());
+    assert!(begun >= 8, "{begun} answers without end");
+    assert_serves(&cluster);
+}
