Let a refusal count for requests of its kind

Cause: a refusal of any request marked its target as full for all, and items and scoring calls are not sent to full targets. The history of one request is no evidence here, as such calls are many different requests.

Change: refusals count for the calls of callers, scoring calls or items, and those of calls no longer reset the pace of engines. Scoring calls that were refused eight times in a row go after others, with a pause of up to 1 s.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     deployment::{Name, Service},
+    origin::Origin,
     pace::PaceChange,
     target::{Registration, Software, Target},
 };
@@ -56,7 +57,8 @@
     /// Requests of this node in progress.
     pub(crate) running: u32,
     suspect_until: Instant,
-    full_until: Instant,
+    /// Until when it counts as full for each kind of requests.
+    full_until: [Instant; Sender::COUNT],
     starts: VecDeque<Instant>,
     /// What is known since the target last refused a request.
     recovery: Recovery,
@@ -78,6 +80,31 @@
     accepted: BTreeMap<Option<Name>, Instant>,
 }
 
+/// Who sends requests of a kind. A target may refuse all requests of one kind, such as calls with
+/// prompts that exceed its memory, while it has room for the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Sender {
+    /// The caller of a call.
+    Caller,
+    /// The owner of a batch job, to score an item.
+    Scoring,
+    /// The owner of a batch job, to run an item.
+    Item,
+}
+
+impl Sender {
+    const COUNT: usize = 3;
+}
+
+impl From<Origin> for Sender {
+    fn from(origin: Origin) -> Self {
+        match origin {
+            Origin::Caller => Self::Caller,
+            Origin::Scoring => Self::Scoring,
+        }
+    }
+}
+
 /// Whether a target that refused a request has accepted one since. A target that loads weights
 /// refuses all requests for about a second, so that one at a time is enough to see its end.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -132,11 +159,17 @@
         self.avoidance(now).is_some()
     }
 
+    /// Returns the same for requests of one kind, for which refusals of others don't count.
+    pub(crate) fn is_avoided_by(&self, sender: Sender, now: Instant) -> bool {
+        now < self.suspect_until || now < self.full_until[sender as usize]
+    }
+
     /// Returns why the target is to be used only as a last choice, if it is.
     pub(crate) fn avoidance(&self, now: Instant) -> Option<Avoidance> {
+        let full_until = self.full_until.into_iter().max().unwrap_or_default();
         let (reason, until, whole) = match () {
             () if now < self.suspect_until => ("suspect", self.suspect_until, SUSPECT_FOR),
-            () if now < self.full_until => ("full", self.full_until, FULL_FOR),
+            () if now < full_until => ("full", full_until, FULL_FOR),
             () => return None,
         };
         let left = until.since(now);
@@ -329,11 +362,22 @@
         }
     }
 
-    /// Records that a target refused a request, could not be connected to, or had the
-    /// wrong weights for an item.
+    /// Records that a target refused a call or could not be connected to for it.
+    pub(crate) fn refuse_call(&mut self, entry: &Registration, origin: Origin, now: Instant) {
+        if let Some(load) = self.loads.get_mut(&entry.id) {
+            load.full_until[Sender::from(origin) as usize] = now + FULL_FOR;
+        }
+        // The pace of engines is learned from items, and only calls go to plain services.
+        if entry.versions.is_empty() {
+            self.reset_pace(&entry.id, Cause::Refused, now);
+        }
+    }
+
+    /// Records that a target refused an item, could not be connected to, or had the wrong
+    /// weights for it.
     pub(crate) fn mark_full(&mut self, target: &str, now: Instant) {
         if let Some(load) = self.loads.get_mut(target) {
-            load.full_until = now + FULL_FOR;
+            load.full_until[Sender::Item as usize] = now + FULL_FOR;
             load.refuses = true;
             if !self.is_adaptive {
                 load.recovery = Recovery::Refusing;
@@ -347,7 +391,7 @@
     pub(crate) fn forget_failures(&mut self) {
         for load in self.loads.values_mut() {
             load.suspect_until = Instant::default();
-            load.full_until = Instant::default();
+            load.full_until = Default::default();
             load.recovery = Recovery::Recovered;
             load.refuses = false;
             load.pace = Pace::default();
--- a/crates/tamarackdock_gateway/src/batch/job.rs
+++ b/crates/tamarackdock_gateway/src/batch/job.rs
@@ -75,7 +75,7 @@
     /// room.
     held_since: Option<Instant>,
     /// Attempts of the scoring call so far.
-    scoring: Scoring,
+    pub(crate) scoring: Scoring,
 }
 
 impl JobItem {
--- a/crates/tamarackdock_gateway/src/batch/score.rs
+++ b/crates/tamarackdock_gateway/src/batch/score.rs
@@ -13,6 +13,7 @@
     scoring::{self, Outcome, WaitingCall},
 };
 use crate::{
+    balance::Sender,
     call::{Attempt, Call, pick_service},
     deployment::{Name, Route},
     hedge,
@@ -36,6 +37,7 @@
                 item,
                 carried: job_item.carried,
                 unfinished_in_group: job.unfinished_in_group(&job_item.request.group),
+                is_unfit: job_item.scoring.is_unfit(),
             });
         }
     }
@@ -70,7 +72,7 @@
     let room = usable.map(|entry| {
         let load = loads.get(&entry.id);
         let free = load.unreserved_slots(entry.slots, scoring::RESERVED_SLOTS) as usize;
-        if load.is_avoided(now) { 0 } else { free }
+        if load.is_avoided_by(Sender::Scoring, now) { 0 } else { free }
     });
     room.sum()
 }
--- a/crates/tamarackdock_gateway/src/batch/scoring.rs
+++ b/crates/tamarackdock_gateway/src/batch/scoring.rs
@@ -19,9 +19,14 @@
 
 /// Slots of each target that scoring calls leave to other calls.
 pub(crate) const RESERVED_SLOTS: u32 = 1;
+/// Refusals in a row after which a call goes after others and its pause grows. It may fit no target.
+const MANY_REFUSALS: u32 = 8;
 /// Longest pause after calls in a row without a usable answer.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 
+/// Largest number of doublings, beyond which the pause is the longest one.
+const MAX_DOUBLINGS: u32 = 6;
+
 /// How a scoring call ended, after all attempts that it was given.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Outcome {
@@ -53,12 +58,18 @@
     failures: u32,
     /// Calls in a row without a score that may have run.
     breaks: Backoff,
+    /// Calls in a row that no target could take.
+    refusals: u32,
 }
 
 impl Scoring {
     /// Records the end of a call and returns what follows from it. `max_failures` is the
     /// number of failed answers at which the item is aborted.
     pub(crate) fn end(&mut self, outcome: Outcome, max_failures: u32) -> Next {
+        self.refusals = match outcome {
+            Outcome::NotRun(_) => self.refusals.saturating_add(1),
+            Outcome::Scored(_) | Outcome::Failed(_) | Outcome::Unknown => 0,
+        };
         match outcome {
             Outcome::Scored(score) => Next::Scored(score),
             Outcome::Failed(count) => {
@@ -69,13 +80,22 @@
                 Next::Retry(self.breaks.next(MAX_BACKOFF))
             }
             Outcome::NotRun(after) => {
-                Next::Retry(after.unwrap_or_default().clamp(REFUSED_PAUSE, MAX_BACKOFF))
+                let doublings = self.refusals.saturating_sub(MANY_REFUSALS).min(MAX_DOUBLINGS);
+                let shortest = (REFUSED_PAUSE * 2_u32.pow(doublings)).min(MAX_BACKOFF);
+                Next::Retry(after.unwrap_or_default().clamp(shortest, MAX_BACKOFF))
             }
             Outcome::Unknown => Next::Retry(self.breaks.next(MAX_BACKOFF)),
         }
     }
 }
 
+impl Scoring {
+    /// Returns whether the call was refused so often that it may fit no target.
+    pub(crate) fn is_unfit(&self) -> bool {
+        self.refusals >= MANY_REFUSALS
+    }
+}
+
 /// An item that waits for its scoring call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct WaitingCall {
@@ -87,11 +107,15 @@
     pub(crate) carried: bool,
     /// Number of items of its group that have no result yet.
     pub(crate) unfinished_in_group: usize,
+    /// Whether targets have refused the call so often that it may fit none of them.
+    pub(crate) is_unfit: bool,
 }
 
 /// Returns the calls that are sent now, in order, if there is room for `room` of them.
 pub(crate) fn admit(mut waiting: Vec<WaitingCall>, room: usize) -> Vec<WaitingCall> {
-    waiting.sort_by_key(|call| (call.job, !call.carried, call.unfinished_in_group, call.item));
+    waiting.sort_by_key(|call| {
+        (call.is_unfit, call.job, !call.carried, call.unfinished_in_group, call.item)
+    });
     waiting.truncate(room);
     waiting
 }
--- a/crates/tamarackdock_gateway/src/batch/tests/scoring.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/scoring.rs
@@ -122,7 +122,7 @@
 }
 
 fn waiting(job: usize, item: usize, carried: bool, unfinished_in_group: usize) -> WaitingCall {
-    WaitingCall { job, item, carried, unfinished_in_group }
+    WaitingCall { job, item, carried, unfinished_in_group, is_unfit: false }
 }
 
 /// Guards against a step that ends late because its nearly complete groups wait behind others.
@@ -182,3 +182,24 @@
         Err(Invalid::NoRoute { item: b(), host: "h".into(), path: "/gone/1".into() })
     );
 }
+
+/// Guards against scoring calls that fit no target, which are always refused, and are sent before
+/// others and at the full rate.
+#[test]
+fn calls_that_are_always_refused_go_last() {
+    let mut scoring = Scoring::default();
+    let pauses: Vec<u128> = (0..16)
+        .map(|_| match scoring.end(Outcome::NotRun(None), MAX_FAILURES) {
+            Next::Retry(pause) => pause.as_millis(),
+            next => panic!("{next:?}"),
+        })
+        .collect();
+    let usual = [30; 8];
+    assert_eq!(pauses, [&usual[..], &[60, 120, 240, 480, 960, 1000, 1000, 1000]].concat());
+    assert!(scoring.is_unfit());
+    let unfit = WaitingCall { is_unfit: true, ..waiting(0, 0, true, 1) };
+    let admitted = admit(vec![unfit, waiting(1, 1, false, 3)], 1);
+    assert_eq!(admitted.iter().map(|call| call.job).collect::<Vec<_>>(), [1]);
+    scoring.end(Outcome::Unknown, MAX_FAILURES);
+    assert!(!scoring.is_unfit());
+}
--- a/crates/tamarackdock_gateway/src/hedge.rs
+++ b/crates/tamarackdock_gateway/src/hedge.rs
@@ -162,7 +162,9 @@
         Attempt::Unknown(error) => ("unknown", Some(error.to_string())),
     };
     match &outcome {
-        Attempt::NotRun(_) => node.target_loads.borrow_mut().mark_full(&target.id, now),
+        Attempt::NotRun(_) => {
+            node.target_loads.borrow_mut().refuse_call(&target, call.origin, now);
+        }
         Attempt::Unknown(error) if error.blames_target() && *error != ExchangeError::TimedOut => {
             node.outlook.borrow_mut().broke(&target.id, now);
             node.target_loads.borrow_mut().mark_suspect(&target.id, now);
--- a/crates/tamarackdock_gateway/src/stream.rs
+++ b/crates/tamarackdock_gateway/src/stream.rs
@@ -159,7 +159,8 @@
             }
             Ended::CallerGone => return Outcome::Streamed { complete: false },
             Ended::NoStream(answer @ Attempt::NotRun(_)) => {
-                node.target_loads.borrow_mut().mark_full(&target.id, BootClock.now());
+                let mut loads = node.target_loads.borrow_mut();
+                loads.refuse_call(&target, call.origin, BootClock.now());
                 last = answer;
             }
             Ended::NoStream(answer @ Attempt::Withheld(_)) => {
--- a/crates/tamarackdock_gateway/src/tests/balance.rs
+++ b/crates/tamarackdock_gateway/src/tests/balance.rs
@@ -4,8 +4,11 @@
 
 use super::{at, list, registration};
 use crate::{
-    balance::{ITEMS_SHARE, LimitState, NodeRank, Requirements, TargetLoads, choose, cold_share},
+    balance::{
+        ITEMS_SHARE, LimitState, NodeRank, Requirements, Sender, TargetLoads, choose, cold_share,
+    },
     deployment::{Name, Service},
+    origin::Origin,
     target::{Registration, TargetList},
 };
 
@@ -199,3 +202,25 @@
     loads.record_accepted("a", None, at(600));
     assert_eq!(probes(&loads), None);
 }
+
+/// Guards against calls that a target always refuses, such as those with prompts that exceed its
+/// memory, and that keep items and scoring calls from it.
+#[test]
+fn a_refusal_counts_for_requests_of_its_kind() {
+    let engine = Registration { versions: [("m".into(), 1)].into(), ..registration("a", "x") };
+    let mut loads = TargetLoads::default();
+    loads.set_adaptive(true);
+    let avoided = |loads: &TargetLoads, now| {
+        [Sender::Caller, Sender::Scoring, Sender::Item]
+            .map(|sender| loads.get("a").is_avoided_by(sender, at(now)))
+    };
+    loads.start(&engine.id, at(0));
+    loads.refuse_call(&engine, Origin::Caller, at(0));
+    assert_eq!(avoided(&loads, 100), [true, false, false]);
+    assert_eq!(loads.get("a").allowed_by_pace(0, at(100)), None);
+    loads.refuse_call(&engine, Origin::Scoring, at(60));
+    assert_eq!(avoided(&loads, 170), [false, true, false]);
+    loads.mark_full("a", at(200));
+    assert_eq!(avoided(&loads, 300), [false, false, true]);
+    assert!(loads.get("a").is_avoided(at(300)), "calls take other targets first");
+}
