Doubt the software of a target that refused a connection

Cause: the version in a target's last entry counts until the next one is read, also for a run that began after the entry was written. Refused connections only made the target a last choice, which was taken.

Change: a refused connection, while the paths are not lost, puts the entry in doubt until that of another run is read or the same run has written it twice. Streams that can go on and items are not sent to such a target.

--- a/crates/tamarackdock_gateway/src/balance.rs
+++ b/crates/tamarackdock_gateway/src/balance.rs
@@ -498,6 +498,8 @@
     pub(crate) data_centre: &'a str,
     /// The only software that may run the call, if it goes on with a stream.
     pub(crate) software: Option<&'a Software>,
+    /// Whether the stream can go on later, so that the software that begins it must be known.
+    pub(crate) can_go_on: bool,
     /// Targets that the call was already sent to.
     pub(crate) tried: &'a [Name],
     /// Slots of each target that the call leaves free. A call that leaves any is not sent to
@@ -518,6 +520,8 @@
     Draining,
     #[display("it runs other software than began the stream")]
     Software,
+    #[display("it refused a connection and may have started again with other software")]
+    Restarted,
     #[display("the call was already sent to it")]
     Tried,
     #[display("its data centre is evacuated")]
@@ -546,6 +550,7 @@
         () if *entry.service != *requirements.service => Some(LeftOut::Service),
         () if entry.draining => Some(LeftOut::Draining),
         () if requirements.software.is_some_and(is_other) => Some(LeftOut::Software),
+        () if requirements.can_go_on && target.may_have_restarted() => Some(LeftOut::Restarted),
         () if requirements.tried.contains(&entry.id) => Some(LeftOut::Tried),
         () if is_evacuated(&entry.data_centre) => Some(LeftOut::Evacuated),
         () if reserved > 0 && !has_slot() => Some(LeftOut::Reserved),
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -183,7 +183,7 @@
                 .min(load.allowed_probes().unwrap_or(u32::MAX))
                 .min(load.allowed_by_pace(merged.others, now).unwrap_or(u32::MAX))
                 .min(limits.allowed_items(registration, now)),
-            is_avoided: load.is_avoided_by(Sender::Item, now),
+            is_avoided: load.is_avoided_by(Sender::Item, now) || target.may_have_restarted(),
             refuses: load.refuses,
             is_local: registration.data_centre == node.data_centre,
             fitting_jobs: jobs.iter().enumerate().filter_map(fitting).collect(),
--- a/crates/tamarackdock_gateway/src/call.rs
+++ b/crates/tamarackdock_gateway/src/call.rs
@@ -259,6 +259,7 @@
             service: &name,
             data_centre: &node.data_centre,
             software,
+            can_go_on: self.route.kind == CallKind::Stream { resumable: true },
             tried,
             reserved_slots: self.origin.reserved_slots(),
             node_rank: &|target| takeover::caller_rank(target, &node.members.own, &live),
--- a/crates/tamarackdock_gateway/src/crash.rs
+++ b/crates/tamarackdock_gateway/src/crash.rs
@@ -23,7 +23,7 @@
     members,
     node::Node,
     origin::Origin,
-    periodic,
+    path, periodic,
     target::Registration,
     telemetry::excerpt,
 };
@@ -138,10 +138,13 @@
     let request = request_fingerprint(call);
     // A target that restarts under the same id counts as a different one.
     let run = format!("{}#{}", target.id, target.started.unwrap_or_default());
-    let (node, address) = (node.clone(), target.address);
+    let (node, target) = (node.clone(), target.clone());
     monoio::spawn(async move {
-        if ended == Break::AfterEvents && Connection::open(address, CONFIRM_TIMEOUT).await.is_ok() {
-            return;
+        if ended == Break::AfterEvents {
+            match Connection::open(target.address, CONFIRM_TIMEOUT).await {
+                Ok(_) => return,
+                Err(error) => path::observe_refusal(&node, &target, &error),
+            }
         }
         record(&node, request, run).await;
     });
--- a/crates/tamarackdock_gateway/src/path/check.rs
+++ b/crates/tamarackdock_gateway/src/path/check.rs
@@ -55,6 +55,7 @@
         node.metrics.paths_lost.set(1);
         // What was observed since may say something of the paths only.
         node.target_loads.borrow_mut().forget_failures();
+        node.view.targets.borrow_mut().forget_doubts();
         node.outlook.borrow_mut().forget_failures();
         node.jobs.changed.notify_all();
         if !node.paths.probing.replace(true) {
--- a/crates/tamarackdock_gateway/src/path/link.rs
+++ b/crates/tamarackdock_gateway/src/path/link.rs
@@ -222,9 +222,22 @@
     slog::info!(node.log, "target: connection failed"; "target" => &*target.id,
         "data_centre" => &*target.data_centre, "error" => %error.kind(), "paths_lost" => is_lost,
         "ms" => BootClock.now().since(began).as_millis());
+    if !is_lost {
+        observe_refusal(node, target, &error);
+    }
     Err(if is_lost { ExchangeError::NoPath } else { ExchangeError::NotSent })
 }
 
+/// Takes note of a connection that a target has refused, as its host does while the target is down.
+/// When it is back, it may run other software than its entry says.
+pub(crate) fn observe_refusal(node: &Node, target: &Registration, error: &io::Error) {
+    let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
+    if is_refused && node.view.targets.borrow_mut().doubt(target) {
+        slog::info!(node.log, "target: may have restarted"; "target" => &*target.id,
+            "software" => &*target.software_version, "started" => target.started);
+    }
+}
+
 /// Opens a connection, with a doubt about the paths if that takes long.
 async fn open(node: &Rc<Node>, target: &Registration, began: Instant) -> io::Result<Connection> {
     let opening = Connection::open(target.address, CONNECT_TIMEOUT);
--- a/crates/tamarackdock_gateway/src/path/mod.rs
+++ b/crates/tamarackdock_gateway/src/path/mod.rs
@@ -19,7 +19,7 @@
 
 pub(crate) use self::{
     check::doubt,
-    link::{Choice, Link, Permission, Request, connect, send, send_directly},
+    link::{Choice, Link, Permission, Request, connect, observe_refusal, send, send_directly},
 };
 use crate::{counter::Counter, deployment::Name, node::Node, notify::Notify};
 
--- a/crates/tamarackdock_gateway/src/target.rs
+++ b/crates/tamarackdock_gateway/src/target.rs
@@ -64,6 +64,9 @@
     /// Time at which the target is removed, if its row is gone and its grace period has
     /// begun.
     pub expires: Option<Instant>,
+    /// Number of further writes of the entry that prove that the target still runs what the entry
+    /// says. It is 0 unless the target has refused a connection, as a crashed one does.
+    unproven: u8,
 }
 
 impl Target {
@@ -72,8 +75,19 @@
     pub fn is_cold(&self, now: Instant) -> bool {
         now < self.cold_until || now < self.presumed_cold_until
     }
+
+    /// Returns whether the target may have started again, with other software, since its entry was
+    /// written.
+    #[must_use]
+    pub fn may_have_restarted(&self) -> bool {
+        self.unproven > 0
+    }
 }
 
+/// Writes of an entry by the same run after which a refused connection no longer means that the
+/// target has crashed. The first one may have been written before.
+const PROVING_WRITES: u8 = 2;
+
 /// Grace period of a target whose row is gone after an outage of the store. Shorter
 /// than the time for which a leaving target still serves requests, at least 2 s.
 pub const GRACE_PERIOD: Duration = Duration::from_millis(1700);
@@ -117,7 +131,11 @@
         let known = self.targets.get(&registration.id);
         let presumed_cold_until =
             known.map_or(Instant::default(), |known| known.presumed_cold_until);
-        let target = Target { cold_until, presumed_cold_until, expires: None, registration };
+        let unproven = known
+            .filter(|known| known.registration.started == registration.started)
+            .map_or(0, |known| known.unproven.saturating_sub(1));
+        let target =
+            Target { cold_until, presumed_cold_until, expires: None, unproven, registration };
         self.targets.insert(target.registration.id.clone(), target);
     }
 
@@ -139,6 +157,22 @@
         known.is_none_or(|known| known.started != registration.started)
     }
 
+    /// Records that a target has refused a connection, so that it may have crashed. Returns whether
+    /// that was not known.
+    pub fn doubt(&mut self, registration: &Registration) -> bool {
+        match self.targets.get_mut(&registration.id) {
+            Some(target) if target.registration.started == registration.started => {
+                std::mem::replace(&mut target.unproven, PROVING_WRITES) == 0
+            }
+            _ => false,
+        }
+    }
+
+    /// Forgets which targets have refused connections, since the paths to all of them were lost.
+    pub fn forget_doubts(&mut self) {
+        self.targets.values_mut().for_each(|target| target.unproven = 0);
+    }
+
     /// Makes the targets of a data centre count as cold until a time, since they may
     /// have turned cold after they wrote their rows.
     pub fn presume_cold(&mut self, data_centre: &str, until: Instant) {
--- a/crates/tamarackdock_gateway/src/tests/continuation.rs
+++ b/crates/tamarackdock_gateway/src/tests/continuation.rs
@@ -50,6 +50,7 @@
             service: "app",
             data_centre: "x",
             software: Some(&software(version)),
+            can_go_on: false,
             tried: &[],
             reserved_slots: 0,
             node_rank: &|_| NodeRank { rank: 0, nodes: 1 },
--- a/crates/tamarackdock_gateway/src/tests/explain.rs
+++ b/crates/tamarackdock_gateway/src/tests/explain.rs
@@ -37,6 +37,7 @@
         service: "app",
         data_centre: "x",
         software: None,
+        can_go_on: false,
         tried: &tried,
         reserved_slots: 0,
         node_rank: &|_| NodeRank { rank: 0, nodes: 1 },
--- a/crates/tamarackdock_gateway/src/tests/pace.rs
+++ b/crates/tamarackdock_gateway/src/tests/pace.rs
@@ -82,6 +82,7 @@
             service: "app",
             data_centre: "x",
             software: None,
+            can_go_on: false,
             tried,
             reserved_slots: 0,
             node_rank: &|_| NodeRank { rank: 0, nodes: 1 },
--- a/crates/tamarackdock_gateway/src/tests/target.rs
+++ b/crates/tamarackdock_gateway/src/tests/target.rs
@@ -85,3 +85,26 @@
     let draining: Vec<bool> = list.iter().map(|target| target.registration.draining).collect();
     assert_eq!(draining, [false, false]);
 }
+
+/// Guards against a stream that goes on at a target that has started again with other software,
+/// while its entry still names the one before, and against one that can't go on although the
+/// target was up all the while.
+#[test]
+fn a_refused_connection_puts_the_software_in_doubt_until_the_entry_is_written_again() {
+    let entry = |started| Registration { started: Some(started), ..registration("a", "x") };
+    let is_doubted = |list: &TargetList| list.get("a").unwrap().may_have_restarted();
+    let mut targets = list([entry(1)]);
+    assert!(targets.doubt(&entry(1)));
+    assert!(!targets.doubt(&entry(1)), "known");
+    targets.register(entry(1), at(100));
+    assert!(is_doubted(&targets), "the entry may have been written before the crash");
+    targets.register(entry(1), at(500));
+    assert!(!is_doubted(&targets), "the same run goes on to write");
+    targets.doubt(&entry(1));
+    targets.register(entry(2), at(900));
+    assert!(!is_doubted(&targets), "the entry is that of another run");
+    assert!(!targets.doubt(&entry(1)), "an earlier run refused");
+    targets.doubt(&entry(2));
+    targets.forget_doubts();
+    assert!(!is_doubted(&targets));
+}
--- a/crates/tamarackdock_node/tests/gateway/software.rs
+++ b/crates/tamarackdock_node/tests/gateway/software.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::{BREAKING_STREAM, Client, Engine, ProxyMode, expected_stream};
+use platform_standin::{BREAKING_STREAM, Client, Engine, ProxyMode, SLOW_STREAM, expected_stream};
 
 use crate::cluster::{Cluster, KEY, Trainer, Violations};
 
@@ -279,3 +279,57 @@
     let received = client.stream(cluster.addresses()[1], BREAKING_STREAM, "unknown", taken_up);
     assert_eq!((received.status, cluster.runs().get("unknown")), (503, None));
 }
+
+/// Guards against a stream that goes on at a target that crashed and started again with other
+/// software, while its entry still names the one before.
+#[test]
+fn streams_do_not_go_on_at_a_target_that_has_restarted() {
+    let cluster = Cluster::start_gated("software-restarted", 2, 0);
+    let nodes = cluster.addresses();
+    let restarted = &cluster.services[0];
+    let gate = cluster.engines.len();
+    cluster.services[1..].iter().for_each(|service| service.install("v2"));
+    // Entries are written again in the meantime.
+    thread::sleep(Duration::from_secs(1));
+    let caller = thread::spawn(move || {
+        let mut client = Client::new(KEY, Duration::from_secs(6));
+        client.stream(nodes[0], SLOW_STREAM, "restarted", None)
+    });
+    let until = Instant::now() + Duration::from_secs(2);
+    while !restarted.runs().iter().any(|run| run.id == "restarted") {
+        assert!(Instant::now() < until, "the stream began elsewhere");
+        thread::sleep(Duration::from_millis(5));
+    }
+    thread::sleep(Duration::from_millis(600));
+    restarted.restart_with("v2");
+    cluster.cut_target(gate, ProxyMode::Reset);
+    let begun = caller.join().unwrap();
+    let last = begun.last_event().expect("events came before the crash");
+    assert!(!begun.is_complete);
+    let nodes = cluster.addresses();
+    let take_up = |id: &str| -> Vec<u16> {
+        let mut client = Client::new(KEY, Duration::from_secs(2));
+        let taken_up = Some(("restarted", last));
+        let nodes = nodes.iter().enumerate();
+        nodes
+            .map(|(index, node)| {
+                client.stream(*node, SLOW_STREAM, &format!("{id}-{index}"), taken_up).status
+            })
+            .collect()
+    };
+    let is_refused = |statuses: Vec<u16>| statuses.iter().all(|status| *status == 503);
+    assert!(is_refused(take_up("down")));
+    cluster.cut_target(gate, ProxyMode::Open);
+    for attempt in 0..8 {
+        let is_refused = is_refused(take_up(&format!("back-{attempt}")));
+        assert!(is_refused, "attempt {attempt}: the entry is that of the run before");
+        thread::sleep(Duration::from_millis(50));
+    }
+    restarted.write_entries();
+    thread::sleep(Duration::from_secs(1));
+    assert!(is_refused(take_up("written")), "no target runs the software that began the stream");
+    // The next run is the one that began it.
+    restarted.install("v1");
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(take_up("same"), [200, 200]);
+}
