--- a/crates/tamarackdock_gateway/src/batch/read.rs
+++ b/crates/tamarackdock_gateway/src/batch/read.rs
@@ -62,16 +62,15 @@
             }
         },
     };
-    match Access::of(entry.head.account.as_ref(), account.as_ref(), requires_key) {
+    let access = Access::of(entry.head.account.as_ref(), account.as_ref(), requires_key);
+    if access != Access::Allowed {
+        slog::info!(node.log, "job: of another client account"; "job" => &*id,
+            "revision" => entry.revision, "access" => ?access);
+    }
+    match access {
         Access::Allowed => {}
-        access @ (Access::OtherAccount | Access::UnknownKey) => {
-            slog::info!(node.log, "job: of another client account"; "job" => &*id,
-                "revision" => entry.revision, "access" => ?access);
-            return match access {
-                Access::UnknownKey => Reply::error(401, "the key is absent or unknown"),
-                _ => Reply::error(404, "no such batch job"),
-            };
-        }
+        Access::OtherAccount => return Reply::error(404, "no such batch job"),
+        Access::UnknownKey => return Reply::error(401, "the key is absent or unknown"),
     }
     match call {
         BatchCall::Read { after, .. } => {
--- a/crates/tamarackdock_node/tests/gateway/cluster.rs
+++ b/crates/tamarackdock_node/tests/gateway/cluster.rs
@@ -14,8 +14,8 @@
 };
 
 use platform_standin::{
-    Client, Engine, Node, Outcome, Proxy, ProxyMode, Score, Store, expected_events, scoring_call,
-    scoring_fails,
+    Client, Engine, JobsRoute, Node, Outcome, Proxy, ProxyMode, Score, Store, expected_events,
+    scoring_call, scoring_fails,
 };
 use serde_json::Value;
 
@@ -148,10 +148,10 @@
         self.store.configure_without_jobs(self.version, &[KEY]);
     }
 
-    /// Writes the next configuration, with changed values of the route for batch jobs.
-    pub(crate) fn change_jobs(&mut self, changes: &Value) {
+    /// Writes the next configuration, with a changed route for batch jobs.
+    pub(crate) fn change_jobs(&mut self, change: JobsRoute) {
         self.version += 1;
-        self.store.configure_jobs(self.version, &[KEY], changes);
+        self.store.configure_jobs(self.version, &[KEY], change);
     }
 
     /// Writes the next configuration, without client accounts.
--- a/crates/tamarackdock_node/tests/gateway/configurations.rs
+++ b/crates/tamarackdock_node/tests/gateway/configurations.rs
@@ -5,8 +5,7 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::{Client, ITEMS};
-use serde_json::json;
+use platform_standin::{Client, ITEMS, JobsRoute};
 
 use crate::{
     cluster::{Cluster, KEY, Step, Trainer, Violations},
@@ -126,9 +125,8 @@
 /// which has no lifetime of items.
 #[test]
 fn a_route_that_changes_its_kind_ends_no_items_of_its_open_jobs() {
-    let changes = json!({"kind": "idempotent", "itemTtlS": 0, "targetFinishMs": 0});
     let violations = violations_of_change("changed-kind", true, |cluster| {
-        cluster.change_jobs(&changes);
+        cluster.change_jobs(JobsRoute::Calls);
     });
     assert_eq!(violations, Vec::<String>::new());
 }
--- a/crates/tamarackdock_node/tests/gateway/endless.rs
+++ b/crates/tamarackdock_node/tests/gateway/endless.rs
@@ -7,7 +7,7 @@
 };
 
 use platform_standin::{
-    Client, ENDLESS_PLACES, ProxyMode, STREAM_WITHOUT_END,
+    Client, ENDLESS_PLACES, ORDER_PATH, ProxyMode, REPORT_PATH, STREAM_WITHOUT_END,
     script::{Answer, End},
     send_without_end,
 };
@@ -169,7 +169,7 @@
 fn reports_and_orders_without_end_are_broken_off() {
     let (cluster, script) = start("endless-reports", false);
     let answers: Vec<Answer> = endless().into_iter().map(|(_, answer)| answer).collect();
-    for path in ["/-/report", "/-/order"] {
+    for path in [REPORT_PATH, ORDER_PATH] {
         script.set(path, &answers);
     }
     let violations = Violations::default();
@@ -180,7 +180,7 @@
         trainer.finish(&mut step);
     }
     assert_eq!(violations.all(), Vec::<String>::new());
-    assert!(script.left("/-/order") < answers.len(), "no order got an answer without end");
+    assert!(script.left(ORDER_PATH) < answers.len(), "no order got an answer without end");
     assert_serves(&cluster);
 }
 
--- a/crates/tamarackdock_node/tests/gateway/public_jobs.rs
+++ b/crates/tamarackdock_node/tests/gateway/public_jobs.rs
@@ -2,8 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use platform_standin::{Client, OTHER_KEY};
-use serde_json::json;
+use platform_standin::{Client, JobsRoute, OTHER_KEY};
 
 use crate::cluster::{Cluster, KEY};
 
@@ -40,7 +39,7 @@
 }
 
 fn publish_route(cluster: &mut Cluster, public: bool) {
-    change(cluster, |cluster| cluster.change_jobs(&json!({"public": public})));
+    change(cluster, |cluster| cluster.change_jobs(JobsRoute::Jobs { public }));
 }
 
 /// Checks that a job can be read whole with a key at each node, that it is known to its submitter,
--- a/crates/tamarackdock_node/tests/gateway/silent_polls.rs
+++ b/crates/tamarackdock_node/tests/gateway/silent_polls.rs
@@ -21,7 +21,7 @@
 fn late_calls(name: &str, nodes: usize, leave: impl Fn(&Cluster, &Store)) -> Vec<String> {
     let cluster = Cluster::start(name, nodes, 0);
     let until = Instant::now() + POLL_TIME;
-    while cluster.proxies[0].silence("GET /-/rows-feed?table=servers") == 0 {
+    while cluster.proxies[0].silence_polls() == 0 {
         assert!(Instant::now() < until, "the host does not poll for changes of targets");
         thread::sleep(Duration::from_millis(1));
     }
