Count only refused scoring calls as refused

Change: calls that were not sent, for want of a permit, a path or a route, have an outcome of their own, which leaves the count and the pause as they are.

Measured: `calls_that_were_not_sent_wait_for_the_time_that_they_are_given` could not be written before, as the outcome did not exist.

--- a/crates/tamarackdock_gateway/src/batch/score.rs
+++ b/crates/tamarackdock_gateway/src/batch/score.rs
@@ -82,7 +82,7 @@
 async fn run(node: Rc<Node>, job: Rc<RefCell<Job>>, index: usize) {
     let began = BootClock.now();
     let Some(prepared) = prepare(&node, &job.borrow(), index, began) else {
-        let outcome = Outcome::NotRun(Some(NO_ROUTE_PAUSE));
+        let outcome = Outcome::NotSent(Some(NO_ROUTE_PAUSE));
         finish(&node, &job, index, outcome, 0, "no_route", began);
         return;
     };
@@ -132,8 +132,8 @@
         }
         _ if attempts.failures > 0 => ("failed", Outcome::Failed(attempts.failures)),
         Some(Attempt::NotRun(after)) => ("not_run", Outcome::NotRun(after)),
-        Some(Attempt::NoPath) => ("no_path", Outcome::NotRun(None)),
-        Some(Attempt::Withheld(after)) => ("withheld", Outcome::NotRun(Some(after))),
+        Some(Attempt::NoPath) => ("no_path", Outcome::NotSent(None)),
+        Some(Attempt::Withheld(after)) => ("withheld", Outcome::NotSent(Some(after))),
         Some(Attempt::Answered(_) | Attempt::Unknown(_)) | None => ("unknown", Outcome::Unknown),
     }
 }
--- a/crates/tamarackdock_gateway/src/batch/scoring.rs
+++ b/crates/tamarackdock_gateway/src/batch/scoring.rs
@@ -34,8 +34,11 @@
     Scored(String),
     /// Targets answered this many times that they failed to process the call.
     Failed(u32),
-    /// No target could take the call, which has not run. Holds the pause that a target asked for.
+    /// Targets refused the call, which has not run. Holds the pause that a target asked for.
     NotRun(Option<Duration>),
+    /// The call was not sent: there is no route or path, or the limits of targets left no room.
+    /// Holds the time until there may be. That says nothing about the call.
+    NotSent(Option<Duration>),
     /// The connection broke or timed out, or the answer could not be used.
     Unknown,
 }
@@ -58,7 +61,7 @@
     failures: u32,
     /// Calls in a row without a score that may have run.
     breaks: Backoff,
-    /// Calls in a row that no target could take.
+    /// Calls in a row that targets refused.
     refusals: u32,
 }
 
@@ -68,6 +71,7 @@
     pub(crate) fn end(&mut self, outcome: Outcome, max_failures: u32) -> Next {
         self.refusals = match outcome {
             Outcome::NotRun(_) => self.refusals.saturating_add(1),
+            Outcome::NotSent(_) => self.refusals,
             Outcome::Scored(_) | Outcome::Failed(_) | Outcome::Unknown => 0,
         };
         match outcome {
@@ -84,6 +88,9 @@
                 let shortest = (REFUSED_PAUSE * 2_u32.pow(doublings)).min(MAX_BACKOFF);
                 Next::Retry(after.unwrap_or_default().clamp(shortest, MAX_BACKOFF))
             }
+            Outcome::NotSent(after) => {
+                Next::Retry(after.unwrap_or_default().clamp(REFUSED_PAUSE, MAX_BACKOFF))
+            }
             Outcome::Unknown => Next::Retry(self.breaks.next(MAX_BACKOFF)),
         }
     }
--- a/crates/tamarackdock_gateway/src/batch/tests/scoring.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/scoring.rs
@@ -203,3 +203,16 @@
     scoring.end(Outcome::Unknown, MAX_FAILURES);
     assert!(!scoring.is_unfit());
 }
+
+/// Guards against scoring calls that wait longer and longer because the limits of targets leave no
+/// room for them, which says nothing about the calls.
+#[test]
+fn calls_that_were_not_sent_wait_for_the_time_that_they_are_given() {
+    let mut scoring = Scoring::default();
+    for _ in 0..40 {
+        let after = Duration::from_millis(120);
+        let next = scoring.end(Outcome::NotSent(Some(after)), MAX_FAILURES);
+        assert_eq!(next, Next::Retry(after));
+    }
+    assert!(!scoring.is_unfit());
+}
