Break answers whose connection failed while the request was written

Callers saw: a target answers a long request at once with a 200 that has no length, sends a part of the body and resets the connection while the request is still being written. Clients get the part as a complete answer with status 200, and streams that are broken off right after an event end as if they were whole.

Cause: the operating system reports a reset once, to the write or the read that meets it first. The node writes and reads at the same time, the write took the error and its result was ignored, and the reads after it saw an orderly end, which completes an answer without a length.

Change: a connection remembers that a write has failed, and the end of its stream is an error from then on, for each reader of a connection. Bytes that arrived before are still read, so that an answer with a length or in chunks stays whole. An exchange whose write failed no longer counts as sent completely.

A target that ends its answer in order while the request is being written is served as before.

--- a/crates/tamarackdock_gateway/src/http/connection.rs
+++ b/crates/tamarackdock_gateway/src/http/connection.rs
@@ -38,16 +38,24 @@
     pub(crate) buffer: BytesMut,
     /// How far the next head has arrived.
     head_end: HeadEnd,
+    failure: WriteFailure,
 }
 
 /// The sending half of a connection.
 pub(crate) struct Writer {
     half: OwnedWriteHalf<TcpStream>,
     sent: Rc<Cell<u64>>,
+    failure: WriteFailure,
     /// Memory of the connection, if it is one of a caller.
     account: Option<Rc<Account>>,
 }
 
+/// Whether a write to a connection has failed. The operating system reports an error of a
+/// connection once, to the write or read that meets it first, and reads after a write that failed
+/// see an orderly end. See `docs/incidents/early-answers.md`.
+#[derive(Debug, Clone, Default)]
+struct WriteFailure(Rc<Cell<bool>>);
+
 impl Connection {
     /// Wraps an accepted or connected stream.
     #[must_use]
@@ -55,9 +63,15 @@
         // Without this option small segments are delayed, but the connection works.
         let _ = stream.set_nodelay(true);
         let (reader, writer) = stream.into_split();
+        let failure = WriteFailure::default();
         Self {
-            reader: Reader { half: reader, buffer: BytesMut::new(), head_end: HeadEnd::default() },
-            writer: Writer::new(writer),
+            reader: Reader {
+                half: reader,
+                buffer: BytesMut::new(),
+                head_end: HeadEnd::default(),
+                failure: failure.clone(),
+            },
+            writer: Writer { half: writer, sent: Rc::default(), failure, account: None },
         }
     }
 
@@ -100,7 +114,8 @@
         self.buffer = BytesMut::new();
     }
 
-    /// Receives more bytes into the buffer. Returns `false` at the end of the stream.
+    /// Receives more bytes into the buffer. Returns `false` at the end of the stream, and an error
+    /// if a write has failed by then, as the end may be that of a connection that broke.
     pub(crate) async fn fill(&mut self) -> io::Result<bool> {
         let buffer = self.take_buffer();
         let (result, bytes) = self.half.read(buffer).await;
@@ -110,7 +125,10 @@
         } else {
             self.buffer.extend_from_slice(&bytes);
         }
-        Ok(count > 0)
+        match count {
+            0 if self.failure.0.get() => Err(io::ErrorKind::ConnectionReset.into()),
+            _ => Ok(count > 0),
+        }
     }
 
     /// Returns a buffer for one read: the one of an earlier read if nothing is left in it.
@@ -128,10 +146,6 @@
 }
 
 impl Writer {
-    fn new(half: OwnedWriteHalf<TcpStream>) -> Self {
-        Self { half, sent: Rc::default(), account: None }
-    }
-
     /// Returns the number of messages whose sending has begun, which changes with each one.
     pub(crate) fn sent(&self) -> Rc<Cell<u64>> {
         self.sent.clone()
@@ -188,6 +202,15 @@
     /// Sends some of the bytes, and returns their number. `held` is the memory of the response that
     /// is not sent yet. Fails if the connection of a caller is to be closed.
     async fn write<T: IoBuf>(&mut self, bytes: T, held: usize) -> io::Result<(usize, T)> {
+        let written = self.write_accounted(bytes, held).await;
+        if written.is_err() {
+            self.failure.0.set(true);
+        }
+        written
+    }
+
+    /// Sends some of the bytes like [`Self::write`].
+    async fn write_accounted<T: IoBuf>(&mut self, bytes: T, held: usize) -> io::Result<(usize, T)> {
         let writing = self.half.write(bytes);
         let Some(account) = &self.account else {
             let (result, bytes) = writing.await;
--- a/crates/tamarackdock_gateway/src/http/exchange.rs
+++ b/crates/tamarackdock_gateway/src/http/exchange.rs
@@ -158,7 +158,7 @@
         };
         pin_mut!(sending, receiving);
         match select(sending, receiving).await {
-            Either::Left((_, receiving)) => Ok((receiving.await?, true)),
+            Either::Left((sent, receiving)) => Ok((receiving.await?, sent.is_ok())),
             Either::Right((head, _)) => Ok((head?, false)),
         }
     }
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -10,6 +10,8 @@
 mod configurations;
 #[path = "gateway/cut_hosts.rs"]
 mod cut_hosts;
+#[path = "gateway/early_answers.rs"]
+mod early_answers;
 #[path = "gateway/ended_jobs.rs"]
 mod ended_jobs;
 #[path = "gateway/endless.rs"]
--- /dev/null
+++ b/crates/tamarackdock_node/tests/gateway/early_answers.rs
@@ -0,0 +1,209 @@
+//! Answers of targets that have not read the whole request. Nodes are suspended while a target
+//! answers and ends the connection, so that all of it has happened before their next system call.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use platform_standin::{
+    Client, EarlyEnd, Node, Outcome, SCRIPTED_STREAM, SCRIPTED_STREAM_ONCE, expected_events,
+    expected_stream,
+    script::{Part, Script},
+};
+
+use crate::{
+    cluster::{Cluster, KEY},
+    truncated_answers::start,
+};
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Bounds waits for the state of processes.
+const BOUND: Duration = Duration::from_secs(10);
+/// More bytes than a connection takes while its other side reads none.
+const UPLOAD_BYTES: usize = 8 * 1024 * 1024;
+const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
+/// Events that come before a stream ends early.
+const EVENTS: usize = 3;
+/// The head of an answer whose end is that of its connection.
+const HEAD: &str = "HTTP/1.1 200 OK\r\n{signed}\r\n";
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\n\r\n";
+
+/// Ends that break a connection off, and those that are in order.
+const BROKEN: [EarlyEnd; 2] = [EarlyEnd::Reset, EarlyEnd::Close];
+const ORDERLY: [EarlyEnd; 1] = [EarlyEnd::HalfClose];
+
+/// Starts nodes that accept large bodies. If `is_cut`, requests at the first one go through others.
+fn start_large(name: &str, is_cut: bool) -> (Cluster, Script) {
+    let (mut cluster, script) = start(name, is_cut);
+    if is_cut {
+        lose_paths(&cluster);
+    }
+    cluster.store.allow_bodies(MAX_BODY_BYTES);
+    cluster.configure(true);
+    let body = vec![b'a'; UPLOAD_BYTES];
+    let until = Instant::now() + BOUND;
+    for (number, node) in cluster.addresses().into_iter().enumerate() {
+        let mut client = Client::new(KEY, TIMEOUT);
+        let mut attempts = (0..).map(|attempt| format!("{name}-allowed-{number}-{attempt}"));
+        while client.upload(node, "/app/allowed", &attempts.next().unwrap(), &body).status() != 200
+        {
+            assert!(Instant::now() < until, "node {number} serves no large bodies");
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+    (cluster, script)
+}
+
+/// Breaks connections to targets until the first node, which is cut off from them, has found that.
+/// Those that were open before stay open, through a proxy that turns resets into closes.
+fn lose_paths(cluster: &Cluster) {
+    let mut client = Client::new(KEY, TIMEOUT);
+    let until = Instant::now() + BOUND;
+    let mut ids = (0..).map(|attempt| format!("crash-{attempt}"));
+    while cluster.node_lines(0, "paths: lost").is_empty() {
+        assert!(Instant::now() < until, "the node has not lost its paths");
+        let id = ids.next().unwrap();
+        client.call(cluster.addresses()[0], &format!("/app/{id}"), &id);
+    }
+}
+
+/// Sends a large request to the first node, and lets its first target answer while it is being
+/// written.
+fn send(
+    cluster: &Cluster,
+    script: &Script,
+    path: &str,
+    id: &str,
+    parts: &[Part],
+    end: EarlyEnd,
+) -> Outcome {
+    let steps = script.set_early(id, parts.to_vec(), end);
+    let node = cluster.addresses()[0];
+    // Requests that are alike count as one that crashes its targets.
+    let body = id.as_bytes().repeat(UPLOAD_BYTES / id.len());
+    thread::scope(|scope| {
+        let call = scope.spawn(|| Client::new(KEY, TIMEOUT).upload(node, path, id, &body));
+        steps.wait_for_request();
+        cluster.nodes.iter().for_each(Node::pause);
+        let until = Instant::now() + BOUND;
+        while !cluster.nodes.iter().all(Node::is_paused) {
+            assert!(Instant::now() < until, "a process does not stop");
+            thread::yield_now();
+        }
+        steps.answer();
+        cluster.nodes.iter().for_each(Node::resume);
+        call.join().unwrap()
+    })
+}
+
+/// A kind of request.
+#[derive(Debug, Clone, Copy)]
+struct Kind {
+    name: &'static str,
+    /// Path, to which the id of a request is added.
+    path: &'static str,
+    is_stream: bool,
+    may_repeat: bool,
+}
+
+impl Kind {
+    const fn call(name: &'static str, path: &'static str, may_repeat: bool) -> Self {
+        Self { name, path, is_stream: false, may_repeat }
+    }
+
+    const fn stream(name: &'static str, path: &'static str, may_repeat: bool) -> Self {
+        Self { name, path, is_stream: true, may_repeat }
+    }
+
+    /// Returns what the target sends early.
+    fn early_parts(self) -> Vec<Part> {
+        if self.is_stream {
+            vec![Part::Text(STREAM_HEAD), Part::Events(1..=EVENTS)]
+        } else {
+            vec![Part::Text(HEAD), Part::Text("part")]
+        }
+    }
+
+    /// Returns the body of a whole answer that the client is to get, if any, and the number of runs.
+    fn expected(self, id: &str, end: EarlyEnd) -> (Option<Vec<u8>>, usize) {
+        let whole = expected_stream(id);
+        match (BROKEN.contains(&end), self.may_repeat, self.is_stream) {
+            (true, false, _) => (None, 1),
+            (true, true, false) => (Some(format!("answer to {id}").into_bytes()), 2),
+            (true, true, true) => (Some(whole), 2),
+            (false, _, false) => (Some(b"part".to_vec()), 1),
+            (false, _, true) => {
+                let lines = whole.split_inclusive(|byte| *byte == b'\n');
+                (Some(lines.take(3 * EVENTS).flatten().copied().collect()), 1)
+            }
+        }
+    }
+}
+
+const KINDS: [Kind; 4] = [
+    Kind::call("once", "/once/", false),
+    Kind::call("call", "/app/", true),
+    Kind::stream("once_stream", SCRIPTED_STREAM_ONCE, false),
+    Kind::stream("stream", SCRIPTED_STREAM, true),
+];
+
+/// Checks what clients get of early answers that end in some ways.
+fn check(name: &str, is_cut: bool, ends: &[EarlyEnd]) {
+    let (cluster, script) = start_large(name, is_cut);
+    let mut faults = Vec::new();
+    for (kind, end) in KINDS.iter().flat_map(|kind| ends.iter().map(move |end| (kind, *end))) {
+        let id = id(&format!("{name}-{}-{end:?}", kind.name));
+        let separator = if kind.is_stream { "?" } else { "" };
+        let path = format!("{}{separator}{id}", kind.path);
+        let outcome = send(&cluster, &script, &path, &id, &kind.early_parts(), end);
+        let (expected, expected_runs) = kind.expected(&id, end);
+        let is_right = match (&outcome, expected) {
+            (Outcome::Answer { status: 200, body, .. }, Some(expected)) => *body == expected,
+            (Outcome::Answer { status: 502, .. } | Outcome::Broken, None) => true,
+            _ => false,
+        };
+        let runs = cluster.runs().get(&id).copied().unwrap_or_default();
+        if !is_right || runs != expected_runs {
+            faults.push(format!("{id} after {runs} runs: {outcome:?}"));
+        }
+    }
+    assert!(faults.is_empty(), "{} faults:\n{}", faults.len(), faults.join("\n"));
+    let attempts = cluster.node_lines(0, "call: attempt");
+    let attempts = attempts.iter().filter(|line| line.contains(&format!("\"{name}-")));
+    let other_path = format!("\"path\":\"{}\"", if is_cut { "own" } else { "peer" });
+    let others: Vec<_> = attempts.filter(|line| line.contains(&other_path)).collect();
+    assert!(others.is_empty(), "attempts over the other path: {others:?}");
+}
+
+/// Returns an id whose stream has more events than those that come early.
+fn id(name: &str) -> String {
+    let mut ids = (0..).map(|number| format!("{name}-{number}"));
+    ids.find(|id| expected_events(id).len() > EVENTS + 2).unwrap()
+}
+
+/// Guards against a part of an answer or of a stream that clients get as a whole one, because the
+/// node takes the end of a connection that was reset for an orderly one.
+#[test]
+fn early_answers_that_are_broken_off_are_no_success() {
+    check("early-broken", false, &BROKEN);
+}
+
+/// Guards against the same where another node forwards the requests.
+#[test]
+fn early_answers_that_are_broken_off_through_another_node_are_no_success() {
+    check("early-broken-forwarded", true, &BROKEN);
+}
+
+/// Guards against sound answers that are lost because the target gave them before it had read the
+/// request.
+#[test]
+fn early_answers_that_end_in_order_are_served() {
+    check("early-orderly", false, &ORDERLY);
+}
+
+/// Guards against the same where another node forwards the requests.
+#[test]
+fn early_answers_that_end_in_order_are_served_through_another_node() {
+    check("early-orderly-forwarded", true, &ORDERLY);
+}
