Send the rest of a request while its answer is read

Callers saw: a target that answers a long request at once, and reads the request to its end before it ends the answer, was waited for until the deadline. The call got 504, and a stream broke off.

Cause: the node stopped to send the request when the head of the answer arrived. Node and target then waited for each other.

Change: an exchange keeps what is not sent and goes on to send it while the body is read. A write that is not polled to its end loses nothing. The memory of the request is given back once all of it is sent, as before.

--- a/crates/tamarackdock_gateway/src/http/connection.rs
+++ b/crates/tamarackdock_gateway/src/http/connection.rs
@@ -165,8 +165,8 @@
             return self.send_all(head, 0).await;
         }
         self.send_all(head, body.len()).await?;
-        let unsent = body.len();
-        Box::pin(self.send_rest(body, unsent)).await
+        let (unsent, mut rest) = (body.len(), body);
+        Box::pin(self.send_rest(&mut rest, unsent)).await
     }
 
     /// Sends all bytes, behind which a number of others is in memory.
@@ -179,16 +179,25 @@
         }
         let mut rest = Bytes::from(bytes);
         rest.advance(count);
-        Box::pin(self.send_rest(rest, held)).await
+        Box::pin(self.send_rest(&mut rest, held)).await
     }
 
-    async fn send_rest(&mut self, mut rest: Bytes, held: usize) -> io::Result<()> {
+    /// Returns whether a write has failed.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.failure.0.get()
+    }
+
+    /// Sends the rest of a message, of which `held` bytes are in memory, and removes what is sent.
+    /// If it is not polled to its end, another call can go on.
+    pub(crate) async fn send_rest(&mut self, rest: &mut Bytes, held: usize) -> io::Result<()> {
         while !rest.is_empty() {
             match self.write(rest.clone(), held).await? {
                 (0, _) => return Err(io::ErrorKind::WriteZero.into()),
                 (count, _) => rest.advance(count),
             }
         }
+        // An empty part keeps the memory of the whole message.
+        *rest = Bytes::new();
         self.accepted();
         Ok(())
     }
--- a/crates/tamarackdock_gateway/src/http/exchange.rs
+++ b/crates/tamarackdock_gateway/src/http/exchange.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddr;
+use std::{io, net::SocketAddr};
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -100,13 +100,13 @@
 }
 
 /// One request and its response on a connection. The body of the response is read
-/// incrementally.
+/// incrementally, while the request is sent.
 pub struct Exchange {
     connection: Connection,
     head: ResponseHead,
     body: Body,
-    /// Whether the request was sent completely before the response arrived.
-    sent_completely: bool,
+    /// Rest of the request, which a target may read only after it has begun to respond.
+    unsent: Bytes,
 }
 
 impl Exchange {
@@ -125,41 +125,47 @@
     ) -> Result<Self, ExchangeError> {
         let mut bytes = head::request(method, target, headers);
         bytes.extend_from_slice(body);
-        let (head, sent_completely) = Self::send(&mut connection, bytes).await?;
+        let mut unsent = Bytes::from(bytes);
+        let head = Self::receive_head(&mut connection, &mut unsent).await?;
         let body = Body::new(head.framing);
-        Ok(Self { connection, head, body, sent_completely })
+        Ok(Self { connection, head, body, unsent })
     }
 
-    /// Returns the head of the response, and whether the request was sent completely
-    /// before it arrived.
-    async fn send(
+    async fn receive_head(
         connection: &mut Connection,
-        bytes: Vec<u8>,
-    ) -> Result<(ResponseHead, bool), ExchangeError> {
-        let Connection { reader, writer } = connection;
-        let sending = writer.send(bytes);
-        let receiving = async {
-            let mut received = 0;
-            loop {
-                match ResponseHead::parse(&mut reader.buffer, MAX_RESPONSE_HEAD) {
-                    Ok(Some(head)) => return Ok(head),
-                    Ok(None) if received > MAX_BYTES_BEFORE_BODY => {
-                        return Err(ExchangeError::Malformed);
-                    }
-                    Ok(None) => {}
-                    Err(_) => return Err(ExchangeError::Malformed),
-                }
-                let before = reader.buffer.len();
-                match reader.fill().await {
-                    Ok(true) => received += reader.buffer.len() - before,
-                    Ok(false) | Err(_) => return Err(ExchangeError::ConnectionLost),
+        unsent: &mut Bytes,
+    ) -> Result<ResponseHead, ExchangeError> {
+        let mut received = 0;
+        loop {
+            match ResponseHead::parse(&mut connection.reader.buffer, MAX_RESPONSE_HEAD) {
+                Ok(Some(head)) => return Ok(head),
+                Ok(None) if received > MAX_BYTES_BEFORE_BODY => {
+                    return Err(ExchangeError::Malformed);
                 }
+                Ok(None) => {}
+                Err(_) => return Err(ExchangeError::Malformed),
+            }
+            let before = connection.reader.buffer.len();
+            match Self::fill(connection, unsent).await {
+                Ok(true) => received += connection.reader.buffer.len() - before,
+                Ok(false) | Err(_) => return Err(ExchangeError::ConnectionLost),
             }
-        };
+        }
+    }
+
+    /// Receives more bytes, while the rest of the request is sent. Returns `false` at the end of
+    /// the stream.
+    async fn fill(connection: &mut Connection, unsent: &mut Bytes) -> io::Result<bool> {
+        let Connection { reader, writer } = connection;
+        if unsent.is_empty() || writer.has_failed() {
+            return reader.fill().await;
+        }
+        let (sending, receiving) = (writer.send_rest(unsent, 0), reader.fill());
         pin_mut!(sending, receiving);
         match select(sending, receiving).await {
-            Either::Left((sent, receiving)) => Ok((receiving.await?, sent.is_ok())),
-            Either::Right((head, _)) => Ok((head?, false)),
+            // If the write failed, a response may still have arrived before.
+            Either::Left((_, receiving)) => receiving.await,
+            Either::Right((received, _)) => received,
         }
     }
 
@@ -181,14 +187,13 @@
     /// Returns the [`ExchangeError`]; the connection must not be used again.
     pub async fn next(&mut self) -> Result<Option<Bytes>, ExchangeError> {
         loop {
-            let reader = &mut self.connection.reader;
-            match self.body.take(&mut reader.buffer) {
+            match self.body.take(&mut self.connection.reader.buffer) {
                 Ok(Some(data)) => return Ok(Some(data)),
                 Ok(None) if self.body.is_done() => return Ok(None),
                 Ok(None) => {}
                 Err(_) => return Err(ExchangeError::Malformed),
             }
-            match reader.fill().await {
+            match Self::fill(&mut self.connection, &mut self.unsent).await {
                 Ok(true) => {}
                 Ok(false) => {
                     self.body.end_of_stream().map_err(|_| ExchangeError::ConnectionLost)?;
@@ -235,7 +240,7 @@
     #[must_use]
     pub fn into_parts(self) -> (ResponseHead, Option<Connection>) {
         let in_sync = self.body.is_done() && self.connection.reader.buffer.is_empty();
-        let is_reusable = in_sync && self.sent_completely && self.head.keep_alive;
+        let is_reusable = in_sync && self.unsent.is_empty() && self.head.keep_alive;
         (self.head, is_reusable.then_some(self.connection))
     }
 }
--- a/crates/tamarackdock_gateway/src/http/tests/early_ends.rs
+++ b/crates/tamarackdock_gateway/src/http/tests/early_ends.rs
@@ -1,10 +1,10 @@
 //! Answers whose connection ends while the request is still being sent, to calls of the store, the
 //! platform's API and other nodes, which all are read by [`send_message`], as those of targets are
-//! by the same [`Exchange`](crate::http::Exchange). One thread plays both sides, so that all that
+//! by the same [`Exchange`]. One thread plays both sides, so that all that
 //! the target does has happened before the node's next system call.
 
 use std::{
-    io::Write as _,
+    io::{Read as _, Write as _},
     net::{Shutdown, TcpListener, TcpStream},
     pin::pin,
     thread,
@@ -19,7 +19,7 @@
 use rustix::net::sockopt::set_socket_linger;
 
 use crate::{
-    http::{Connection, ExchangeError, Headers, send_message},
+    http::{Connection, Exchange, ExchangeError, Headers, send_message},
     wire_format::OutgoingRequest,
 };
 
@@ -141,3 +141,32 @@
         assert_eq!(exchange(WITH_LENGTH, end), Ok(b"part".to_vec()), "{end:?}");
     }
 }
+
+/// Guards against a sound target that waits for the rest of a request after it has begun to answer,
+/// as one does that reads and answers at the same time.
+#[test]
+fn a_request_is_sent_to_its_end_after_an_early_answer() {
+    for (answer, keeps) in [(WITHOUT_LENGTH, false), (WITH_LENGTH, true)] {
+        let (body, is_reusable) = run(async |Sides { node, mut target, .. }| {
+            let (head, part) = answer.split_at(answer.len() - 2);
+            target.write_all(head.as_bytes()).unwrap();
+            let mut upload = vec![b'a'; UPLOAD_BYTES];
+            upload[UPLOAD_BYTES - 1] = b'z';
+            let mut headers = Headers::default();
+            headers.push("Content-Length", UPLOAD_BYTES.to_string());
+            let exchange = Exchange::begin(node, "POST", "/", &headers, &upload).await.unwrap();
+            let reading = thread::spawn(move || {
+                let mut buffer = vec![0; LIMIT];
+                while !buffer.contains(&b'z') {
+                    assert!(target.read(&mut buffer).unwrap() > 0, "the request ended early");
+                }
+                target.write_all(part.as_bytes()).unwrap();
+                keeps.then_some(target)
+            });
+            let (response, connection) = exchange.collect(LIMIT).await.unwrap();
+            let _target = reading.join().unwrap();
+            (response.body.to_vec(), connection.is_some())
+        });
+        assert_eq!((&body[..], is_reusable), (&b"part"[..], keeps), "{answer:?}");
+    }
+}
--- a/crates/tamarackdock_node/tests/gateway/early_answers.rs
+++ b/crates/tamarackdock_node/tests/gateway/early_answers.rs
@@ -31,7 +31,7 @@
 
 /// Ends that break a connection off, and those that are in order.
 const BROKEN: [EarlyEnd; 2] = [EarlyEnd::Reset, EarlyEnd::Close];
-const ORDERLY: [EarlyEnd; 1] = [EarlyEnd::HalfClose];
+const ORDERLY: [EarlyEnd; 2] = [EarlyEnd::HalfClose, EarlyEnd::ReadOn];
 
 /// Starts nodes that accept large bodies. If `is_cut`, requests at the first one go through others.
 fn start_large(name: &str, is_cut: bool) -> (Cluster, Script) {
