Refuse answers with a bare line feed in their head

Callers saw: an answer in whose head the name of a field begins with a line feed. Calls got status 200 with that line as the begin of their body, a stream began with it and went on with the events of another target, and an item was completed with the text of the broken answer.

Cause: the parser of heads accepts a line feed without a carriage return as the end of a line. At the start of a line it ends the head, and the rest of the head counts as the body.

Change: such a head of an answer is malformed, as it is for the node's own interface already. All answers are read by this parser.

--- a/crates/tamarackdock_gateway/src/http/head.rs
+++ b/crates/tamarackdock_gateway/src/http/head.rs
@@ -351,6 +351,9 @@
             let status = response.code.unwrap_or_default();
             let headers = Headers::from_parsed(response.headers);
             let http_1_1 = response.version == Some(1);
+            if has_bare_line_feed(&buffer[..length]) {
+                return Err(HeadError::Malformed);
+            }
             buffer.advance(length);
             match status {
                 100..=199 => {}
@@ -366,6 +369,12 @@
     }
 }
 
+/// Returns whether a line of a head ends without a carriage return. The parser accepts that, so that
+/// a line feed within a field would end the line or, at its start, the head.
+fn has_bare_line_feed(head: &[u8]) -> bool {
+    head.split_inclusive(|byte| *byte == b'\n').any(|line| !line.ends_with(b"\r\n"))
+}
+
 fn keep_alive(headers: &Headers, http_1_1: bool) -> bool {
     if http_1_1 {
         !headers.has_token("connection", "close")
--- a/crates/tamarackdock_gateway/src/http/tests/heads.rs
+++ b/crates/tamarackdock_gateway/src/http/tests/heads.rs
@@ -80,6 +80,26 @@
     }
 }
 
+/// Guards against an answer with a field that HTTP does not allow, which another reader could take
+/// for another field or frame otherwise. All answers are read by this parser, as above.
+#[test]
+fn fields_outside_of_http_are_malformed() {
+    let controls = (0..=0x1f_u8).chain([0x7f]).map(char::from);
+    let names = controls
+        .clone()
+        .chain([' '])
+        .flat_map(|byte| [format!("X{byte}: 1"), format!("{byte}X: 1"), format!("X{byte}Y: 1")]);
+    let values = controls.filter(|byte| *byte != '\t').map(|byte| format!("X: a{byte}b: 1"));
+    for line in names.chain(values) {
+        for fields in
+            [format!("{line}\r\nContent-Length: 0\r\n"), format!("Content-Length: 0\r\n{line}\r\n")]
+        {
+            let head = format!("HTTP/1.1 200 OK\r\n{fields}\r\n");
+            assert_eq!(response(&head), Err(HeadError::Malformed), "{head:?}");
+        }
+    }
+}
+
 /// Guards against a pipelined request that is lost or taken for the body of the first.
 #[test]
 fn bytes_after_a_head_stay() {
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -22,6 +22,8 @@
 mod limits;
 #[path = "gateway/odd_entries.rs"]
 mod odd_entries;
+#[path = "gateway/odd_fields.rs"]
+mod odd_fields;
 #[path = "gateway/odd_statuses.rs"]
 mod odd_statuses;
 #[path = "gateway/outlook.rs"]
