Test requests and streams that end early

Adds tests of related cases, all of which hold without a change: requests that their client resets or closes in the middle reach no target, with a length, in chunks and with Expect; a stream without a length that is reset right after an event is not whole; and one that is closed there completes no item, which goes on from its last event.

--- a/crates/tamarackdock_node/tests/gateway/early_answers.rs
+++ b/crates/tamarackdock_node/tests/gateway/early_answers.rs
@@ -2,13 +2,15 @@
 //! answers and ends the connection, so that all of it has happened before their next system call.
 
 use std::{
+    io::Write as _,
+    net::TcpStream,
     thread,
     time::{Duration, Instant},
 };
 
 use platform_standin::{
     Client, EarlyEnd, Node, Outcome, SCRIPTED_STREAM, SCRIPTED_STREAM_ONCE, expected_events,
-    expected_stream,
+    expected_stream, raw,
     script::{Part, Script},
 };
 
@@ -207,3 +209,33 @@
 fn early_answers_that_end_in_order_are_served_through_another_node() {
     check("early-orderly-forwarded", true, &ORDERLY);
 }
+
+/// Guards against the begin of a request that a target gets as a whole one, because its client
+/// reset or closed the connection.
+#[test]
+fn requests_that_end_early_reach_no_target() {
+    let (cluster, _) = start_large("early-requests", false);
+    let node = cluster.addresses()[0];
+    let begins = [
+        ("length", format!("Content-Length: {UPLOAD_BYTES}\r\n\r\n")),
+        ("chunks", "Transfer-Encoding: chunked\r\n\r\n100000\r\n".to_owned()),
+        ("continue", format!("Expect: 100-continue\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n")),
+    ];
+    for (name, begin) in begins {
+        for (size, bytes) in [("none", 0), ("part", UPLOAD_BYTES / 32), ("more", UPLOAD_BYTES / 2)]
+        {
+            // A chunk holds 1 MB.
+            let bytes = if name == "chunks" { bytes.min(0x0f_ffff) } else { bytes };
+            for path in ["/once/", "/app/"] {
+                let id = format!("begin-{name}-{size}{}", path.replace('/', "-"));
+                let head = raw::head(&format!("POST {path}{id}"), KEY, &id);
+                let request = [head.as_bytes(), begin.as_bytes(), &vec![b'a'; bytes]].concat();
+                raw::send_and_reset(node, &request).unwrap();
+                drop(TcpStream::connect(node).and_then(|mut stream| stream.write_all(&request)));
+            }
+        }
+    }
+    assert_eq!(Client::new(KEY, TIMEOUT).call(node, "/once/after", "after").status(), 200);
+    let begun: Vec<_> = cluster.runs().into_keys().filter(|id| id.starts_with("begin-")).collect();
+    assert_eq!(begun, Vec::<String>::new());
+}
--- a/crates/tamarackdock_node/tests/gateway/truncated_answers.rs
+++ b/crates/tamarackdock_node/tests/gateway/truncated_answers.rs
@@ -5,10 +5,10 @@
 use platform_standin::{
     Client, Outcome, ProxyMode, SCRIPTED_STREAM, SCRIPTED_STREAM_ONCE, expected_stream,
     scoring_call, scoring_fails,
-    script::{Answer, End, Script},
+    script::{Answer, End, Part, Script},
 };
 
-use crate::cluster::{Cluster, KEY, Trainer, Violations};
+use crate::cluster::{Cluster, KEY, Step, Trainer, Violations};
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 /// Most attempts of a route.
@@ -50,6 +50,17 @@
 /// An answer without a length, which is complete if its connection is closed and not reset.
 const WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\n{signed}Connection: close\r\nContent-Type: text/event-stream\r\n\r\nid: 1\n";
 
+/// The same for a stream, before its events.
+const STREAM_WITHOUT_LENGTH: &str =
+    "HTTP/1.1 200 OK\r\n{signed}Connection: close\r\nContent-Type: text/event-stream\r\n\r\n";
+/// Events before a stream ends, fewer than it has.
+const EVENTS: usize = 3;
+
+/// Returns a stream without a length that ends right after an event.
+fn after_an_event(end: End) -> Answer {
+    Answer { parts: vec![Part::Text(STREAM_WITHOUT_LENGTH), Part::Events(1..=EVENTS)], end }
+}
+
 /// Returns answers that end early, by name.
 fn truncated() -> Vec<(String, Answer)> {
     let ends = |(name, text): &(&str, &'static str)| {
@@ -58,6 +69,7 @@
     };
     let mut answers: Vec<_> = PLACES.iter().flat_map(ends).collect();
     answers.push(("without_length-reset".into(), Answer::text(WITHOUT_LENGTH, End::Reset)));
+    answers.push(("after_an_event-reset".into(), after_an_event(End::Reset)));
     answers
 }
 
@@ -169,6 +181,19 @@
     check_items("truncated", &cluster, &script, &truncated());
 }
 
+/// Guards against items whose text ends where a stream without a length was closed, which may not
+/// be its end.
+#[test]
+fn streams_without_a_length_complete_no_item() {
+    let (cluster, script) = start("without-length-items", false);
+    let ids: Vec<String> = (0..8).map(|number| format!("closed-0-{number}")).collect();
+    for id in &ids {
+        script.set(id, &[after_an_event(End::Close)]);
+    }
+    finish_items("closed", &cluster, ids.len());
+    assert!(ids.iter().all(|id| script.left(id) == 0), "items without their answer of the script");
+}
+
 /// Gives each of some answers to an item and to its scoring call, and checks that all items are
 /// completed by later answers.
 pub(crate) fn check_items(
@@ -184,14 +209,20 @@
             script.set(&scoring_call(&id), slice::from_ref(answer));
         }
     }
+    let step = finish_items(name, cluster, answers.len());
+    let ids = step.items.iter().flat_map(|(id, _)| [id.clone(), scoring_call(id)]);
+    let unused: Vec<String> = ids.filter(|id| script.left(id) > 0).collect();
+    assert_eq!(unused, Vec::<String>::new(), "requests without their answer of the script");
+}
+
+/// Runs the items of a job and checks that all are completed with their texts and scores.
+fn finish_items(name: &str, cluster: &Cluster, items: usize) -> Step {
     let violations = Violations::default();
     let store = cluster.store.clone();
     let mut trainer = Trainer::new(name, cluster.addresses(), store, violations.clone());
-    let mut step = trainer.submit(0, answers.len());
+    let mut step = trainer.submit(0, items);
     trainer.finish(&mut step);
     cluster.check_scores(&step, &violations);
-    let ids = step.items.iter().flat_map(|(id, _)| [id.clone(), scoring_call(id)]);
-    let unused: Vec<String> = ids.filter(|id| script.left(id) > 0).collect();
-    assert_eq!(unused, Vec::<String>::new(), "requests without their answer of the script");
     assert_eq!(violations.all(), Vec::<String>::new());
+    step
 }
