--- a/crates/tamarackdock_gateway/src/http/connection.rs
+++ b/crates/tamarackdock_gateway/src/http/connection.rs
@@ -187,8 +187,8 @@
         self.failure.0.get()
     }
 
-    /// Sends the rest of a message, of which `held` bytes are in memory, and removes what is sent.
-    /// If it is not polled to its end, another call can go on.
+    /// Sends the rest of a message and removes from it what is sent, so that another call can go on
+    /// where a dropped one was. `held` is the memory of the message in bytes.
     pub(crate) async fn send_rest(&mut self, rest: &mut Bytes, held: usize) -> io::Result<()> {
         while !rest.is_empty() {
             match self.write(rest.clone(), held).await? {
--- a/crates/tamarackdock_gateway/src/http/exchange.rs
+++ b/crates/tamarackdock_gateway/src/http/exchange.rs
@@ -154,7 +154,8 @@
     }
 
     /// Receives more bytes, while the rest of the request is sent. Returns `false` at the end of
-    /// the stream.
+    /// the stream. The write comes before each read: a target that closes the connection with the
+    /// request unread may end the stream before it resets the connection, and the write meets that.
     async fn fill(connection: &mut Connection, unsent: &mut Bytes) -> io::Result<bool> {
         let Connection { reader, writer } = connection;
         if unsent.is_empty() || writer.has_failed() {
--- a/crates/tamarackdock_gateway/src/http/head.rs
+++ b/crates/tamarackdock_gateway/src/http/head.rs
@@ -369,8 +369,9 @@
     }
 }
 
-/// Returns whether a line of a head ends without a carriage return. The parser accepts that, so that
-/// a line feed within a field would end the line or, at its start, the head.
+/// Returns whether a line of a head ends without a carriage return. The parser accepts such ends, so
+/// that a line feed within a field ends the line, and one at the start of a field ends the head. See
+/// `docs/incidents/odd-fields.md`.
 fn has_bare_line_feed(head: &[u8]) -> bool {
     head.split_inclusive(|byte| *byte == b'\n').any(|line| !line.ends_with(b"\r\n"))
 }
--- a/crates/tamarackdock_gateway/src/http/tests/early_ends.rs
+++ b/crates/tamarackdock_gateway/src/http/tests/early_ends.rs
@@ -1,7 +1,7 @@
-//! Answers whose connection ends while the request is still being sent, to calls of the store, the
-//! platform's API and other nodes, which all are read by [`send_message`], as those of targets are
-//! by the same [`Exchange`]. One thread plays both sides, so that all that
-//! the target does has happened before the node's next system call.
+//! Answers whose connection ends while the request is still being sent. Those of targets are read by
+//! [`Exchange`], and so are those of the store, the platform's API and other nodes, through
+//! [`send_message`]. One thread plays both sides, so that all that the other side does has happened
+//! before the node's next system call.
 
 use std::{
     io::{Read as _, Write as _},
