Test early answers to items and scoring calls

A test lets targets break off the answer to a large item and to a large scoring call while it is being written.

--- a/crates/tamarackdock_node/tests/gateway/early_answers.rs
+++ b/crates/tamarackdock_node/tests/gateway/early_answers.rs
@@ -9,11 +9,14 @@
 };
 
 use platform_standin::{
-    Client, EarlyEnd, Node, Outcome, SCRIPTED_STREAM, SCRIPTED_STREAM_ONCE, expected_events,
-    expected_stream, raw,
+    Client, EarlyEnd, EarlySteps, Engine, LARGE_BYTES, LARGE_ITEMS, LARGE_SCORES, Node, Outcome,
+    SCRIPTED_STREAM, SCRIPTED_STREAM_ONCE, expected_events, expected_stream, raw, scoring_call,
+    scoring_fails,
     script::{Part, Script},
 };
 
+use serde_json::Value;
+
 use crate::{
     cluster::{Cluster, KEY},
     truncated_answers::start,
@@ -22,8 +25,8 @@
 const TIMEOUT: Duration = Duration::from_secs(2);
 /// Bounds waits for the state of processes.
 const BOUND: Duration = Duration::from_secs(10);
-/// More bytes than a connection takes while its other side reads none.
-const UPLOAD_BYTES: usize = 8 * 1024 * 1024;
+/// Time in which a job with one large item is accepted or completed.
+const JOB_BOUND: Duration = Duration::from_secs(15);
 const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 /// Events that come before a stream ends early.
 const EVENTS: usize = 3;
@@ -43,7 +46,7 @@
     }
     cluster.store.allow_bodies(MAX_BODY_BYTES);
     cluster.configure(true);
-    let body = vec![b'a'; UPLOAD_BYTES];
+    let body = vec![b'a'; LARGE_BYTES];
     let until = Instant::now() + BOUND;
     for (number, node) in cluster.addresses().into_iter().enumerate() {
         let mut client = Client::new(KEY, TIMEOUT);
@@ -83,22 +86,27 @@
     let steps = script.set_early(id, parts.to_vec(), end);
     let node = cluster.addresses()[0];
     // Requests that are alike count as one that crashes its targets.
-    let body = id.as_bytes().repeat(UPLOAD_BYTES / id.len());
+    let body = id.as_bytes().repeat(LARGE_BYTES / id.len());
     thread::scope(|scope| {
         let call = scope.spawn(|| Client::new(KEY, TIMEOUT).upload(node, path, id, &body));
-        steps.wait_for_request();
-        cluster.nodes.iter().for_each(Node::pause);
-        let until = Instant::now() + BOUND;
-        while !cluster.nodes.iter().all(Node::is_paused) {
-            assert!(Instant::now() < until, "a process does not stop");
-            thread::yield_now();
-        }
-        steps.answer();
-        cluster.nodes.iter().for_each(Node::resume);
+        answer(cluster, &steps);
         call.join().unwrap()
     })
 }
 
+/// Lets a target answer the request that it has begun to read, while all nodes are suspended.
+fn answer(cluster: &Cluster, steps: &EarlySteps) {
+    steps.wait_for_request();
+    cluster.nodes.iter().for_each(Node::pause);
+    let until = Instant::now() + BOUND;
+    while !cluster.nodes.iter().all(Node::is_paused) {
+        assert!(Instant::now() < until, "a process does not stop");
+        thread::yield_now();
+    }
+    steps.answer();
+    cluster.nodes.iter().for_each(Node::resume);
+}
+
 /// A kind of request.
 #[derive(Debug, Clone, Copy)]
 struct Kind {
@@ -217,13 +225,12 @@
     let (cluster, _) = start_large("early-requests", false);
     let node = cluster.addresses()[0];
     let begins = [
-        ("length", format!("Content-Length: {UPLOAD_BYTES}\r\n\r\n")),
+        ("length", format!("Content-Length: {LARGE_BYTES}\r\n\r\n")),
         ("chunks", "Transfer-Encoding: chunked\r\n\r\n100000\r\n".to_owned()),
-        ("continue", format!("Expect: 100-continue\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n")),
+        ("continue", format!("Expect: 100-continue\r\nContent-Length: {LARGE_BYTES}\r\n\r\n")),
     ];
     for (name, begin) in begins {
-        for (size, bytes) in [("none", 0), ("part", UPLOAD_BYTES / 32), ("more", UPLOAD_BYTES / 2)]
-        {
+        for (size, bytes) in [("none", 0), ("part", LARGE_BYTES / 32), ("more", LARGE_BYTES / 2)] {
             // A chunk holds 1 MB.
             let bytes = if name == "chunks" { bytes.min(0x0f_ffff) } else { bytes };
             for path in ["/once/", "/app/"] {
@@ -239,3 +246,58 @@
     let begun: Vec<_> = cluster.runs().into_keys().filter(|id| id.starts_with("begin-")).collect();
     assert_eq!(begun, Vec::<String>::new());
 }
+
+/// Guards against items with a part of a text or with a score that is a part of an answer, for the
+/// same reason.
+#[test]
+fn early_answers_that_are_broken_off_complete_no_item() {
+    let (cluster, script) = start_large("early-items", false);
+    let stream = [Part::Text(STREAM_HEAD), Part::Events(1..=EVENTS)];
+    let score = [Part::Text(HEAD), Part::Text("part")];
+    let mut wrong = Vec::new();
+    for end in BROKEN {
+        for prefix in [LARGE_ITEMS, LARGE_SCORES] {
+            let item = item(&format!("{prefix}{end:?}"));
+            let steps = if prefix == LARGE_ITEMS {
+                script.set_early(&item, stream.to_vec(), end)
+            } else {
+                script.set_early(&scoring_call(&item), score.to_vec(), end)
+            };
+            let result = complete(&cluster, &item, &steps);
+            let call = scoring_call(&item);
+            let scores = cluster.services.iter().flat_map(Engine::scores);
+            let seals: Vec<_> =
+                scores.filter(|score| score.call == call).map(|score| score.seal).collect();
+            let is_scored = seals.iter().any(|seal| result["score"] == **seal);
+            let text = expected_events(&item).join("\n");
+            if result["state"] != "completed" || result["text"] != text || !is_scored {
+                wrong.push(format!("{item}: {result}"));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{} faults:\n{}", wrong.len(), wrong.join("\n"));
+}
+
+/// Returns an id as [`id`] does, for an item whose scoring calls succeed.
+fn item(name: &str) -> String {
+    let mut ids = (0..).map(|number| id(&format!("{name}-{number}")));
+    ids.find(|id| !scoring_fails(id)).unwrap()
+}
+
+/// Submits a job with one item, lets a target answer the item or its scoring call early, and
+/// returns the item's result.
+fn complete(cluster: &Cluster, item: &str, steps: &EarlySteps) -> Value {
+    let node = cluster.addresses()[0];
+    let mut client = Client::new(KEY, JOB_BOUND);
+    let (job, items) = (format!("job-of-{item}"), [(item.to_owned(), "g0".to_owned())]);
+    assert_eq!(client.submit(node, &job, 0, 1, &items).status(), 202);
+    answer(cluster, steps);
+    let until = Instant::now() + JOB_BOUND;
+    loop {
+        assert!(Instant::now() < until, "{item} is not completed");
+        match &client.results(node, &job, 0).json()["results"][0] {
+            Value::Null => {}
+            result => return result.clone(),
+        }
+    }
+}
