--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -8,6 +8,6 @@
     python3 -B -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read())' "$file"
 done
 python3 -B -c 'import sys; sys.path.insert(0, "lib-3"); import standins'
-# Case 14 uses the stand-ins of the second review.
+# Case 15 uses the stand-ins of the second review.
 python3 -B -c 'import sys; sys.path.insert(0, "lib-2"); import standins, trainer'
 echo "the stand-ins are ready"
