--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -228,6 +228,18 @@
         ranks
     }
 
+    /// Returns the models of the jobs that are open at a store time, and whose items are not out of
+    /// time. A trainer that has left its job is no reason to keep a target for its model.
+    pub(crate) fn open_models(&self, store_ms: Option<i64>) -> BTreeSet<Name> {
+        let heads = self.heads.borrow();
+        let is_open = |head: &JobHead| {
+            let lifetime = head.terms.as_ref().map(|terms| terms.item_lifetime);
+            !head.ended && lifetime.is_none_or(|lifetime| head.age(store_ms) <= lifetime)
+        };
+        let open = heads.values().map(|entry| &entry.head).filter(|head| is_open(head));
+        open.filter_map(|head| head.model.clone()).collect()
+    }
+
     /// Returns by model the mean work of its newest jobs, in estimated output tokens.
     pub(crate) fn demand(&self) -> BTreeMap<Name, u64> {
         let heads = self.heads.borrow();
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -163,8 +163,8 @@
         let fitting = |(index, job): (usize, &Rc<RefCell<Job>>)| {
             let job = job.borrow();
             let is_served = services[index].as_ref() == Some(&registration.service);
-            (is_served && can_serve(&job, registration, assigned.get(&registration.id)))
-                .then_some(index)
+            let assigned = assigned.get(&registration.id).map(Vec::as_slice);
+            (is_served && can_serve(&job, registration, assigned)).then_some(index)
         };
         let load = loads.get(&registration.id);
         let merged = node.observations.merged(registration, load.speed(now), now);
@@ -199,12 +199,12 @@
     Some(pick_service(&route, &job.id))
 }
 
-/// Returns whether a target has the weights for a job and is not assigned to another
-/// model. A job without a model can run on any target.
-pub(crate) fn can_serve(job: &Job, target: &Registration, assigned: Option<&Name>) -> bool {
+/// Returns whether a target has the weights for a job and is not assigned to other
+/// models. A job without a model can run on any target.
+pub(crate) fn can_serve(job: &Job, target: &Registration, assigned: Option<&[Name]>) -> bool {
     let Some(model) = &job.submission.model else { return true };
     let version = target.versions.get(model).copied().unwrap_or_default();
-    let is_allowed = assigned.is_none_or(|assigned| assigned == model);
+    let is_allowed = assigned.is_none_or(|assigned| assigned.contains(model));
     version >= job.submission.min_version && is_allowed
 }
 
--- a/crates/tamarackdock_gateway/src/batch/tests/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/index.rs
@@ -4,7 +4,7 @@
 use crate::{
     batch::{
         index::{JobIndex, VersionedHead},
-        rows::{self, JobHead},
+        rows::{self, JobHead, Terms},
     },
     deployment::{Deployment, Name, Route},
 };
@@ -106,3 +106,20 @@
     assert!(index.head(&job).is_none());
     assert_eq!(known(&index, &job), Some(6));
 }
+
+/// Guards against a target that is kept for a trainer which has left without ending its job.
+#[test]
+fn a_model_is_open_until_its_jobs_end_or_their_items_are_out_of_time() {
+    let index = JobIndex::default();
+    let lifetime = i64::try_from(super::LIFETIME.as_millis()).unwrap();
+    let terms = Some(Terms::of(&route()));
+    let open = JobHead { accepted_ms: 1_000, terms, ..head(1) };
+    let job = |model: &str, ended| JobHead { model: Some(model.into()), ended, ..open.clone() };
+    for (revision, head) in [(1, job("open", false)), (2, job("ended", true))] {
+        let id = format!("j{revision}").as_str().into();
+        index.update_head(&id, VersionedHead { head, revision });
+    }
+    assert_eq!(index.open_models(Some(1_000 + lifetime)), ["open".into()].into());
+    assert_eq!(index.open_models(None), ["open".into()].into());
+    assert_eq!(index.open_models(Some(1_001 + lifetime)), [].into());
+}
--- a/crates/tamarackdock_gateway/src/duty/plan.rs
+++ b/crates/tamarackdock_gateway/src/duty/plan.rs
@@ -6,7 +6,10 @@
 //! its own, so half of a model's targets load each version while the other half
 //! serves, and each target loads every second version.
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 pub(crate) use tamarackdock_weights::wave::Load as DueLoad;
 use tamarackdock_weights::wave::{self, Backlog, State, shares};
@@ -17,6 +20,10 @@
 /// of them is moved to another model.
 const MOVE_THRESHOLD: f64 = 0.8;
 
+/// The models that each target serves, the one that it is intended for first. There is a second one
+/// only if there are more models with open jobs than targets.
+pub(crate) type Assigned = BTreeMap<Name, Vec<Name>>;
+
 /// A target as input of the plan.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct PlanTarget {
@@ -71,14 +78,20 @@
 /// Assigns each target to one model, in proportion to demand. Targets stay with the
 /// model that they are most up to date for, unless the difference to the proportional
 /// shares is too large.
+///
+/// Each model in `open`, those with open jobs, has a target. One that has none gets one from a model
+/// that keeps another one, or from one without open jobs. Otherwise it shares a target, so that two
+/// models never take a target from each other in turn. See
+/// `docs/incidents/models-without-targets.md`.
 pub(crate) fn assign(
     targets: &[PlanTarget],
     demand: &BTreeMap<Name, u64>,
+    open: &BTreeSet<Name>,
     published: &BTreeMap<Name, u64>,
-) -> BTreeMap<Name, Name> {
+) -> Assigned {
     let models: Vec<&Name> = demand.keys().collect();
     if models.is_empty() {
-        return BTreeMap::new();
+        return Assigned::new();
     }
     let ideal = shares(targets.len(), demand);
     let mut assigned: BTreeMap<Name, Name> = BTreeMap::new();
@@ -95,10 +108,89 @@
         let model = most_underserved(&models, &ideal, &assigned);
         assigned.insert(target.id.clone(), model);
     }
+    let unserved = give_targets(targets, demand, open, published, &ideal, &mut assigned);
     while let Some((id, model)) = next_move(targets, &models, &ideal, &assigned) {
         assigned.insert(id, model);
     }
-    assigned
+    share_targets(targets, unserved, published, assigned)
+}
+
+/// Gives a target to each open model without one, those with most demand first, as far as other
+/// models can do without one. Returns the models that still have none.
+fn give_targets<'a>(
+    targets: &[PlanTarget],
+    demand: &BTreeMap<Name, u64>,
+    open: &'a BTreeSet<Name>,
+    published: &BTreeMap<Name, u64>,
+    ideal: &BTreeMap<Name, f64>,
+    assigned: &mut BTreeMap<Name, Name>,
+) -> Vec<&'a Name> {
+    let has_none = |model: &&Name| !assigned.values().any(|other| other == *model);
+    let mut waiting: Vec<&Name> =
+        open.iter().filter(|model| demand.contains_key(*model)).filter(has_none).collect();
+    waiting.sort_by_key(|model| Reverse(demand[*model]));
+    let mut unserved = Vec::new();
+    for model in waiting {
+        match spare_target(targets, model, open, published, ideal, assigned) {
+            Some(target) => {
+                assigned.insert(target, model.clone());
+            }
+            None => unserved.push(model),
+        }
+    }
+    unserved
+}
+
+/// Returns the target that another model gives to one without any. Of the models that keep another
+/// target, the one with most beyond its share gives one, and otherwise a model without open jobs.
+/// It gives the target that needs the fewest versions to serve the other model, and of these the
+/// one that is the furthest behind for itself. A target that is loading is not given away.
+fn spare_target(
+    targets: &[PlanTarget],
+    to: &Name,
+    open: &BTreeSet<Name>,
+    published: &BTreeMap<Name, u64>,
+    ideal: &BTreeMap<Name, f64>,
+    assigned: &BTreeMap<Name, Name>,
+) -> Option<Name> {
+    let count = |model: &Name| assigned.values().filter(|other| *other == model).count();
+    let idle = targets.iter().filter(|target| target.loading.is_none());
+    let spare = idle.filter_map(|target| {
+        let from = assigned.get(&target.id)?;
+        let keeps_another = count(from) > 1;
+        (keeps_another || !open.contains(from)).then_some((target, from, keeps_another))
+    });
+    let (target, ..) = spare.max_by(|left, right| {
+        let key = |(target, from, keeps_another): &(&PlanTarget, &Name, bool)| {
+            let (gain, loss) = (lag(target, to, published), lag(target, from, published));
+            (*keeps_another, surplus(from, ideal, assigned), Reverse(gain), loss, target.id.clone())
+        };
+        let (left, right) = (key(left), key(right));
+        let by_surplus = left.0.cmp(&right.0).then(left.1.total_cmp(&right.1));
+        by_surplus.then_with(|| (left.2, left.3, left.4).cmp(&(right.2, right.3, right.4)))
+    })?;
+    Some(target.id.clone())
+}
+
+/// Lets the models that got no target share one, on targets that serve the fewest models and need
+/// the fewest versions for it.
+fn share_targets(
+    targets: &[PlanTarget],
+    unserved: Vec<&Name>,
+    published: &BTreeMap<Name, u64>,
+    assigned: BTreeMap<Name, Name>,
+) -> Assigned {
+    let mut shared: Assigned =
+        assigned.into_iter().map(|(target, model)| (target, vec![model])).collect();
+    for model in unserved {
+        let key = |target: &&PlanTarget| {
+            let count = shared.get(&target.id).map_or(0, Vec::len);
+            (count, lag(target, model, published), target.id.clone())
+        };
+        let Some(target) = targets.iter().min_by_key(key) else { break };
+        shared.entry(target.id.clone()).or_default().push(model.clone());
+    }
+    shared
 }
 
 #[allow(clippy::cast_precision_loss)]
@@ -135,29 +227,34 @@
     targets.iter().rev().find(idle).map(|target| (target.id.clone(), to))
 }
 
-/// Returns the targets of each model with their state, as input of [`wave`].
+/// Returns the targets of each model with their state, as input of [`wave`]. A target that several
+/// models share stands there for each of them.
 pub(crate) fn assigned_targets(
     targets: &[PlanTarget],
-    assigned: &BTreeMap<Name, Name>,
+    assigned: &Assigned,
     published: &BTreeMap<Name, u64>,
 ) -> Vec<wave::Target> {
-    let of_model = |target: &PlanTarget| {
-        let model = assigned.get(&target.id)?.clone();
-        let version = target.versions.get(&model).copied().unwrap_or_default();
-        let state = match &target.loading {
-            Some(_) => State::Loading(newest(&model, published)),
-            None => State::Idle,
+    let of_models = |target: &PlanTarget| {
+        let models = assigned.get(&target.id).map(Vec::as_slice).unwrap_or_default();
+        let of_model = |model: &Name| {
+            let state = match &target.loading {
+                Some(loading) if loading != model && models.contains(loading) => State::Paused,
+                Some(_) => State::Loading(newest(model, published)),
+                None => State::Idle,
+            };
+            let version = target.versions.get(model).copied().unwrap_or_default();
+            wave::Target { id: target.id.clone(), model: model.clone(), version, state }
         };
-        Some(wave::Target { id: target.id.clone(), model, version, state })
+        models.iter().map(of_model).collect::<Vec<_>>()
     };
-    targets.iter().filter_map(of_model).collect()
+    targets.iter().flat_map(of_models).collect()
 }
 
 /// Returns the loads that are due now, in the order of the targets' ids. Targets that the next step
 /// can't use, two or more versions behind, load first. Of the others, half load each version.
 pub(crate) fn due_loads(
     targets: &[PlanTarget],
-    assigned: &BTreeMap<Name, Name>,
+    assigned: &Assigned,
     published: &BTreeMap<Name, u64>,
 ) -> Vec<DueLoad> {
     let loading = targets.iter().filter(|target| target.loading.is_some()).count();
--- a/crates/tamarackdock_gateway/src/duty/weight_loads.rs
+++ b/crates/tamarackdock_gateway/src/duty/weight_loads.rs
@@ -1,13 +1,18 @@
 //! Orders to targets to load weights.
 
-use std::{cell::RefMut, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    cell::RefMut,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use monoio::time::{sleep, timeout};
 use tamarackdock_path::Doubt;
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 use tamarackdock_weights::wave::{self, Finished, Model, Pace, State};
 
-use super::plan::{self, DueLoad, PlanTarget};
+use super::plan::{self, Assigned, DueLoad, PlanTarget};
 use crate::{
     deployment::Name,
     http::{Response, send_message},
@@ -130,10 +135,10 @@
         .collect()
 }
 
-/// Returns the model to which each target is assigned. With `scheduling.adaptive`, all models that
+/// Returns the models to which each target is assigned. With `scheduling.adaptive`, all models that
 /// the configuration lists count until the first version is published, when the trainers that take
 /// part have requested their first step.
-pub(crate) fn assignment(node: &Node) -> BTreeMap<Name, Name> {
+pub(crate) fn assignment(node: &Node) -> Assigned {
     let published = node.view.published.borrow();
     let mut demand = node.jobs.demand();
     if node.settings().scheduling.adaptive && published.is_empty() {
@@ -141,7 +146,12 @@
         let listed = deployment.services.values().flat_map(|service| &service.models);
         demand = plan::expected_demand(demand, listed);
     }
-    plan::assign(&plan_targets(node), &demand, &published)
+    plan::assign(&plan_targets(node), &demand, &open_models(node), &published)
+}
+
+/// Returns the models with open jobs.
+fn open_models(node: &Node) -> BTreeSet<Name> {
+    node.jobs.open_models(node.store_clock.millis(BootClock.now()))
 }
 
 /// Orders the loads that are due while this node holds the duties. Never returns.
@@ -161,7 +171,7 @@
             continue;
         }
         let demand = node.jobs.demand();
-        let assigned = plan::assign(&targets, &demand, &published);
+        let assigned = plan::assign(&targets, &demand, &open_models(&node), &published);
         let mut orders = node.load_orders.borrow_mut();
         orders.targets = targets.len();
         let (due, limit) = if node.settings().scheduling.adaptive {
@@ -176,10 +186,11 @@
     }
 }
 
-/// Starts orders, except those to targets whose last one has just failed.
+/// Starts orders, except those to targets whose last one has just failed, and to targets that load
+/// for another one of the models that share them.
 fn start(node: &Rc<Node>, mut orders: RefMut<'_, LoadOrders>, due: Vec<DueLoad>, now: Instant) {
     for due in due {
-        if !orders.is_paused(&due.target, now) {
+        if !orders.is_paused(&due.target, now) && !orders.is_loading(&due.target) {
             orders.loading.insert(due.target.clone(), due.clone());
             monoio::spawn(order(node.clone(), due));
         }
--- a/crates/tamarackdock_gateway/src/explain/job.rs
+++ b/crates/tamarackdock_gateway/src/explain/job.rs
@@ -130,7 +130,7 @@
     let reason = |target: &Registration| {
         let model = job.submission.model.as_ref();
         let version = model.and_then(|model| target.versions.get(model)).copied();
-        match (assigned.get(&target.id), model) {
+        match (assigned.get(&target.id).map(Vec::as_slice), model) {
             _ if target.draining => Some("draining".to_owned()),
             _ if evacuated.contains(&target.data_centre) => {
                 Some("its data centre is evacuated".into())
@@ -139,8 +139,8 @@
                 Some("its service is not configured".into())
             }
             (assigned, _) if schedule::can_serve(job, target, assigned) => None,
-            (Some(assigned), Some(model)) if assigned != model => {
-                Some(format!("assigned to the model `{assigned}`"))
+            (Some(assigned), Some(model)) if !assigned.contains(model) => {
+                Some(format!("assigned to the model `{}`", assigned.join("`, `")))
             }
             _ => Some(format!(
                 "it has version {} of the weights and the job needs {}",
