--- a/crates/tamarackdock_gateway/src/batch/takeover.rs
+++ b/crates/tamarackdock_gateway/src/batch/takeover.rs
@@ -143,8 +143,9 @@
         }
         let found = find_orphans(&node);
         orphans.retain(|id, _| found.iter().any(|(job, _)| job == id));
-        let (live, owners) = (node.members.live(), node.members.owners());
-        let believed = CONFIRMED_FOR.max(CONFIRMED_FOR_PER_NODE * node.members.count());
+        let (live, owners) = (node.members.live(), first_owners(&node));
+        let nodes = u32::try_from(node.members.count()).unwrap_or(u32::MAX);
+        let believed = CONFIRMED_FOR.max(CONFIRMED_FOR_PER_NODE * nodes);
         confirmed.retain(|_, at| now.since(*at) < believed);
         for (id, entry) in found {
             if confirmed.contains_key(&id) {
@@ -166,6 +167,14 @@
     }
 }
 
+/// Returns the hosts that take jobs over before the others: those that should own jobs and are known
+/// to renew their rows, if there are any.
+fn first_owners(node: &Node) -> Vec<NodeRun> {
+    let owners = node.members.owners();
+    let established = node.members.established(&owners);
+    if established.is_empty() { owners } else { established }
+}
+
 /// Returns the time that the owner of a job is given for its first row. A node that has just
 /// started can own a job before others read that it lives.
 fn announcement_time(node: &Node, owner: Option<&NodeRun>, revision: u64) -> Duration {
--- a/crates/tamarackdock_gateway/src/duty/clear.rs
+++ b/crates/tamarackdock_gateway/src/duty/clear.rs
@@ -54,6 +54,11 @@
     }
 }
 
+/// Returns the time for which results are kept.
+pub(crate) fn keep_time(node: &Node) -> Duration {
+    node.settings().bounds.keep_results + MARGIN
+}
+
 /// Dates jobs without a time of acceptance and removes old ones, at intervals. Never returns.
 pub(crate) async fn run(node: Rc<Node>) {
     loop {
@@ -66,7 +71,7 @@
 /// the holder of the duties does all else. After a failure, the other jobs of the same part wait
 /// for the next check, as the store may be turning away what goes to that part.
 async fn check(node: &Rc<Node>) {
-    let keep = node.settings().bounds.keep_results + MARGIN;
+    let keep = keep_time(node);
     let mut failed = BTreeSet::new();
     for (id, entry) in due(node, keep) {
         let is_holder = node.duties.permit().is_some();
--- a/crates/tamarackdock_gateway/src/duty/lease.rs
+++ b/crates/tamarackdock_gateway/src/duty/lease.rs
@@ -108,8 +108,13 @@
 
 /// Returns whether a node that does not hold the lease is a candidate for it. In a
 /// large deployment only a few nodes are, so that not all of them poll the store.
-pub(crate) fn is_candidate(own: &NodeRun, live: &[NodeRun]) -> bool {
-    takeover::rank(LEASE_NAME, own, live) < CANDIDATES
+/// Nodes that are known to renew their rows, `established`, come before other live ones.
+pub(crate) fn is_candidate(own: &NodeRun, live: &[NodeRun], established: &[NodeRun]) -> bool {
+    if established.contains(own) {
+        return takeover::rank(LEASE_NAME, own, established) < CANDIDATES;
+    }
+    let others: Vec<_> = live.iter().filter(|run| !established.contains(run)).cloned().collect();
+    established.len() + takeover::rank(LEASE_NAME, own, &others) < CANDIDATES
 }
 
 /// Returns the time until the next step of the lease, which asks for one at `wake`. Without such
@@ -139,8 +144,10 @@
         if node.paths.are_lost() {
             not_before = BootClock.now() + node.settings().bounds.lease + TAKEOVER_MARGIN;
         }
-        let is_candidate =
-            || is_candidate(&node.members.own, &node.members.live_with_paths(|_| true));
+        let is_candidate = || {
+            let live = node.members.live_with_paths(|_| true);
+            is_candidate(&node.members.own, &live, &node.members.established(&live))
+        };
         let wants = BootClock.now() >= not_before && (holds || resumes || is_candidate());
         if wants != wanted && !duties.released.get() {
             wanted = wants;
--- a/crates/tamarackdock_gateway/src/duty/mod.rs
+++ b/crates/tamarackdock_gateway/src/duty/mod.rs
@@ -1,8 +1,9 @@
 //! Duties that one node performs for the whole deployment: orders to load weights,
-//! usage reports, orders of targets, and removal of old batch jobs. A lease in the
-//! store decides which node holds them.
+//! usage reports, orders of targets, and removal of old batch jobs and other rows. A
+//! lease in the store decides which node holds them.
 
 pub(crate) mod clear;
+pub(crate) mod forget;
 pub(crate) mod lease;
 pub(crate) mod plan;
 pub(crate) mod scale;
--- a/crates/tamarackdock_gateway/src/duty/tests/usage.rs
+++ b/crates/tamarackdock_gateway/src/duty/tests/usage.rs
@@ -3,7 +3,7 @@
 use slog::{Discard, Logger, o};
 use tamarackdock_platform::table::Row;
 
-use crate::duty::usage::{UsageCounter, add_up, window_at};
+use crate::duty::usage::{PREFIXES, UsageCounter, add_up, window_at, window_of};
 
 const WINDOW: Duration = Duration::from_secs(5);
 
@@ -62,3 +62,13 @@
     let totals = add_up(&rows, &Logger::root(Discard, o!()));
     assert_eq!((totals["x"], totals["y"]), (5, u64::MAX));
 }
+
+/// Guards against rows of usage that are never removed, or removed with those of another window.
+#[test]
+fn rows_tell_their_window() {
+    let [counts, sums] = PREFIXES;
+    assert_eq!(window_of("usage@u/1234/edge-1-00ff", counts), Some(1_234));
+    assert_eq!(window_of("sealed@u/1234", sums), Some(1_234));
+    assert_eq!(window_of("sealed@u/other", sums), None);
+    assert_eq!(window_of("sealed@u/1234", counts), None);
+}
--- a/crates/tamarackdock_gateway/src/duty/usage.rs
+++ b/crates/tamarackdock_gateway/src/duty/usage.rs
@@ -30,6 +30,9 @@
 /// Age in milliseconds after which a window is no longer reported, and its written
 /// counts are dropped.
 const FORGET_AFTER_MS: i64 = 40_000;
+/// Age in milliseconds after which the rows of a window are removed. It is far above
+/// [`FORGET_AFTER_MS`]: a window without its sealed sums could be reported with other ones.
+const KEEP_ROWS_MS: i64 = 3_600_000;
 /// Time limit for the response to a report or an order of targets.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Largest response.
@@ -89,6 +92,20 @@
     i64::try_from(number).unwrap_or(i64::MAX).saturating_add(1).saturating_mul(length)
 }
 
+/// Prefixes of the keys of all counts and of all sealed sums.
+pub(crate) const PREFIXES: [&str; 2] = ["usage@u/", "sealed@u/"];
+
+/// Returns the window of a row whose key begins with one of [`PREFIXES`].
+pub(crate) fn window_of(key: &str, prefix: &str) -> Option<u64> {
+    key.strip_prefix(prefix)?.split('/').next()?.parse().ok()
+}
+
+/// Returns the first window whose rows are kept.
+pub(crate) fn oldest_kept(node: &Node) -> u64 {
+    let window = node.settings().bounds.usage_window;
+    window_at(node.cluster_unix_millis() - KEEP_ROWS_MS, window)
+}
+
 fn counts_prefix(number: u64) -> String {
     format!("usage@{PART}/{number}/")
 }
--- a/crates/tamarackdock_gateway/src/members.rs
+++ b/crates/tamarackdock_gateway/src/members.rs
@@ -30,9 +30,14 @@
 pub(crate) const TABLE: &str = "member";
 /// Part of the table that holds the rows, separate from what operators write.
 pub(crate) const PART: &str = "m";
-/// Longest time between reads over which the ages of rows are kept. After a longer
-/// one they start from zero, as the other nodes may not have reached the store either.
+/// Longest time between reads over which the ages of rows are kept, where reads are not planned to be
+/// rarer. After a longer one they start from zero, as the other nodes may not have reached the store
+/// either.
 const MAX_READ_GAP: Duration = Duration::from_secs(2);
+/// Longest delay of a read that is planned for later than [`MAX_READ_GAP`].
+const MAX_READ_DELAY: Duration = Duration::from_secs(1);
+/// Time for which a node that seems to be gone counts for the intervals of periodic calls.
+const COUNTED_FOR: Duration = Duration::from_secs(10);
 
 /// Fewest hosts that all batch jobs of a deployment are left to.
 const MIN_OWNERS: usize = 3;
@@ -90,6 +95,8 @@
     /// When this node first read this revision of the row, or first read it again after a
     /// gap.
     changed: Instant,
+    /// Whether this node has read two revisions that the same run wrote.
+    has_renewed: bool,
 }
 
 /// The members' rows as last read.
@@ -97,6 +104,8 @@
 pub(crate) struct MemberTable {
     nodes: BTreeMap<Name, Member>,
     last_read: Option<Instant>,
+    /// Time from the last read to the next one.
+    read_interval: Duration,
 }
 
 impl MemberTable {
@@ -110,7 +119,7 @@
 
     /// Applies the rows that have changed since the last read, as read at `now`.
     pub(crate) fn apply(&mut self, batch: &Batch, now: Instant, log: &Logger) {
-        if self.last_read.is_none_or(|read| now.since(read) > MAX_READ_GAP) {
+        if self.last_read.is_none_or(|read| now.since(read) > self.max_read_gap()) {
             self.nodes.values_mut().for_each(|member| member.changed = now);
         }
         self.last_read = Some(now);
@@ -119,10 +128,13 @@
             if known.is_some_and(|member| member.revision == change.revision) {
                 continue;
             }
-            let row = change.value.as_ref().and_then(|_| decode_row(change, "members", log));
+            let row = change.value.as_ref();
+            let row: Option<Row> = row.and_then(|_| decode_row(change, "members", log));
             match row {
                 Some(row) => {
-                    let member = Member { row, revision: change.revision, changed: now };
+                    let revision = change.revision;
+                    let has_renewed = known.is_some_and(|known| known.row.number == row.number);
+                    let member = Member { row, revision, changed: now, has_renewed };
                     self.nodes.insert(change.key.as_str().into(), member);
                 }
                 None => {
@@ -132,6 +144,18 @@
         }
     }
 
+    /// Sets the time from the last read to the next one.
+    pub(crate) fn plan_read(&mut self, interval: Duration) {
+        self.read_interval = interval;
+    }
+
+    /// Returns the longest time between reads over which the ages of rows are kept. If it were not
+    /// longer than the interval of the reads, each one would count as the first after a gap, and no
+    /// node would ever be gone. See `docs/incidents/rows-of-replaced-hosts.md`.
+    fn max_read_gap(&self) -> Duration {
+        MAX_READ_GAP.max(self.read_interval + MAX_READ_DELAY)
+    }
+
     fn is_live(&self, member: &Member) -> bool {
         let gone_after = lease::gone_after(member.row.renewal);
         self.last_read.is_some_and(|read| read.since(member.changed) < gone_after)
@@ -185,6 +209,15 @@
         }
     }
 
+    /// Returns those of some runs that are known to renew their rows. Others may have written one row
+    /// and ended, and still count as live by the time that they announced in it. Where many hosts
+    /// were replaced, these can be far more than the ones that run.
+    pub(crate) fn established(&self, runs: &[NodeRun]) -> Vec<NodeRun> {
+        let is_established =
+            |run: &&NodeRun| self.member(run).is_some_and(|member| member.has_renewed);
+        runs.iter().filter(is_established).cloned().collect()
+    }
+
     fn live_where(&self, condition: impl Fn(&Row) -> bool) -> Vec<NodeRun> {
         let live = self.nodes.iter().filter(|(_, member)| {
             condition(&member.row) && self.is_live(member) && !member.row.leaving
@@ -193,10 +226,30 @@
             .collect()
     }
 
-    /// Returns the number of nodes with a row, including those that seem to be gone:
-    /// their rows may be old because the store is too busy to accept renewals.
-    pub(crate) fn count(&self) -> usize {
-        self.nodes.len()
+    /// Returns for how long a node has not renewed its row, up to the last renewal of the host `own`.
+    /// What follows says nothing: the store may be too busy to accept renewals. `None` without a row
+    /// of `own`.
+    fn silence(&self, member: &Member, own: &str) -> Option<Duration> {
+        Some(self.nodes.get(own)?.changed.since(member.changed))
+    }
+
+    /// Returns the number of nodes that share the store's rates, as the host `own` sees it. Nodes
+    /// that seem to be gone still count for some time, and for as long as renewals of `own` fail too.
+    pub(crate) fn count(&self, own: &str) -> usize {
+        let counts = |member: &&Member| {
+            let counted_for = lease::gone_after(member.row.renewal) + COUNTED_FOR;
+            self.silence(member, own).is_none_or(|silence| silence < counted_for)
+        };
+        self.nodes.values().filter(counts).count()
+    }
+
+    /// Returns the hosts that have not renewed their rows for longer than `keep`, with the revisions
+    /// of these.
+    pub(crate) fn silent_for(&self, keep: Duration, own: &str) -> Vec<(Name, u64)> {
+        let is_silent =
+            |member: &Member| self.silence(member, own).is_some_and(|silence| silence > keep);
+        let silent = self.nodes.iter().filter(|(_, member)| is_silent(member));
+        silent.map(|(host, member)| (host.clone(), member.revision)).collect()
     }
 
     /// Returns the median difference between the Unix time of the live hosts and the
@@ -240,32 +293,40 @@
         self.table.borrow().owners()
     }
 
-    /// Returns the number of nodes with a row.
-    pub(crate) fn count(&self) -> u32 {
-        u32::try_from(self.table.borrow().count()).unwrap_or(u32::MAX)
+    /// Returns those of some runs that are known to renew their rows.
+    pub(crate) fn established(&self, runs: &[NodeRun]) -> Vec<NodeRun> {
+        self.table.borrow().established(runs)
+    }
+
+    /// Returns the number of nodes that share the store's rates.
+    pub(crate) fn count(&self) -> usize {
+        self.table.borrow().count(&self.own.host)
+    }
+
+    /// Returns the hosts whose rows are no longer needed, see [`MemberTable::silent_for`].
+    pub(crate) fn silent_for(&self, keep: Duration) -> Vec<(Name, u64)> {
+        self.table.borrow().silent_for(keep, &self.own.host)
     }
 
     /// Returns the time between two periodic calls of this node to the store.
     pub(crate) fn interval(&self, call: PeriodicCall) -> Duration {
-        call.interval(self.table.borrow().count(), self.rates)
+        call.interval(self.count(), self.rates)
     }
 
     /// Returns the same for a call whose rows are spread over some parts of their table.
     pub(crate) fn interval_in_parts(&self, call: PeriodicCall, parts: usize) -> Duration {
-        call.interval(self.table.borrow().count().div_ceil(parts.max(1)), self.rates)
+        call.interval(self.count().div_ceil(parts.max(1)), self.rates)
     }
 
     /// Returns the pause before a feed is polled again after `failures` failed polls
     /// in a row.
     pub(crate) fn retry_pause(&self, failures: u32) -> Duration {
-        let nodes = self.table.borrow().count();
-        periodic::RETRIES.retry_pause(failures, nodes, self.rates, rand::random())
+        periodic::RETRIES.retry_pause(failures, self.count(), self.rates, rand::random())
     }
 
     /// Returns the pause before a renewal after `failures` failed ones in a row.
     fn renewal_pause(&self, failures: u32) -> Duration {
-        let nodes = self.table.borrow().count();
-        periodic::RENEWALS.retry_pause(failures, nodes, self.rates, rand::random())
+        periodic::RENEWALS.retry_pause(failures, self.count(), self.rates, rand::random())
     }
 
     /// Returns the peer address of a run that is live.
@@ -299,7 +360,8 @@
 
     /// Returns whether the rows were read recently enough to tell who is live.
     pub(crate) fn is_up_to_date(&self, now: Instant) -> bool {
-        self.table.borrow().last_read.is_some_and(|read| now.since(read) < MAX_READ_GAP)
+        let table = self.table.borrow();
+        table.last_read.is_some_and(|read| now.since(read) < table.max_read_gap())
     }
 
     /// Returns the median difference between Unix time and the store's time, in
@@ -309,6 +371,11 @@
     }
 }
 
+/// Returns the key of a host's row.
+pub(crate) fn row_key(host: &str) -> String {
+    format!("{TABLE}@{PART}/{host}")
+}
+
 /// Decodes a row that nodes write for each other. A row that can't be decoded is
 /// logged under `rows`, the name of its kind, and ignored.
 pub(crate) fn decode_row<T: DeserializeOwned>(
@@ -354,7 +421,7 @@
         millicores: settings.scheduling.adaptive.then(|| settings.limits.millicores()),
         limits,
     };
-    let key = format!("{TABLE}@{PART}/{}", node.members.own.host);
+    let key = row_key(&node.members.own.host);
     let value = serde_json::to_string(&row).ok();
     let writes = vec![Write { key, value }];
     lease::renew(node, renewal, writes).await
@@ -423,7 +490,9 @@
             }
             Err(error) => node.store_failed("members", &error),
         }
-        monoio::time::sleep(node.members.interval(periodic::MEMBERS)).await;
+        let interval = node.members.interval(periodic::MEMBERS);
+        node.members.table.borrow_mut().plan_read(interval);
+        monoio::time::sleep(interval).await;
     }
 }
 
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -291,6 +291,7 @@
         monoio::spawn(duty::usage::run_report(self.clone()));
         monoio::spawn(duty::scale::run(self.clone()));
         monoio::spawn(duty::clear::run(self.clone()));
+        monoio::spawn(duty::forget::run(self.clone()));
         monoio::spawn(continuation::run_write(self.clone()));
         monoio::spawn(continuation::run_clear(self.clone()));
         monoio::spawn(crash::run(self.clone(), self.suspects.clone()));
--- a/crates/tamarackdock_gateway/src/tests/members.rs
+++ b/crates/tamarackdock_gateway/src/tests/members.rs
@@ -82,7 +82,61 @@
     for read in 0..20 {
         table.update(&batch([row("a", 1, 1, 0), row("b", 1, 1, 0)]), at(read * 400), &log());
     }
-    assert_eq!((table.live(), table.count()), (Vec::new(), 2));
+    assert_eq!((table.live(), table.count("a")), (Vec::new(), 2));
+}
+
+/// Reads changed rows at intervals, by those of the host `own` and of `gone` others that renewed
+/// their rows once, and returns the table after a time.
+fn table_with_gone(gone: u64, interval: u64, until: u64) -> MemberTable {
+    let mut table = MemberTable::default();
+    let others = (0..gone).map(|number| row(&format!("gone-{number}"), number, number + 1, 0));
+    let own = |revision| row("own", 1, revision, 0);
+    table.update(&batch(others.chain([own(1_000)])), at(0), &log());
+    for now in (interval..=until).step_by(usize::try_from(interval).unwrap()) {
+        table.plan_read(Duration::from_millis(interval));
+        table.apply(&batch([own(1_000 + now)]), at(now), &log());
+    }
+    table
+}
+
+/// Guards against periodic calls that become rarer with each host that is replaced: the rows of hosts
+/// that are gone count for a short time only.
+#[test]
+fn replaced_hosts_do_not_count_for_intervals() {
+    let count = |until| table_with_gone(660, 400, until).count("own");
+    assert_eq!([count(0), count(8_000), count(12_000)], [661, 661, 1]);
+}
+
+/// Guards against hosts that stay live for good because each read counts as the first after a gap,
+/// once there are so many that reads are rarer than the longest gap.
+#[test]
+fn hosts_that_fail_are_gone_where_reads_are_rare() {
+    let live = |interval| table_with_gone(3, interval, 3 * interval).live().len();
+    assert_eq!([400, 1_000, 2_200, 5_000].map(live), [4, 1, 1, 1]);
+    let is_recent = |delay: u64| {
+        let mut table = MemberTable::default();
+        table.update(&batch([row("a", 1, 1, 0)]), at(0), &log());
+        table.plan_read(Duration::from_millis(2_200));
+        table.apply(&batch([]), at(2_200 + delay), &log());
+        table.live().is_empty()
+    };
+    assert_eq!([900, 1_100].map(is_recent), [true, false], "a read that is late says nothing");
+}
+
+/// Guards against the removal of rows that are in use: only hosts that were silent for the given time
+/// lose theirs, and none while the store accepts no renewals at all.
+#[test]
+fn only_rows_of_silent_hosts_are_removed() {
+    let keep = Duration::from_secs(130);
+    let silent = |until| table_with_gone(2, 2_000, until).silent_for(keep, "own");
+    assert_eq!(silent(130_000), []);
+    assert_eq!(silent(132_000), [("gone-0".into(), 1), ("gone-1".into(), 2)]);
+    let mut table = table_with_gone(2, 2_000, 2_000);
+    for now in (4_000..400_000).step_by(2_000) {
+        table.apply(&batch([]), at(now), &log());
+    }
+    assert_eq!(table.silent_for(keep, "own"), []);
+    assert_eq!(table.silent_for(keep, "unknown"), []);
 }
 
 /// Guards against rows of an earlier release that can't be decoded.
@@ -98,9 +152,28 @@
 #[test]
 fn few_nodes_poll_the_lease() {
     let live: Vec<NodeRun> = (0..300).map(|n| run(&format!("edge-north-{n}"), n)).collect();
-    let candidates = live.iter().filter(|own| lease::is_candidate(own, &live)).count();
-    assert_eq!(candidates, 8);
-    assert!(lease::is_candidate(&live[0], &[]), "a node that knows no other one");
+    let candidates = |established: usize| {
+        let established = &live[..established];
+        let is_candidate = |own: &&NodeRun| lease::is_candidate(own, &live, established);
+        let found: Vec<_> = live.iter().filter(is_candidate).collect();
+        (found.len(), found.iter().filter(|run| established.contains(run)).count())
+    };
+    // Of none, some and all that are known to renew their rows.
+    assert_eq!([0, 3, 8, 300].map(candidates), [(8, 0), (8, 3), (8, 8), (8, 8)]);
+    assert!(lease::is_candidate(&live[0], &[], &[]), "a node that knows no other one");
+}
+
+/// Guards against hosts that wait for many others which wrote one row and ended: only those that
+/// renew theirs come first.
+#[test]
+fn hosts_that_never_renewed_come_last() {
+    let table = table_with_gone(300, 400, 1_200);
+    let live = table.live();
+    assert_eq!(live.len(), 301);
+    assert_eq!(table.established(&live), [run("own", 1)]);
+    let mut restarted = table_with_gone(1, 400, 400);
+    restarted.apply(&batch([row("own", 2, 9_000, 0)]), at(800), &log());
+    assert_eq!(restarted.established(&restarted.live()), [], "a run that has one row so far");
 }
 
 /// Guards against a restarted process that is taken for its previous run.
@@ -206,7 +279,7 @@
         table.apply(&batch([row("a", 1, now, 0)]), at(now), &log());
     }
     let live: Vec<_> = table.live().into_iter().map(|run| run.host.to_string()).collect();
-    assert_eq!((live, table.count()), (vec!["a".to_owned()], 2));
+    assert_eq!((live, table.count("a")), (vec!["a".to_owned()], 2));
 }
 
 /// Guards against taking over the jobs of all nodes after an outage of the store, in which
@@ -256,7 +329,7 @@
         let mut table = MemberTable::default();
         table.update(&batch([row("a", 1, 1, 0)]), at(0), &log());
         read(&mut table, &batch([invalid.clone()]), at(400), &log());
-        assert_eq!(table.count(), 0);
+        assert_eq!(table.count("a"), 0);
     }
 }
 
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -36,6 +36,8 @@
 mod releases;
 #[path = "gateway/removal.rs"]
 mod removal;
+#[path = "gateway/replaced_hosts.rs"]
+mod replaced_hosts;
 #[path = "gateway/restart.rs"]
 mod restart;
 #[path = "gateway/silent_polls.rs"]
