--- a/crates/tamarackdock_gateway/src/batch/commit.rs
+++ b/crates/tamarackdock_gateway/src/batch/commit.rs
@@ -53,7 +53,7 @@
     let mut job = job.borrow_mut();
     let age = BootClock.now().since(job.accepted).as_secs_f64();
     (0..count).for_each(|_| node.metrics.result_seconds.observe(age));
-    slog::info!(node.log, "job: results committed"; "job" => &*job.id, "from" => job.results.len(),
+    slog::info!(node.log, "job: results committed"; "job" => &*job.id, "from" => job.listed(),
         "count" => count, "age_ms" => (age * 1000.0).round());
     job.mark_committed(count);
     Ok(())
@@ -73,7 +73,7 @@
         if count > 0 && (count >= MAX_RESULTS || size > MAX_RESULT_BYTES) {
             break;
         }
-        let key = rows::result_key(&job.id, Some(job.results.len() + count));
+        let key = rows::result_key(&job.id, Some(job.listed() + count));
         let text = serde_json::to_string(&**result).expect("a result has a JSON form");
         let pieces = rows::split_text(&text, node.row_bytes());
         for (piece, text) in pieces.into_iter().enumerate() {
@@ -93,7 +93,7 @@
 async fn reconcile(node: &Rc<Node>, job: &Rc<RefCell<Job>>) -> Result<(), Error> {
     let (id, from) = {
         let job = job.borrow();
-        (job.id.clone(), job.results.len())
+        (job.id.clone(), job.listed())
     };
     // This also closes the job if it has another owner or has ended.
     end::read_head(node, &id).await?;
--- a/crates/tamarackdock_gateway/src/batch/end.rs
+++ b/crates/tamarackdock_gateway/src/batch/end.rs
@@ -24,7 +24,7 @@
 /// Most tries to write the end of a job.
 const MAX_TRIES: usize = 3;
 /// Most bytes of values in a transaction of several rows.
-const MAX_COMMIT_BYTES: usize = 400 * 1024;
+pub(crate) const MAX_COMMIT_BYTES: usize = 400 * 1024;
 /// Most rows in one transaction.
 const MAX_COMMIT_ROWS: usize = 90;
 /// Interval of the checks whether all jobs have been handed over.
@@ -46,7 +46,7 @@
     }
     slog::info!(node.log, "job: stopped"; "job" => id, "ended" => entry.head.ended,
         "owner" => entry.head.owner.as_ref().map(|run| run.host.to_string()),
-        "listed" => job.borrow().results.len());
+        "listed" => job.borrow().listed());
     if is_owner {
         // The last save of the text of unfinished items has this revision as a condition.
         job.borrow_mut().revision = entry.revision;
@@ -62,7 +62,7 @@
         return;
     }
     slog::warn!(node.log, "job: stopped, as it does not exist"; "job" => id,
-        "revision" => revision, "listed" => job.borrow().results.len());
+        "revision" => revision, "listed" => job.borrow().listed());
     job.borrow_mut().close();
     monoio::spawn(retire(node.clone(), job, false));
 }
--- a/crates/tamarackdock_gateway/src/batch/estimate.rs
+++ b/crates/tamarackdock_gateway/src/batch/estimate.rs
@@ -142,7 +142,7 @@
         steps.push(step);
     }
     let mut waiting = in_order(&steps, waiting);
-    waiting.sort_by_key(|item| item.is_unfit);
+    waiting.sort_by_key(WaitingItem::goes_last);
     placement::with_probes(waiting, targets, |waiting, targets, usable| {
         assign_usable(jobs, &ends_ms, waiting, targets, &mut finish_targets, usable)
     })
--- a/crates/tamarackdock_gateway/src/batch/index.rs
+++ b/crates/tamarackdock_gateway/src/batch/index.rs
@@ -374,7 +374,8 @@
     let is_owner = head.owner.as_ref() == Some(&node.members.own);
     let is_running = node.jobs.is_starting(job) || node.jobs.own_job(job).is_some();
     if is_new && is_owner && !is_running && head.epoch == 1 && !head.ended {
-        monoio::spawn(takeover::receive(node.clone(), job.clone(), entry));
+        let guard = node.jobs.mark_starting(job);
+        monoio::spawn(takeover::receive(node.clone(), job.clone(), entry, guard));
     }
     end::check_ownership(node, job);
 }
--- a/crates/tamarackdock_gateway/src/batch/job.rs
+++ b/crates/tamarackdock_gateway/src/batch/job.rs
@@ -3,7 +3,7 @@
 //! are to be committed.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     rc::Rc,
     time::Duration,
 };
@@ -14,11 +14,12 @@
 use super::{
     Item, ItemOutcome, ItemResult, Submission,
     backoff::{Backoff, REFUSED_PAUSE},
+    part,
     progress::{Progress, Saved},
     rows::JobHead,
     scoring::{self, Scoring},
 };
-use crate::{deployment::Name, notify::Notify};
+use crate::{call::fingerprint, deployment::Name, http::Reservation, notify::Notify};
 
 /// Longest pause after runs in a row that broke without any event. The item itself may crash
 /// its targets.
@@ -147,7 +148,22 @@
     NotSent,
 }
 
-/// A batch job that this node runs.
+/// What the next part of a job needs of the one before.
+#[derive(Debug)]
+pub(crate) struct EndedPart {
+    pub(crate) id: Name,
+    pub(crate) head: JobHead,
+    pub(crate) revision: u64,
+    /// The job without items.
+    pub(crate) outline: Submission,
+    /// Number of the first item of the next part.
+    pub(crate) next_item: usize,
+    /// Position of the first one in `results`.
+    pub(crate) first: usize,
+    pub(crate) results: Vec<Rc<ItemResult>>,
+}
+
+/// A batch job that this node runs, or a part of it.
 #[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) id: Name,
@@ -158,8 +174,17 @@
     pub(crate) items: Vec<JobItem>,
     /// Number of groups of the items.
     pub(crate) group_count: usize,
+    /// Number of the first item of the job behind those in `items`, if the job runs in parts.
+    pub(crate) next_item: usize,
+    /// Memory of the job, which is released with it.
+    pub(crate) memory: Option<Reservation>,
+    /// Position of the first one in `results`. Those before it are in the store only.
+    pub(crate) first_result: usize,
     /// Committed results, by position.
     pub(crate) results: Vec<Rc<ItemResult>>,
+    /// Bytes of memory that `results` take, and most bytes that they may take.
+    result_bytes: usize,
+    pub(crate) max_result_bytes: usize,
     /// Results that are not committed yet, in the order of their future positions.
     pub(crate) uncommitted: VecDeque<Rc<ItemResult>>,
     /// Whether runs are stopped because the job is about to be handed over.
@@ -205,8 +230,13 @@
             held_since: None,
             scoring: Scoring::default(),
         });
-        let items = items.collect();
+        let items: Vec<JobItem> = items.collect();
         Self {
+            next_item: items.len(),
+            memory: None,
+            first_result: 0,
+            result_bytes: 0,
+            max_result_bytes: usize::MAX,
             items,
             group_count: groups.len(),
             id,
@@ -455,20 +485,84 @@
                 item.phase = Phase::Finished;
                 item.progress = Progress::default();
             }
-            self.results.push(Rc::new(result));
+            self.list(Rc::new(result));
         }
         self.changed.notify_all();
     }
 
+    /// Adds a committed result, and drops the oldest ones if they take too much memory.
+    fn list(&mut self, result: Rc<ItemResult>) {
+        self.result_bytes += result.memory();
+        self.results.push(result);
+        let surplus = part::surplus(self.result_bytes, self.max_result_bytes, &self.results);
+        for dropped in self.results.drain(..surplus) {
+            self.result_bytes -= dropped.memory();
+        }
+        self.first_result += surplus;
+    }
+
+    /// Returns the number of committed results.
+    pub(crate) fn listed(&self) -> usize {
+        self.first_result + self.results.len()
+    }
+
+    /// Takes over the results that were committed before, from the position `first` on.
+    pub(crate) fn continue_listing(&mut self, first: usize, results: Vec<Rc<ItemResult>>) {
+        self.first_result = first;
+        for result in results {
+            self.list(result);
+        }
+    }
+
+    /// Records the items that have committed results, by the fingerprints of their ids.
+    pub(crate) fn mark_listed(&mut self, finished: &BTreeSet<u64>) {
+        let is_listed = |item: &&mut JobItem| {
+            !finished.is_empty() && finished.contains(&fingerprint(item.request.id.as_bytes()))
+        };
+        for item in self.items.iter_mut().filter(is_listed) {
+            item.phase = Phase::Finished;
+            item.progress = Progress::default();
+        }
+    }
+
+    /// Returns whether this is a part of a job.
+    pub(crate) fn is_split(&self) -> bool {
+        self.items.len() < self.head.items
+    }
+
+    /// Returns whether all items in memory have committed results, while the job has others.
+    pub(crate) fn is_part_done(&self) -> bool {
+        let has_others = self.next_item < self.head.items;
+        let is_idle = self.uncommitted.is_empty() && !self.stopping && !self.closed;
+        has_others && is_idle && self.items.iter().all(|item| item.phase == Phase::Finished)
+    }
+
+    /// Closes the job and returns what its next part needs.
+    pub(crate) fn end_part(&mut self) -> EndedPart {
+        self.close();
+        EndedPart {
+            id: self.id.clone(),
+            head: self.head.clone(),
+            revision: self.revision,
+            outline: Submission { items: Vec::new(), ..Submission::clone(&self.submission) },
+            next_item: self.next_item,
+            first: self.first_result,
+            results: std::mem::take(&mut self.results),
+        }
+    }
+
     /// Records that the first `count` uncommitted results are committed.
     pub(crate) fn mark_committed(&mut self, count: usize) {
-        self.results.extend(self.uncommitted.drain(..count));
+        let committed: Vec<_> = self.uncommitted.drain(..count).collect();
+        for result in committed {
+            self.list(result);
+        }
         self.changed.notify_all();
     }
 
     /// Returns whether every item has a committed result.
     pub(crate) fn is_complete(&self) -> bool {
-        self.results.len() == self.items.len()
+        self.listed() == self.head.items
     }
 
     /// Stops all runs and starts none, so that the text no longer changes while it
--- a/crates/tamarackdock_gateway/src/batch/mod.rs
+++ b/crates/tamarackdock_gateway/src/batch/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod lease;
 pub(crate) mod lifetime;
 pub(crate) mod migrate;
+pub(crate) mod part;
 pub(crate) mod placement;
 pub(crate) mod progress;
 pub(crate) mod read;
@@ -28,7 +29,7 @@
 mod submission;
 
 pub use page::{ItemOutcome, ItemResult, Page};
-pub use submission::{Item, ScoringCall, Submission};
+pub use submission::{Item, ScoringCall, Submission, SubmissionReader};
 
 #[cfg(test)]
 mod tests;
--- a/crates/tamarackdock_gateway/src/batch/page.rs
+++ b/crates/tamarackdock_gateway/src/batch/page.rs
@@ -30,6 +30,21 @@
     pub score: Option<String>,
 }
 
+impl ItemResult {
+    /// Returns about how many bytes of memory the result takes.
+    pub(crate) fn memory(&self) -> usize {
+        let versions = self.versions.len() * size_of::<u64>();
+        let score = self.score.as_ref().map_or(0, String::len);
+        size_of::<Self>() + ALLOCATIONS_BYTES + self.id.len() + self.text.len() + versions + score
+    }
+}
+
+impl AsRef<Self> for ItemResult {
+    fn as_ref(&self) -> &Self {
+        self
+    }
+}
+
 /// Consecutive results of a batch job, as many as one answer holds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Page {
@@ -41,6 +56,8 @@
     pub results: Vec<Rc<ItemResult>>,
 }
 
+/// Memory that the allocations of a result take besides their contents, about.
+const ALLOCATIONS_BYTES: usize = 64;
 /// Largest text of a page in bytes, such that the encoded page stays under 1 MB.
 const MAX_PAGE_BYTES: usize = 600 * 1024;
 
--- a/crates/tamarackdock_gateway/src/batch/placement.rs
+++ b/crates/tamarackdock_gateway/src/batch/placement.rs
@@ -9,7 +9,8 @@
 //!
 //! Some items may fit no target. A target that refuses requests is probed by the items that were
 //! refused least, so that none of the others has to wait for one that is always refused. Items that
-//! targets refuse while they accept others go last. See [`tamarackdock_route::refusal`].
+//! targets refuse while they accept others go last. See [`tamarackdock_route::refusal`]. Before them
+//! come items of jobs that have far more items than the targets have slots, see [`part`](super::part).
 
 use std::{cmp::Reverse, time::Duration};
 
@@ -39,13 +40,21 @@
     pub(crate) refusals: u32,
     /// Whether targets refuse the item while they accept others.
     pub(crate) is_unfit: bool,
+    /// Whether its job is too large to be a step of a trainer.
+    pub(crate) is_bulk: bool,
 }
 
 impl WaitingItem {
-    /// Returns the key by which items are sorted: those that fit no target last, then earlier
-    /// steps first, then groups that the trainer waits for in any case, then the longest.
-    pub(crate) fn order(&self) -> (bool, usize, bool, Reverse<u64>, usize) {
-        (self.is_unfit, self.job, !self.carried, Reverse(self.remaining_tokens), self.item)
+    /// Returns the key of what goes last: items that fit no target, and before these the ones of
+    /// jobs that are too large to be steps of trainers. Steps would wait for these for very long.
+    pub(crate) fn goes_last(&self) -> (bool, bool) {
+        (self.is_unfit, self.is_bulk)
+    }
+
+    /// Returns the key by which items are sorted: what goes last, then earlier steps first, then
+    /// groups that the trainer waits for in any case, then the longest.
+    pub(crate) fn order(&self) -> ((bool, bool), usize, bool, Reverse<u64>, usize) {
+        (self.goes_last(), self.job, !self.carried, Reverse(self.remaining_tokens), self.item)
     }
 }
 
--- a/crates/tamarackdock_gateway/src/batch/read.rs
+++ b/crates/tamarackdock_gateway/src/batch/read.rs
@@ -2,9 +2,10 @@
 
 use std::{rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
-use super::{Page, access::Access, commit, end, index::VersionedHead, rows, takeover};
+use super::{Page, access::Access, commit, end, index::VersionedHead, part, rows};
 use crate::{
     call::timeout_at,
     deployment::Name,
@@ -140,22 +141,26 @@
             let job = job.borrow();
             let now = BootClock.now();
             let lease = *node.jobs.lease.borrow();
-            let results = job.results.get(after..).unwrap_or_default();
+            let results = match after.checked_sub(job.first_result) {
+                Some(from) => job.results.get(from..).unwrap_or_default(),
+                // The store has it.
+                None => return None,
+            };
             match () {
                 () if job.closed => return None,
                 () if !results.is_empty() || job.is_complete() => {
-                    return Some(Page::of(job.items.len(), after, results));
+                    return Some(Page::of(job.head.items, after, results));
                 }
                 // A job that is handed over may have another owner before this node knows.
                 () if node.is_leaving() || !lease.holds(now) => {
                     slog::info!(node.log, "job: ownership not proven"; "job" => id,
-                        "after" => after, "listed" => job.results.len(),
+                        "after" => after, "listed" => job.listed(),
                         "leaving" => node.is_leaving(),
                         "expired_ms" => lease.expired_for(now).map(|time| time.as_millis()),
                         "heads_age_ms" => lease.heads_age(now).map(|age| age.as_millis()));
                     return None;
                 }
-                () if now >= wait_until => return Some(Page::of(job.items.len(), after, &[])),
+                () if now >= wait_until => return Some(Page::of(job.head.items, after, &[])),
                 () => (job.changed.count(), job.changed.clone()),
             }
         };
@@ -191,27 +196,27 @@
 }
 
 async fn item_body(node: &Rc<Node>, id: &Name, entry: &VersionedHead, item: &str) -> Reply {
-    let missing = || Reply::error(404, "no such item");
-    let own = || node.jobs.own_job(id).map(|job| job.borrow().submission.clone());
-    let submission = if let Some(submission) = own() {
-        Ok(submission)
-    } else {
-        let Some(_reading) = node.job_reads.enter(BootClock.now() + MAX_WAIT).await else {
-            return store_unavailable();
-        };
-        // This node can have taken the job over meanwhile.
-        match own() {
-            Some(submission) => Ok(submission),
-            None => takeover::load_submission(node, id, &entry.head).await.map(Rc::new),
-        }
+    let found = |body: Bytes| Reply::new(200, "application/octet-stream", body);
+    let own = || {
+        let job = node.jobs.own_job(id)?;
+        let job = job.borrow();
+        let found = job.items.iter().find(|candidate| *candidate.request.id == *item);
+        found.map(|found| found.request.body.clone())
     };
-    match submission {
-        Ok(submission) => {
-            let found = submission.items.iter().find(|candidate| *candidate.id == *item);
-            found.map_or_else(missing, |found| {
-                Reply::new(200, "application/octet-stream", found.body.clone())
-            })
-        }
+    if let Some(body) = own() {
+        return found(body);
+    }
+    let Some(_reading) = node.job_reads.enter(BootClock.now() + MAX_WAIT).await else {
+        return store_unavailable();
+    };
+    // This node can have taken the job over meanwhile.
+    let body = match own() {
+        Some(body) => Ok(Some(body)),
+        None => part::find_body(node, id, &entry.head, item).await,
+    };
+    match body {
+        Ok(Some(body)) => found(body),
+        Ok(None) => Reply::error(404, "no such item"),
         Err(error) => {
             node.store_failed("spec", &error);
             store_unavailable()
--- a/crates/tamarackdock_gateway/src/batch/save.rs
+++ b/crates/tamarackdock_gateway/src/batch/save.rs
@@ -119,7 +119,7 @@
         let is_late = BootClock.now() >= until;
         if result.is_ok() || is_late {
             slog::info!(node.log, "job: hand-over finished"; "job" => &*id, "result" => ?result,
-                "listed" => job.borrow().results.len());
+                "listed" => job.borrow().listed());
             job.borrow_mut().close();
             return;
         }
--- a/crates/tamarackdock_gateway/src/batch/schedule.rs
+++ b/crates/tamarackdock_gateway/src/batch/schedule.rs
@@ -11,6 +11,7 @@
     estimate,
     job::{Job, Room},
     lifetime::{self, JobRoute},
+    part,
     placement::{self, Assignment, PlacementTarget, WaitingItem},
     run, score,
 };
@@ -33,6 +34,9 @@
 /// service has cold starts. A target can become cold without notice, and may then be sent
 /// few requests.
 const MAX_STARTS: u32 = 20;
+/// Most waiting items of a bulk job that are looked at together, several times as many as start at
+/// once.
+const MAX_WAITING: usize = 512;
 /// Interval of the checks for jobs that are out of time or whose route is gone.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -62,7 +66,7 @@
     if jobs.is_empty() {
         return false;
     }
-    let waiting = waiting_items(jobs, now);
+    let waiting = waiting_items(node, jobs, now);
     let has_later = jobs.iter().any(|job| job.borrow().next_start().is_some());
     if waiting.is_empty() {
         return has_later;
@@ -117,11 +121,19 @@
 }
 
 /// Returns the items of jobs that may start now.
-pub(crate) fn waiting_items(jobs: &[Rc<RefCell<Job>>], now: Instant) -> Vec<WaitingItem> {
+pub(crate) fn waiting_items(
+    node: &Node,
+    jobs: &[Rc<RefCell<Job>>],
+    now: Instant,
+) -> Vec<WaitingItem> {
     let mut waiting = Vec::new();
+    let targets = node.view.targets.borrow();
+    let slots = targets.iter().map(|target| target.registration.slots as usize).sum();
     for (index, job) in jobs.iter().enumerate() {
         let job = job.borrow();
-        waiting.extend(job.startable(now).map(|(item, job_item)| WaitingItem {
+        let is_bulk = part::is_bulk(job.head.items, slots) || job.is_split();
+        let most = if is_bulk { MAX_WAITING } else { usize::MAX };
+        waiting.extend(job.startable(now).take(most).map(|(item, job_item)| WaitingItem {
             job: index,
             item,
             carried: job_item.carried,
@@ -129,6 +141,7 @@
             made_by: job_item.progress.made_by().cloned(),
             refusals: job_item.refusals.count(),
             is_unfit: job_item.refusals.subject() == Subject::Request,
+            is_bulk,
         }));
     }
     waiting
@@ -242,12 +255,12 @@
         let route = JobRoute::of(&job.head, &deployment);
         job.max_failures = route.max_failures();
         let expiry = route.expiry(age);
-        let has_unfinished = job.items.len() > job.results.len() + job.uncommitted.len();
+        let has_unfinished = job.head.items > job.listed() + job.uncommitted.len();
         if let Some(expiry) = expiry.filter(|_| has_unfinished) {
             slog::info!(node.log, "job: unfinished items aborted"; "job" => &*job.id,
                 "reason" => ?expiry, "age_ms" => age.as_millis(),
                 "configuration" => deployment.version, "accepted_under" => job.head.deployment,
-                "listed" => job.results.len());
+                "listed" => job.listed());
             job.abort_unfinished();
         }
     }
--- a/crates/tamarackdock_gateway/src/batch/scoring.rs
+++ b/crates/tamarackdock_gateway/src/batch/scoring.rs
@@ -11,11 +11,11 @@
 use derive_more::{Display, Error};
 
 use super::{
-    Submission,
+    Item,
     backoff::{Backoff, REFUSED_PAUSE},
     rows,
 };
-use crate::deployment::Deployment;
+use crate::{call::fingerprint, deployment::Deployment};
 
 /// Slots of each target that scoring calls leave to other calls.
 pub(crate) const RESERVED_SLOTS: u32 = 1;
@@ -141,23 +141,27 @@
     NoRoute { item: String, host: String, path: String },
 }
 
-/// Checks the scoring calls of a job before it is accepted.
-pub(crate) fn validate(submission: &Submission, deployment: &Deployment) -> Result<(), Invalid> {
-    let mut ids = BTreeSet::new();
-    for item in &submission.items {
-        let Some(call) = &item.scoring else { continue };
+/// Checks the scoring calls of a job before it is accepted, item by item.
+#[derive(Debug, Default)]
+pub(crate) struct Checks {
+    /// Fingerprints of the ids so far. The ids themselves could take more memory than a node has.
+    ids: BTreeSet<u64>,
+}
+
+impl Checks {
+    pub(crate) fn check(&mut self, item: &Item, deployment: &Deployment) -> Result<(), Invalid> {
+        let Some(call) = &item.scoring else { return Ok(()) };
         let name = || item.id.to_string();
         match () {
-            () if !rows::is_valid_id(&call.id) => return Err(Invalid::Id { item: name() }),
-            () if !ids.insert(call.id.clone()) => {
-                return Err(Invalid::Repeated { item: name(), id: call.id.to_string() });
+            () if !rows::is_valid_id(&call.id) => Err(Invalid::Id { item: name() }),
+            () if !self.ids.insert(fingerprint(call.id.as_bytes())) => {
+                Err(Invalid::Repeated { item: name(), id: call.id.to_string() })
             }
             () if deployment.route(&call.host, &call.path).is_none() => {
                 let (host, path) = (call.host.clone(), call.path.clone());
-                return Err(Invalid::NoRoute { item: name(), host, path });
+                Err(Invalid::NoRoute { item: name(), host, path })
             }
-            () => {}
+            () => Ok(()),
         }
     }
-    Ok(())
 }
--- a/crates/tamarackdock_gateway/src/batch/submission.rs
+++ b/crates/tamarackdock_gateway/src/batch/submission.rs
@@ -1,6 +1,27 @@
 use bytes::Bytes;
 
-use crate::{deployment::Name, http::Headers};
+use super::job::JobItem;
+use crate::{deployment::Name, http::Headers, wire_format::DecodeError};
+
+/// Reads a batch job from the pieces of its text. Its items are passed on one by one, so that those
+/// that are not needed take no memory.
+pub trait SubmissionReader {
+    /// Passes over the next items without decoding them, except those that were to be passed over
+    /// before.
+    fn skip(&mut self, items: usize);
+    /// Reads the next piece, and passes on the items that end in it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DecodeError`] if the text is not a batch job.
+    fn read(&mut self, text: &[u8], take: &mut dyn FnMut(Item)) -> Result<(), DecodeError>;
+    /// Returns the job without its items, once all its text was read.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DecodeError`] if the text is not a batch job.
+    fn finish(&self) -> Result<Submission, DecodeError>;
+}
 
 /// A batch job as it is submitted.
 #[derive(Debug, Clone, PartialEq)]
@@ -61,7 +82,30 @@
 /// Memory that no text may exceed. A page of results has at most 1 MB.
 const MAX_TEXT_BYTES: u64 = 1024 * 1024;
 
+/// Memory of an item and of its allocations, besides their contents. An item is held twice, by its
+/// job and with the state of its runs.
+const ITEM_BYTES: usize = size_of::<Item>() + size_of::<JobItem>() + 8 * ALLOCATION_BYTES;
+/// Memory that an allocation takes besides its content, about.
+const ALLOCATION_BYTES: usize = 16;
+
 impl Item {
+    /// Returns about how many bytes of memory the item takes in a job that runs.
+    #[must_use]
+    pub fn memory(&self) -> usize {
+        let scoring = self.scoring.as_ref().map_or(0, |call| {
+            call.id.len() + 2 * (call.host.len() + call.path.len()) + call.body.len()
+        });
+        // Bodies and names are shared.
+        let copied = 2 * (self.path.len() + self.headers.memory());
+        ITEM_BYTES + self.id.len() + self.group.len() + self.body.len() + copied + scoring
+    }
+
+    /// Returns about how many bytes of memory a job takes, by the number of its items and the bytes
+    /// of its submission.
+    pub(crate) fn memory_of(items: usize, bytes: usize) -> usize {
+        items.saturating_mul(ITEM_BYTES).saturating_add(bytes)
+    }
+
     /// Returns the bytes of memory that the item's text may take. A target that sends more goes on
     /// without end.
     #[must_use]
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -1,7 +1,9 @@
 //! Acceptance of batch jobs, and their start on the node that owns them.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 
+use bytes::Bytes;
+use derive_more::{Display, From};
 use monoio::time::sleep;
 use tamarackdock_platform::{
     Error,
@@ -10,16 +12,19 @@
 use tamarackdock_types::clock::{BootClock, Clock};
 
 use super::{
-    Submission,
+    Item, Submission,
     access::Access,
     commit, end,
     index::{self, StartGuard, VersionedHead},
     job::Job,
     lifetime::JobRoute,
+    part::{self, Collector, Part},
     rows::{self, JobHead, Terms},
     save, schedule, scoring, takeover,
 };
-use crate::{call::Call, deployment::Name, node::Node, reply::Reply};
+use crate::{
+    call::Call, deployment::Name, node::Node, reply::Reply, turn::Turn, wire_format::DecodeError,
+};
 
 /// Most tries to write a head while the outcome of earlier ones is unknown.
 const MAX_TRIES: usize = 8;
@@ -47,17 +52,19 @@
         Some(entry) => return resubmission_reply(node, call, &id, &entry),
         None => {}
     }
-    let submission = match node.wire_format.submission(&call.request.body) {
-        Ok(submission) => submission,
-        Err(error) => return Reply::error(400, &error.to_string()),
-    };
-    if !submission.items.iter().all(|item| rows::is_valid_id(&item.id)) {
-        return Reply::error(400, "the id of an item has 1 to 64 letters, digits, `-` or `_`");
-    }
-    if let Err(error) = scoring::validate(&submission, &node.view.deployment()) {
-        slog::info!(node.log, "job: rejected"; "job" => &*id, "error" => %error);
-        return Reply::error(400, &error.to_string());
+    if !node.job_memory.has_room_for_head(node.jobs.heads().len()) {
+        slog::warn!(node.log, "job: refused, as there are too many"; "job" => &*id,
+            "jobs" => node.jobs.heads().len());
+        let message = "there are too many batch jobs; this one was not accepted";
+        return Reply::not_run(message, RETRY_AFTER);
     }
+    let checked = match check(node, &call.request.body).await {
+        Ok(checked) => checked,
+        Err(rejection) => {
+            slog::info!(node.log, "job: rejected"; "job" => &*id, "error" => %rejection);
+            return Reply::error(rejection.status(), &rejection.to_string());
+        }
+    };
     let Ok(text) = std::str::from_utf8(&call.request.body) else {
         return Reply::error(400, "the batch job is not valid UTF-8");
     };
@@ -68,7 +75,7 @@
         let message = "this node does not know the store's time; the batch job was not accepted";
         return Reply::not_run(message, RETRY_AFTER);
     };
-    let head = new_head(node, call, &submission, chunks.len(), accepted_ms).await;
+    let head = new_head(node, call, &checked, chunks.len(), accepted_ms).await;
     // The feed may deliver the head before the store's answer to the write arrives.
     let guard = node.jobs.mark_starting(&id);
     match write_job(node, &id, &head, &chunks).await {
@@ -81,7 +88,7 @@
             index::notify_owner(node, &id, &entry);
             node.jobs.update_head(&id, entry);
             if head.owner.as_ref() == Some(&node.members.own) {
-                start(node, id, head, revision, Rc::new(submission), guard);
+                start(node, id, VersionedHead { head, revision }, checked.part, guard);
             }
             Reply::empty(202)
         }
@@ -112,13 +119,94 @@
     }
 }
 
+/// The reason why a batch job can't be accepted, now or later.
+#[derive(Debug, Display, From)]
+enum Rejection {
+    /// It is not a batch job.
+    #[display("{_0}")]
+    Malformed(DecodeError),
+    /// An item can't be named in a key.
+    #[display("the id of an item has 1 to 64 letters, digits, `-` or `_`")]
+    #[from(skip)]
+    ItemId,
+    /// A scoring call can't be made.
+    #[display("{_0}")]
+    Scoring(scoring::Invalid),
+    /// Its results can't be numbered.
+    #[display("a batch job has at most {} items; submit several", part::MAX_JOB_ITEMS)]
+    #[from(skip)]
+    TooManyItems,
+}
+
+impl Rejection {
+    /// Returns the status of the answer.
+    fn status(&self) -> u16 {
+        match self {
+            Self::Malformed(_) | Self::ItemId | Self::Scoring(_) => 400,
+            Self::TooManyItems => 413,
+        }
+    }
+}
+
+/// A batch job that can be accepted.
+struct Checked {
+    /// The job with all its items, if this node has memory for them.
+    part: Option<Part>,
+    /// The job without its items.
+    outline: Submission,
+    /// Number of items.
+    items: usize,
+    /// Estimated output tokens of all items.
+    work: u64,
+}
+
+/// Reads a submitted job, and keeps its items if there is memory for all of them. Otherwise the owner
+/// reads them from the store in parts.
+async fn check(node: &Rc<Node>, body: &Bytes) -> Result<Checked, Rejection> {
+    let allowance = node.job_memory.allowance(Item::memory_of(0, body.len())).unwrap_or_default();
+    let mut collector = Collector::new(&node.job_memory, allowance, 0, BTreeSet::new());
+    let mut reader = node.wire_format.submission_reader();
+    let mut calls = scoring::Checks::default();
+    let mut work = 0_u64;
+    let mut turn = Turn::default();
+    for piece in body.chunks(part::READ_BYTES) {
+        let mut rejection = None;
+        let deployment = node.view.deployment();
+        let mut take = |item: Item| {
+            let checked = match () {
+                () if !rows::is_valid_id(&item.id) => Err(Rejection::ItemId),
+                () => calls.check(&item, &deployment).map_err(Rejection::Scoring),
+            };
+            rejection = rejection.take().or(checked.err());
+            work = work.saturating_add(item.estimated_tokens());
+            collector.offer(item);
+        };
+        reader.read(piece, &mut take)?;
+        match rejection {
+            Some(rejection) => return Err(rejection),
+            None if collector.seen() > part::MAX_JOB_ITEMS => return Err(Rejection::TooManyItems),
+            None => {}
+        }
+        if collector.is_full() {
+            collector.release();
+        }
+        turn.pause_if_over().await;
+    }
+    let outline = reader.finish()?;
+    let items = collector.seen();
+    let is_whole = !collector.is_full();
+    let part = is_whole.then(|| collector.finish(outline.clone()));
+    Ok(Checked { part, outline, items, work })
+}
+
 async fn new_head(
     node: &Node,
     call: &Call,
-    submission: &Submission,
+    checked: &Checked,
     chunks: usize,
     accepted_ms: i64,
 ) -> JobHead {
+    let submission = &checked.outline;
     let key = format!("{:?}/{:?}", call.account, submission.model);
     let owner = takeover::choose_owner(node, &key).await;
     JobHead {
@@ -129,9 +217,9 @@
         step: submission.step,
         accepted_ms,
         deployment: node.view.deployment().version,
-        items: submission.items.len(),
+        items: checked.items,
         chunks,
-        work: submission.work(),
+        work: checked.work,
         owner,
         epoch: 1,
         ended: false,
@@ -145,16 +233,20 @@
 /// Returns the revision of the head.
 async fn write_job(node: &Node, id: &str, head: &JobHead, chunks: &[&str]) -> Result<u64, Error> {
     let key = rows::head_key(id);
-    let specs = chunks.iter().enumerate().map(|(chunk, text)| Write {
-        key: rows::submission_key(id, Some(chunk)),
-        value: Some((*text).into()),
-    });
-    let mut batches = end::split_writes(specs.collect());
-    let mut last = batches.pop().unwrap_or_default();
-    for writes in batches {
-        // Without the head there is no job, whether or not these rows were written. So
-        // any error means that the job was not accepted.
-        node.commit(Vec::new(), writes).await.map_err(|_| Error::Unreachable)?;
+    // One transaction is prepared at a time, as a job can be large.
+    let mut last = Vec::new();
+    let mut bytes = 0;
+    for (chunk, text) in chunks.iter().enumerate() {
+        bytes += text.len();
+        if !last.is_empty() && bytes > end::MAX_COMMIT_BYTES {
+            // Without the head there is no job, whether or not these rows were written. So
+            // any error means that the job was not accepted.
+            let writes = std::mem::take(&mut last);
+            node.commit(Vec::new(), writes).await.map_err(|_| Error::Unreachable)?;
+            bytes = text.len();
+        }
+        let key = rows::submission_key(id, Some(chunk));
+        last.push(Write { key, value: Some((*text).into()) });
     }
     last.push(Write { key: key.clone(), value: Some(head.encode()) });
     let conditions = vec![Condition { key, revision: 0 }];
@@ -192,15 +284,27 @@
     }
 }
 
-/// Starts the tasks of a job that this node owns.
-pub(crate) fn start(
+/// Starts a job that this node has accepted and owns, from memory if it has all items.
+fn start(node: &Rc<Node>, id: Name, entry: VersionedHead, part: Option<Part>, guard: StartGuard) {
+    match part {
+        Some(part) => {
+            let job = create(node, id, entry, part);
+            run(node, &job, guard);
+        }
+        None => {
+            monoio::spawn(takeover::receive(node.clone(), id, entry, guard));
+        }
+    }
+}
+
+/// Creates the state of a job, or of a part of it, that this node owns.
+pub(crate) fn create(
     node: &Rc<Node>,
     id: Name,
-    head: JobHead,
-    revision: u64,
-    submission: Rc<Submission>,
-    guard: StartGuard,
+    entry: VersionedHead,
+    part: Part,
 ) -> Rc<RefCell<Job>> {
+    let VersionedHead { head, revision } = entry;
     let now = BootClock.now();
     let age = head.age(node.store_clock.earliest(now));
     slog::info!(node.log, "job: started"; "job" => &*id, "revision" => revision,
@@ -209,13 +313,21 @@
         now.as_millis().saturating_sub(u64::try_from(age.as_millis()).unwrap_or_default()),
     );
     let max_failures = JobRoute::of(&head, &node.view.deployment()).max_failures();
-    let job = Job::new(id, head, revision, submission, accepted, max_failures);
-    let job = Rc::new(RefCell::new(job));
+    let submission = Rc::new(part.submission);
+    let mut job = Job::new(id, head, revision, submission, accepted, max_failures);
+    job.next_item = part.next;
+    job.memory = Some(part.memory);
+    job.max_result_bytes = node.job_memory.results();
+    Rc::new(RefCell::new(job))
+}
+
+/// Starts the tasks of a job.
+pub(crate) fn run(node: &Rc<Node>, job: &Rc<RefCell<Job>>, guard: StartGuard) {
     monoio::spawn(commit::run(node.clone(), job.clone()));
     monoio::spawn(save::run(node.clone(), job.clone()));
     monoio::spawn(schedule::expire(node.clone(), job.clone()));
+    monoio::spawn(part::run(node.clone(), job.clone()));
     monoio::spawn(carry_over_and_schedule(node.clone(), job.clone(), guard));
-    job
 }
 
 /// Gives the job the text that earlier jobs of the trainer left, then makes its items
--- a/crates/tamarackdock_gateway/src/batch/takeover.rs
+++ b/crates/tamarackdock_gateway/src/batch/takeover.rs
@@ -1,17 +1,23 @@
 //! Choice of the node that owns a batch job, take-over of jobs whose owner is gone, and
 //! reuse of the text that earlier owners and jobs have saved.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use monoio::time::{sleep, timeout};
-use tamarackdock_platform::Error;
+use tamarackdock_platform::{Error, table::Row};
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
 use super::{
-    commit, end,
-    index::VersionedHead,
+    Item, end,
+    index::{StartGuard, VersionedHead},
     job::Job,
     lease,
+    part::{self, Known, Listed, Part},
     progress::{self, Progress},
     rows::{self, JobHead},
     submit,
@@ -160,6 +166,10 @@
             orphans.remove(&id);
             if is_run_by_owner(&node, &id, owner).await {
                 confirmed.insert(id, BootClock.now());
+            } else if !part::has_room(&node, &entry.head) {
+                // Another node may have memory for it.
+                slog::debug!(node.log, "job: not taken over for lack of memory"; "job" => &*id,
+                    "used" => node.job_memory.used());
             } else {
                 take_over(&node, &id, entry).await;
             }
@@ -229,14 +239,17 @@
 }
 
 /// Starts a job that another node has accepted with this node as its owner.
-pub(crate) async fn receive(node: Rc<Node>, id: Name, entry: VersionedHead) {
+pub(crate) async fn receive(node: Rc<Node>, id: Name, entry: VersionedHead, guard: StartGuard) {
     let (head, revision) = (entry.head, entry.revision);
-    let guard = node.jobs.mark_starting(&id);
-    match load_submission(&node, &id, &head).await {
-        Ok(submission) => {
+    match part::load(&node, &id, &head, Known::default).await {
+        Ok(Some(part)) => {
             slog::info!(node.log, "job: received"; "job" => &*id, "revision" => revision);
-            submit::start(&node, id, head, revision, Rc::new(submission), guard);
+            let entry = VersionedHead { head, revision };
+            let job = submit::create(&node, id, entry, part);
+            submit::run(&node, &job, guard);
         }
+        // Another node owns the job, or it was ended while it waited for memory.
+        Ok(None) => {}
         // `find_orphans` soon returns this job, since this node owns it but does not run it.
         Err(error) => node.store_failed("receive", &error),
     }
@@ -255,28 +268,23 @@
         let revision = end::write_head(node, id, &head, entry.revision).await?;
         node.jobs.update_head(id, VersionedHead { head: head.clone(), revision });
         observed::query(node);
-        let submission = load_submission(node, id, &head).await?;
-        let mut results = Vec::new();
-        loop {
-            let more = commit::read_results(node, id, results.len()).await?;
-            if more.is_empty() {
-                break;
-            }
-            results.extend(more);
-        }
-        let texts = read_progress(node, id).await?;
-        let submission = Rc::new(submission);
-        let job = submit::start(node, id.clone(), head.clone(), revision, submission, guard);
-        let mut job = job.borrow_mut();
-        for (item, text) in texts {
-            job.restore(&item, text, false);
+        let listed = part::read_listed(node, id).await?;
+        let known = Known { finished: listed.finished.clone(), ..Known::default() };
+        let part = part::try_load(node, id, &head, known).await?;
+        let entry = VersionedHead { head: head.clone(), revision };
+        let count = listed.first + listed.results.len();
+        let (node, id) = (node.clone(), id.clone());
+        let is_waiting = part.is_none();
+        match part {
+            Some(part) => restore(&node, &id, entry, listed, part, guard).await?,
+            None => drop(monoio::spawn(restore_later(node, id, entry, listed, guard))),
         }
-        job.add_stored_results(results);
-        Ok::<usize, Error>(job.results.len())
+        Ok::<(usize, bool), Error>((count, is_waiting))
     };
     match taken.await {
-        Ok(listed) => slog::info!(node.log, "job: taken over"; "job" => &**id,
-            "from" => before, "epoch" => head.epoch, "listed" => listed),
+        Ok((listed, is_waiting)) => slog::info!(node.log, "job: taken over"; "job" => &**id,
+            "from" => before, "epoch" => head.epoch, "listed" => listed,
+            "waits_for_memory" => is_waiting),
         Err(error) => {
             slog::warn!(node.log, "job: not taken over"; "job" => &**id,
                 "from" => before, "error" => %error);
@@ -288,29 +296,76 @@
     }
 }
 
-/// Reads the submission of a job from the store.
-pub(crate) async fn load_submission(
-    node: &Node,
-    id: &str,
-    head: &JobHead,
-) -> Result<super::Submission, Error> {
-    let mut text = String::new();
-    let mut next = 0;
-    while next < head.chunks {
-        let from = rows::submission_key(id, Some(next));
-        let chunks = node.store.range(rows::submission_key(id, None), from).await?;
-        if chunks.is_empty() {
-            return Err(Error::Malformed);
+/// Starts a job that this node has taken over, with its results and saved texts.
+async fn restore(
+    node: &Rc<Node>,
+    id: &Name,
+    entry: VersionedHead,
+    listed: Listed,
+    part: Part,
+    guard: StartGuard,
+) -> Result<(), Error> {
+    let texts = read_progress(node, id, &item_ids(&part.submission.items)).await?;
+    let job = submit::create(node, id.clone(), entry, part);
+    {
+        let mut job = job.borrow_mut();
+        for (item, text) in texts {
+            job.restore(&item, text, false);
         }
-        next += chunks.len();
-        text.extend(chunks.iter().map(|row| row.value.as_str()));
+        job.mark_listed(&listed.finished);
+        let results = listed.results.into_iter().map(Rc::new).collect();
+        job.continue_listing(listed.first, results);
     }
-    node.wire_format.submission(text.as_bytes()).map_err(|_| Error::Malformed)
+    submit::run(node, &job, guard);
+    Ok(())
 }
 
-/// Reads the saved text of a job's items from the store, by id.
-async fn read_progress(node: &Node, id: &str) -> Result<BTreeMap<String, Progress>, Error> {
-    let stored = node.read_prefix(rows::progress_key(id, "")).await?;
+/// Does the same once there is memory for the job, so that others are taken over meanwhile.
+async fn restore_later(
+    node: Rc<Node>,
+    id: Name,
+    entry: VersionedHead,
+    listed: Listed,
+    guard: StartGuard,
+) {
+    let known = || Known { finished: listed.finished.clone(), ..Known::default() };
+    let restored = match part::load(&node, &id, &entry.head, known).await {
+        Ok(Some(part)) => restore(&node, &id, entry, listed, part, guard).await,
+        Ok(None) => Ok(()),
+        Err(error) => Err(error),
+    };
+    // `find_orphans` soon returns this job, since this node owns it but does not run it.
+    if let Err(error) = restored {
+        node.store_failed("restore", &error);
+    }
+}
+
+/// Returns the ids of items.
+fn item_ids<'a>(items: impl IntoIterator<Item = &'a Item>) -> BTreeSet<Name> {
+    items.into_iter().map(|item| item.id.clone()).collect()
+}
+
+/// Reads the saved text of some of a job's items from the store, by id. A job that ran in parts has
+/// left the text of many others.
+async fn read_progress(
+    node: &Node,
+    id: &str,
+    items: &BTreeSet<Name>,
+) -> Result<BTreeMap<String, Progress>, Error> {
+    let prefix = rows::progress_key(id, "");
+    let is_of_item = |row: &Row| {
+        let rest = row.key.strip_prefix(&prefix).unwrap_or_default();
+        items.contains(rest.split('/').next().unwrap_or_default())
+    };
+    let mut stored = Vec::new();
+    let mut from = prefix.clone();
+    loop {
+        let page = node.store.range(prefix.clone(), from).await?;
+        // The first possible key behind the last one.
+        let Some(last) = page.last() else { break };
+        from = format!("{}\0", last.key);
+        stored.extend(page.into_iter().filter(is_of_item));
+    }
     Ok(progress::join_segments(id, &stored))
 }
 
@@ -318,10 +373,14 @@
 /// ids.
 pub(crate) async fn carry_over(node: &Rc<Node>, job: &Rc<RefCell<Job>>) {
     let earlier = earlier_jobs(node, &job.borrow());
+    if earlier.is_empty() {
+        return;
+    }
+    let items = item_ids(&job.borrow().submission.items);
     for (id, head) in earlier {
         let texts = match node.jobs.own_job(&id) {
             Some(own) => unfinished_texts(&own.borrow()),
-            None => match timeout(CARRY_TIMEOUT, read_progress(node, &id)).await {
+            None => match timeout(CARRY_TIMEOUT, read_progress(node, &id, &items)).await {
                 Ok(Ok(texts)) => texts,
                 Ok(Err(error)) => {
                     node.store_failed("carry", &error);
--- a/crates/tamarackdock_gateway/src/batch/tests/finish.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/finish.rs
@@ -326,6 +326,7 @@
                 made_by: None,
                 refusals: 0,
                 is_unfit: false,
+                is_bulk: false,
             })
             .collect();
         if waiting.is_empty() {
--- a/crates/tamarackdock_gateway/src/batch/tests/mod.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/mod.rs
@@ -8,6 +8,7 @@
 mod lease;
 mod lifetime;
 mod migrate;
+mod part;
 mod placement;
 mod progress;
 mod rows;
--- a/crates/tamarackdock_gateway/src/batch/tests/placement.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/placement.rs
@@ -110,6 +110,7 @@
             made_by: None,
             refusals: 0,
             is_unfit: false,
+            is_bulk: false,
         });
         for (item, target) in policy(waiting.collect(), &mut targets) {
             started[item.item] = true;
@@ -156,6 +157,7 @@
         made_by: None,
         refusals: 0,
         is_unfit: false,
+        is_bulk: false,
     }
 }
 
@@ -206,6 +208,15 @@
     assert_eq!(order(vec![unfit, waiting(1, 0, false, 10), waiting(2, 1, false, 10)]), [1, 2, 0]);
 }
 
+/// Guards against a step that waits for another client's job of very many items.
+#[test]
+fn items_of_jobs_that_run_in_parts_go_after_steps() {
+    let split = |item, job| WaitingItem { is_bulk: true, ..waiting(item, job, true, 900) };
+    let unfit = WaitingItem { is_unfit: true, ..waiting(3, 0, true, 900) };
+    let items = vec![split(0, 0), split(1, 0), unfit, waiting(2, 1, false, 10)];
+    assert_eq!(order(items), [2, 0, 1, 3]);
+}
+
 /// Guards against items on targets that are full, cold, to be avoided or without the
 /// weights of the job.
 #[test]
--- a/crates/tamarackdock_gateway/src/batch/tests/scoring.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/scoring.rs
@@ -1,11 +1,11 @@
 use std::time::Duration;
 
-use super::{at, event, head, item, job, scored_item};
+use super::{at, event, item, job, scored_item};
 use crate::{
     batch::{
-        ItemOutcome, ScoringCall, Submission,
+        ItemOutcome, ScoringCall,
         job::{Job, Phase, RunOutcome},
-        scoring::{self, Invalid, Next, Outcome, Scoring, WaitingCall, admit},
+        scoring::{Checks, Invalid, Next, Outcome, Scoring, WaitingCall, admit},
     },
     deployment::{CallKind, Deployment, Route},
 };
@@ -163,11 +163,10 @@
 #[test]
 fn jobs_with_unusable_scoring_calls_are_rejected() {
     let with = |change: fn(&mut ScoringCall)| {
-        let mut items = vec![scored_item("a", "g"), scored_item("b", "g"), item("c", "g", 1)];
+        let mut items = [scored_item("a", "g"), scored_item("b", "g"), item("c", "g", 1)];
         change(items[1].scoring.as_mut().unwrap());
-        let wanted_groups = head(items.len()).items;
-        let submission = Submission { model: None, step: 0, min_version: 0, wanted_groups, items };
-        scoring::validate(&submission, &deployment())
+        let mut checks = Checks::default();
+        items.iter().try_for_each(|item| checks.check(item, &deployment()))
     };
     assert_eq!(with(|_| ()), Ok(()));
     let b = || "b".to_owned();
--- a/crates/tamarackdock_gateway/src/batch/tests/share.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/share.rs
@@ -127,6 +127,7 @@
             made_by: None,
             refusals: 0,
             is_unfit: false,
+            is_bulk: false,
         }));
     }
     if order == Order::Baseline {
--- a/crates/tamarackdock_gateway/src/dump.rs
+++ b/crates/tamarackdock_gateway/src/dump.rs
@@ -39,8 +39,8 @@
         .map(|job| {
             let job = job.borrow();
             json!({
-                "id": &*job.id, "step": job.head.step, "items": job.items.len(),
-                "listed": job.results.len(), "epoch": job.head.epoch,
+                "id": &*job.id, "step": job.head.step, "items": job.head.items,
+                "loaded": job.items.len(), "listed": job.listed(), "epoch": job.head.epoch,
             })
         })
         .collect();
--- a/crates/tamarackdock_gateway/src/explain/job.rs
+++ b/crates/tamarackdock_gateway/src/explain/job.rs
@@ -45,7 +45,7 @@
     let now = BootClock.now();
     let (targets, registrations) = schedule::placement_targets(node, jobs, now);
     let mut after = targets.clone();
-    let waiting = schedule::waiting_items(jobs, now);
+    let waiting = schedule::waiting_items(node, jobs, now);
     let Assignment { placed, unplaced } =
         schedule::assign_items(node, jobs, waiting, &mut after, now);
     let job = jobs[index].borrow();
--- a/crates/tamarackdock_gateway/src/http/budget.rs
+++ b/crates/tamarackdock_gateway/src/http/budget.rs
@@ -51,6 +51,16 @@
         self.0.used.set(self.0.used.get().saturating_sub(bytes));
     }
 
+    /// Returns the number of bytes of the budget.
+    pub(crate) fn size(&self) -> usize {
+        self.0.bytes
+    }
+
+    /// Returns the number of bytes that are used.
+    pub(crate) fn used(&self) -> usize {
+        self.0.used.get()
+    }
+
     /// Returns whether at most half of the budget is used.
     pub(crate) fn is_half_free(&self) -> bool {
         self.0.used.get() <= self.0.bytes / 2
@@ -66,6 +76,11 @@
         }
         fits
     }
+
+    /// Returns all bytes to the budget.
+    pub(crate) fn release(&mut self) {
+        self.budget.give(std::mem::take(&mut self.bytes));
+    }
 }
 
 impl Drop for Reservation {
--- a/crates/tamarackdock_gateway/src/lib.rs
+++ b/crates/tamarackdock_gateway/src/lib.rs
@@ -50,6 +50,7 @@
 mod silence;
 mod stop;
 mod stream;
+mod turn;
 mod view;
 
 pub use node::{Node, StartError};
--- a/crates/tamarackdock_gateway/src/node.rs
+++ b/crates/tamarackdock_gateway/src/node.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     balance::TargetLoads,
-    batch::{self, index::JobIndex},
+    batch::{self, index::JobIndex, part},
     callers::{self, Callers},
     clock::{StoreClock, unix_millis},
     continuation::{self, Beginnings, Ledger, Stored},
@@ -65,6 +65,8 @@
 /// Bytes that requests may use besides, so that the heads of others do not refuse a body that is as
 /// large as that part.
 const REQUEST_BUDGET_MARGIN: usize = 1024 * 1024;
+/// Part of the memory limit that batch jobs may use which this node runs.
+const JOB_BUDGET_DIVISOR: usize = 4;
 /// Part of the memory limit that the bodies of incomplete responses may use.
 const RESPONSE_BUDGET_DIVISOR: usize = 10;
 
@@ -134,6 +136,8 @@
     pub(crate) request_budget: Budget,
     /// Bytes of responses of targets that are being received.
     pub(crate) response_budget: Budget,
+    /// Memory of the batch jobs that this node runs.
+    pub(crate) job_memory: part::Memory,
     /// Reads of batch jobs from the store for callers.
     pub(crate) job_reads: Gate,
     /// Open connections of all listeners.
@@ -240,6 +244,7 @@
             output,
             request_budget,
             response_budget: Budget::new(memory / RESPONSE_BUDGET_DIVISOR),
+            job_memory: part::Memory::new(memory / JOB_BUDGET_DIVISOR),
             job_reads: Gate::new(MAX_JOB_READS),
             connections: Counter::default(),
             calls: Counter::default(),
@@ -471,6 +476,7 @@
             .deployment
             .set(i64::try_from(node.view.deployment().version).unwrap_or(i64::MAX));
         node.metrics.jobs.set(gauge(node.jobs.open_jobs().len()));
+        node.metrics.job_bytes.set(gauge(node.job_memory.used()));
     }
 }
 
--- a/crates/tamarackdock_gateway/src/telemetry.rs
+++ b/crates/tamarackdock_gateway/src/telemetry.rs
@@ -159,6 +159,8 @@
     pub(crate) callers: CallerMetrics,
     /// Batch jobs that this node runs.
     pub(crate) jobs: IntGauge,
+    /// Bytes that their items take.
+    pub(crate) job_bytes: IntGauge,
     /// Version of the configuration in force.
     pub(crate) deployment: IntGauge,
     /// Log lines dropped because standard output was slow.
@@ -281,6 +283,7 @@
             )?,
             callers: CallerMetrics::new(&registry)?,
             jobs: register(&registry, IntGauge::new("tamarackdock_jobs", "Batch jobs run here.")?)?,
+            job_bytes: gauge(&registry, "job_bytes", "Memory of batch jobs run here, in bytes.")?,
             deployment: register(
                 &registry,
                 IntGauge::new("tamarackdock_deployment_version", "Configuration in force.")?,
--- a/crates/tamarackdock_gateway/src/tests/explain.rs
+++ b/crates/tamarackdock_gateway/src/tests/explain.rs
@@ -93,6 +93,7 @@
         made_by: made_by.map(|version| Software { service: "llm".into(), version: version.into() }),
         refusals: 0,
         is_unfit: false,
+        is_bulk: false,
     };
     let avoided = PlacementTarget { is_avoided: true, ..target("v1", 8, 9) };
     let targets = [target("v1", 8, 9), target("v1", 0, 0), avoided];
--- a/crates/tamarackdock_gateway/src/wire_format.rs
+++ b/crates/tamarackdock_gateway/src/wire_format.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error};
 
 use crate::{
-    batch::{Page, Submission},
+    batch::{Page, Submission, SubmissionReader},
     deployment::{Deployment, Name, PublishedWeights},
     http::Headers,
     target::Registration,
@@ -145,12 +145,19 @@
     fn fields(&self) -> HeaderFields;
     /// Recognizes a call about an existing batch job by method and request target.
     fn batch_call(&self, method: &str, target: &str) -> Option<BatchCall>;
-    /// Decodes a submitted batch job.
+    /// Creates a reader of a submitted batch job.
+    fn submission_reader(&self) -> Box<dyn SubmissionReader>;
+    /// Decodes a submitted batch job with all its items.
     ///
     /// # Errors
     ///
     /// Returns [`DecodeError`] if the body is not a batch job.
-    fn submission(&self, body: &[u8]) -> Result<Submission, DecodeError>;
+    fn submission(&self, body: &[u8]) -> Result<Submission, DecodeError> {
+        let mut reader = self.submission_reader();
+        let mut items = Vec::new();
+        reader.read(body, &mut |item| items.push(item))?;
+        Ok(Submission { items, ..reader.finish()? })
+    }
     /// Encodes a page of results.
     fn page(&self, page: &Page) -> Vec<u8>;
     /// Decodes a row of the operators' table.
--- a/crates/tamarackdock_node/tests/gateway.rs
+++ b/crates/tamarackdock_node/tests/gateway.rs
@@ -30,6 +30,8 @@
 mod outlook;
 #[path = "gateway/ownership.rs"]
 mod ownership;
+#[path = "gateway/parts.rs"]
+mod parts;
 #[path = "gateway/public_jobs.rs"]
 mod public_jobs;
 #[path = "gateway/releases.rs"]
--- a/crates/tamarackdock_node/tests/untrusted.rs
+++ b/crates/tamarackdock_node/tests/untrusted.rs
@@ -52,6 +52,15 @@
 const PAGE_ID_BYTES: usize = 48;
 /// Bytes of results from which on pages are read.
 const PAGE_BYTES: usize = 500_000;
+/// Jobs of many small items, and the items of each. Each job has 3.5 MB.
+const SMALL_ITEM_JOBS: usize = 3;
+const SMALL_ITEMS: usize = 40_000;
+/// Jobs of few large items, and the items of each. Each job has 4.8 MB.
+const LARGE_ITEM_JOBS: usize = 6;
+const LARGE_ITEMS: usize = 400;
+const LARGE_ITEM_BYTES: usize = 9_000;
+/// Most bytes of a request, as the configuration of these tests allows.
+const BODY_BYTES: u64 = 8 * 1024 * 1024;
 /// Connections of clients that send nothing.
 const IDLE_CONNECTIONS: usize = 700;
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -63,6 +72,9 @@
 /// Time until an ordinary request must be answered. It is many times what the tests need.
 const RECOVERY_BOUND: Duration = Duration::from_secs(30);
 
+/// Time in which a configuration is in force.
+const CONFIGURATION_TIME: Duration = Duration::from_secs(2);
+
 /// The crowds of two tests at the same time would take each other's processor.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
@@ -217,15 +229,47 @@
 /// Submits a job whose only item has a large body and never starts, as its weights are not
 /// published.
 fn submit_waiting_job(address: SocketAddr, job: &str) {
-    let request = raw::waiting_job(job, KEY, ITEM_BYTES);
+    submit(address, &raw::waiting_job(job, KEY, ITEM_BYTES));
+}
+
+/// Submits a job that must be accepted.
+fn submit(address: SocketAddr, request: &str) {
     let mut stream = TcpStream::connect(address).unwrap();
-    stream.set_read_timeout(Some(CLIENT_TIMEOUT)).unwrap();
+    stream.set_read_timeout(Some(RECOVERY_BOUND)).unwrap();
     stream.write_all(request.as_bytes()).unwrap();
     let mut answer = String::new();
     stream.read_to_string(&mut answer).unwrap();
     assert!(answer.starts_with("HTTP/1.1 202"), "{answer}");
 }
 
+/// Submits jobs that a process can't hold at the same time, and checks that it lives, runs their
+/// items, and completes the job of another client beside them.
+fn check_large_jobs(name: &str, jobs: usize, items: usize, bytes: usize) {
+    let mut target = Target::start(name, MANY_DESCRIPTORS);
+    target.cluster.store.allow_bodies(BODY_BYTES);
+    target.cluster.configure(true);
+    target.cluster.store.publish(1);
+    thread::sleep(CONFIGURATION_TIME);
+    let ids: Vec<String> = (0..jobs).map(|job| format!("{name}-{job}")).collect();
+    for id in &ids {
+        submit(target.address(), &raw::job_of_items(id, KEY, items, bytes));
+    }
+    let mut client = Client::new(KEY, CLIENT_TIMEOUT);
+    let small: Vec<_> = (0..16).map(|item| (format!("small-{item}"), "g".to_owned())).collect();
+    assert_eq!(client.submit(target.address(), "small", 2, 1, &small).status(), 202);
+    target.check(MANY_DESCRIPTORS);
+    let until = Instant::now() + RECOVERY_BOUND;
+    let mut listed = |job: &str, wanted: usize| {
+        let outcome = client.listed_results(target.address(), job, wanted - 1);
+        outcome.status() == 200 && !outcome.json()["results"].as_array().unwrap().is_empty()
+    };
+    while !listed("small", small.len()) || !listed(&ids[0], 1) {
+        assert!(Instant::now() < until, "items do not run");
+        thread::sleep(Duration::from_millis(100));
+    }
+    target.check(MANY_DESCRIPTORS);
+}
+
 /// Guards against the rejection of a request that is within the limits, because of the number of
 /// its lines.
 #[test]
@@ -324,6 +368,19 @@
     drop(crowd);
 }
 
+/// Guards against a process that runs out of memory because accepted jobs have very many items, each
+/// of which takes far more memory than it has bytes.
+#[test]
+fn jobs_of_many_items_are_bounded() {
+    check_large_jobs("untrusted-many", SMALL_ITEM_JOBS, SMALL_ITEMS, 3);
+}
+
+/// Guards against the same by several jobs of large items, each of which the process could hold.
+#[test]
+fn jobs_of_large_items_are_bounded() {
+    check_large_jobs("untrusted-large", LARGE_ITEM_JOBS, LARGE_ITEMS, LARGE_ITEM_BYTES);
+}
+
 /// Guards against connections that take the descriptors for targets, the store and peers.
 #[test]
 fn idle_connections_leave_descriptors() {
