--- a/crates/tamarackdock_gateway/src/http/connection.rs
+++ b/crates/tamarackdock_gateway/src/http/connection.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{HeadEnd, HeadError, RequestHead};
-use crate::callers::Account;
+use crate::{callers::Account, turn::Turn};
 
 /// Buffer size of one read, in bytes. Events and most heads fit.
 const READ_SIZE: usize = 4 * 1024;
@@ -39,6 +39,8 @@
     /// How far the next head has arrived.
     head_end: HeadEnd,
     failure: WriteFailure,
+    /// Time for which bytes were there whenever they were asked for.
+    turn: Turn,
 }
 
 /// The sending half of a connection.
@@ -70,6 +72,7 @@
                 buffer: BytesMut::new(),
                 head_end: HeadEnd::default(),
                 failure: failure.clone(),
+                turn: Turn::default(),
             },
             writer: Writer { half: writer, sent: Rc::default(), failure, account: None },
         }
@@ -94,7 +97,7 @@
     /// would be taken for the response to the next request.
     #[must_use]
     pub fn is_reusable(&mut self) -> bool {
-        self.reader.buffer.is_empty() && self.reader.fill().now_or_never().is_none()
+        self.reader.buffer.is_empty() && self.reader.receive().now_or_never().is_none()
     }
 }
 
@@ -116,9 +119,26 @@
 
     /// Receives more bytes into the buffer. Returns `false` at the end of the stream, and an error
     /// if a write has failed by then, as the end may be that of a connection that broke.
+    ///
+    /// All loops over received bytes come here. While there are always bytes, other tasks and timers
+    /// run in between, so that a deadline ends the loop whatever the bytes are.
     pub(crate) async fn fill(&mut self) -> io::Result<bool> {
+        self.turn.pause_if_over().await;
+        self.receive().await
+    }
+
+    /// Receives like [`Self::fill`], without a pause.
+    async fn receive(&mut self) -> io::Result<bool> {
         let buffer = self.take_buffer();
-        let (result, bytes) = self.half.read(buffer).await;
+        let reading = self.half.read(buffer);
+        pin_mut!(reading);
+        let (result, bytes) = match poll_once(reading.as_mut()).await {
+            Poll::Ready(read) => read,
+            Poll::Pending => {
+                self.turn.end();
+                reading.await
+            }
+        };
         let count = result?;
         if self.buffer.is_empty() {
             self.buffer = bytes;
--- a/crates/tamarackdock_gateway/src/turn.rs
+++ b/crates/tamarackdock_gateway/src/turn.rs
@@ -36,7 +36,8 @@
     /// short.
     pub(crate) async fn pause_if_over(&mut self) {
         if self.is_over(BootClock.now()) {
-            sleep(PAUSE).await;
+            // Boxed, since most tasks never pause, and each of them would hold a timer.
+            Box::pin(sleep(PAUSE)).await;
             self.end();
         }
     }
--- a/crates/tamarackdock_node/tests/gateway/endless.rs
+++ b/crates/tamarackdock_node/tests/gateway/endless.rs
@@ -9,7 +9,7 @@
 use platform_standin::{
     Client, ENDLESS_PLACES, ORDER_PATH, ProxyMode, REPORT_PATH, STREAM_WITHOUT_END,
     script::{Answer, End},
-    send_without_end,
+    send_chunks_without_end, send_without_end,
 };
 
 use crate::{
@@ -23,6 +23,13 @@
 const MEMORY_MB: u64 = 160;
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time of a call with bytes without end, and of the calls beside it.
+const SMALL_CHUNKS_TIME: Duration = Duration::from_secs(5);
+/// Longest time for an answer: the time limit of the route and half a second.
+const ANSWER_BOUND: Duration = Duration::from_millis(2_500);
+/// Clients that send bodies without end, and clients that make calls beside them.
+const UPLOADS: usize = 12;
+const CALLERS: usize = 4;
 /// Time for which all answers of the store go on without end.
 const STORE_TIME: Duration = Duration::from_secs(4);
 /// Items whose streams go on without end at the same time.
@@ -203,3 +210,62 @@
     assert!(begun >= 8, "{begun} answers without end");
     assert_serves(&cluster);
 }
+
+/// Makes calls for some time, and returns the statuses of all of them, 0 for those that were not
+/// answered in time.
+fn call_beside(node: SocketAddr) -> Vec<u16> {
+    let until = Instant::now() + SMALL_CHUNKS_TIME;
+    let call = |caller: usize| {
+        let mut statuses = Vec::new();
+        while Instant::now() < until {
+            let id = format!("beside-{caller}-{}", statuses.len());
+            statuses.push(Client::new(KEY, ANSWER_BOUND).call(node, "/app/beside", &id).status());
+        }
+        statuses
+    };
+    thread::scope(|scope| {
+        let callers: Vec<_> =
+            (0..CALLERS).map(|caller| scope.spawn(move || call(caller))).collect();
+        callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
+    })
+}
+
+fn assert_all_answered(statuses: &[u16]) {
+    assert!(statuses.contains(&200), "{statuses:?}");
+    assert!(!statuses.contains(&0), "calls without an answer in time: {statuses:?}");
+}
+
+/// Guards against a process that answers nobody while it reads one answer: bytes are always there,
+/// and the bound on the body does not count the framing.
+#[test]
+fn small_chunks_without_end_hold_up_no_other_call() {
+    let cluster = Cluster::start("endless-chunks", 1, 0);
+    let node = cluster.addresses()[0];
+    thread::scope(|scope| {
+        let endless = scope.spawn(move || {
+            Client::new(KEY, CLIENT_TIMEOUT).call(node, "/app/endless/chunks", "chunks").status()
+        });
+        assert_all_answered(&call_beside(node));
+        assert!(matches!(endless.join().unwrap(), 0 | 502..=504));
+    });
+    assert_serves(&cluster);
+}
+
+/// Guards against the same by the bodies of clients.
+#[test]
+fn requests_of_small_chunks_hold_up_no_other_call() {
+    let mut cluster = Cluster::start("endless-uploads", 1, 0);
+    cluster.store.allow_bodies(1 << 30);
+    cluster.configure(true);
+    thread::sleep(Duration::from_secs(1));
+    let node = cluster.addresses()[0];
+    let until = Instant::now() + SMALL_CHUNKS_TIME;
+    thread::scope(|scope| {
+        for upload in 0..UPLOADS {
+            let id = format!("upload-{upload}");
+            scope.spawn(move || send_chunks_without_end(node, KEY, &id, until));
+        }
+        assert_all_answered(&call_beside(node));
+    });
+    assert_serves(&cluster);
+}
