--- a/crates/tamarackdock_gateway/src/batch/end.rs
+++ b/crates/tamarackdock_gateway/src/batch/end.rs
@@ -21,6 +21,8 @@
 /// Time for which a closed job stays in memory, as a later job of the trainer may repeat
 /// its groups.
 const CLOSED_JOB_TTL: Duration = Duration::from_secs(12);
+/// Interval of the checks whether its memory is needed.
+const CLOSED_JOB_CHECK: Duration = Duration::from_millis(500);
 /// Most tries to write the end of a job.
 const MAX_TRIES: usize = 3;
 /// Most bytes of values in a transaction of several rows.
@@ -68,12 +70,15 @@
 }
 
 /// Saves the text of unfinished items for later jobs if the job has `ended` and is kept, and
-/// removes the job from memory after some time.
+/// removes the job from memory after some time, or when others need the memory.
 async fn retire(node: Rc<Node>, job: Rc<RefCell<Job>>, ended: bool) {
     if ended {
         save::save(&node, &job, 1).await;
     }
-    sleep(CLOSED_JOB_TTL).await;
+    let until = BootClock.now() + CLOSED_JOB_TTL;
+    while BootClock.now() < until && !node.job_memory.is_scarce() {
+        sleep(CLOSED_JOB_CHECK).await;
+    }
     node.jobs.remove(&job);
 }
 
--- a/crates/tamarackdock_gateway/src/batch/part.rs
+++ b/crates/tamarackdock_gateway/src/batch/part.rs
@@ -92,6 +92,11 @@
         self.budget.size() / SMALL_DIVISOR
     }
 
+    /// Returns whether what is not needed should be dropped.
+    pub(crate) fn is_scarce(&self) -> bool {
+        !self.budget.is_half_free()
+    }
+
     /// Returns the bytes that loaded jobs take.
     pub(crate) fn used(&self) -> usize {
         self.budget.used()
--- a/crates/tamarackdock_gateway/src/batch/tests/part.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/part.rs
@@ -37,6 +37,7 @@
     assert_eq!(memory.allowance(200 * MB), Some(28 * MB));
     let mut reservation = memory.reserve_for_tests(27 * MB);
     assert_eq!(memory.allowance(200 * MB), None);
+    assert!(memory.is_scarce());
     assert_eq!(memory.allowance(MB), Some(5 * MB));
     assert!(reservation.grow(4 * MB + MB / 2));
     assert_eq!(memory.allowance(MB), None);
--- a/crates/tamarackdock_gateway/src/duty/plan.rs
+++ b/crates/tamarackdock_gateway/src/duty/plan.rs
@@ -153,23 +153,24 @@
     ideal: &BTreeMap<Name, f64>,
     assigned: &BTreeMap<Name, Name>,
 ) -> Option<Name> {
-    let count = |model: &Name| assigned.values().filter(|other| *other == model).count();
-    let idle = targets.iter().filter(|target| target.loading.is_none());
-    let spare = idle.filter_map(|target| {
-        let from = assigned.get(&target.id)?;
-        let keeps_another = count(from) > 1;
-        (keeps_another || !open.contains(from)).then_some((target, from, keeps_another))
-    });
-    let (target, ..) = spare.max_by(|left, right| {
-        let key = |(target, from, keeps_another): &(&PlanTarget, &Name, bool)| {
-            let (gain, loss) = (lag(target, to, published), lag(target, from, published));
-            (*keeps_another, surplus(from, ideal, assigned), Reverse(gain), loss, target.id.clone())
+    let keeps_another =
+        |model: &Name| assigned.values().filter(|other| *other == model).nth(1).is_some();
+    let idle = |model: &Name| {
+        let is_idle = |target: &&PlanTarget| {
+            target.loading.is_none() && assigned.get(&target.id) == Some(model)
         };
-        let (left, right) = (key(left), key(right));
-        let by_surplus = left.0.cmp(&right.0).then(left.1.total_cmp(&right.1));
-        by_surplus.then_with(|| (left.2, left.3, left.4).cmp(&(right.2, right.3, right.4)))
+        targets.iter().filter(is_idle).collect::<Vec<_>>()
+    };
+    let donors = ideal.keys().filter(|model| keeps_another(model) || !open.contains(*model));
+    let from = donors.filter(|model| !idle(model).is_empty()).max_by(|left, right| {
+        let by_surplus = surplus(left, ideal, assigned).total_cmp(&surplus(right, ideal, assigned));
+        keeps_another(left).cmp(&keeps_another(right)).then(by_surplus)
     })?;
-    Some(target.id.clone())
+    let cost = |target: &&PlanTarget| {
+        let loads = lag(target, to, published);
+        (loads, Reverse(lag(target, from, published)), Reverse(target.id.clone()))
+    };
+    idle(from).into_iter().min_by_key(cost).map(|target| target.id.clone())
 }
 
 /// Lets the models that got no target share one, on targets that serve the fewest models and need
