--- a/crates/tamarackdock_gateway/src/batch/mod.rs
+++ b/crates/tamarackdock_gateway/src/batch/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod job;
 pub(crate) mod lease;
 pub(crate) mod lifetime;
+pub(crate) mod load;
 pub(crate) mod migrate;
 pub(crate) mod part;
 pub(crate) mod placement;
--- a/crates/tamarackdock_gateway/src/batch/read.rs
+++ b/crates/tamarackdock_gateway/src/batch/read.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use tamarackdock_types::clock::{BootClock, Clock, Instant};
 
-use super::{Page, access::Access, commit, end, index::VersionedHead, part, rows};
+use super::{Page, access::Access, commit, end, index::VersionedHead, load, rows};
 use crate::{
     call::timeout_at,
     deployment::Name,
@@ -212,7 +212,7 @@
     // This node can have taken the job over meanwhile.
     let body = match own() {
         Some(body) => Ok(Some(body)),
-        None => part::find_body(node, id, &entry.head, item).await,
+        None => load::find_body(node, id, &entry.head, item).await,
     };
     match body {
         Ok(Some(body)) => found(body),
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -18,6 +18,7 @@
     index::{self, StartGuard, VersionedHead},
     job::Job,
     lifetime::JobRoute,
+    load,
     part::{self, Collector, Part},
     rows::{self, JobHead, Terms},
     save, schedule, scoring, takeover,
@@ -169,7 +170,7 @@
     let mut calls = scoring::Checks::default();
     let mut work = 0_u64;
     let mut turn = Turn::default();
-    for piece in body.chunks(part::READ_BYTES) {
+    for piece in body.chunks(load::READ_BYTES) {
         let mut rejection = None;
         let deployment = node.view.deployment();
         let mut take = |item: Item| {
@@ -326,7 +327,7 @@
     monoio::spawn(commit::run(node.clone(), job.clone()));
     monoio::spawn(save::run(node.clone(), job.clone()));
     monoio::spawn(schedule::expire(node.clone(), job.clone()));
-    monoio::spawn(part::run(node.clone(), job.clone()));
+    monoio::spawn(load::run_parts(node.clone(), job.clone()));
     monoio::spawn(carry_over_and_schedule(node.clone(), job.clone(), guard));
 }
 
--- a/crates/tamarackdock_gateway/src/batch/takeover.rs
+++ b/crates/tamarackdock_gateway/src/batch/takeover.rs
@@ -17,7 +17,8 @@
     index::{StartGuard, VersionedHead},
     job::Job,
     lease,
-    part::{self, Known, Listed, Part},
+    load::{self, Known, Listed},
+    part::Part,
     progress::{self, Progress},
     rows::{self, JobHead},
     submit,
@@ -166,7 +167,7 @@
             orphans.remove(&id);
             if is_run_by_owner(&node, &id, owner).await {
                 confirmed.insert(id, BootClock.now());
-            } else if !part::has_room(&node, &entry.head) {
+            } else if !load::has_room(&node, &entry.head) {
                 // Another node may have memory for it.
                 slog::debug!(node.log, "job: not taken over for lack of memory"; "job" => &*id,
                     "used" => node.job_memory.used());
@@ -241,7 +242,7 @@
 /// Starts a job that another node has accepted with this node as its owner.
 pub(crate) async fn receive(node: Rc<Node>, id: Name, entry: VersionedHead, guard: StartGuard) {
     let (head, revision) = (entry.head, entry.revision);
-    match part::load(&node, &id, &head, Known::default).await {
+    match load::load(&node, &id, &head, Known::default).await {
         Ok(Some(part)) => {
             slog::info!(node.log, "job: received"; "job" => &*id, "revision" => revision);
             let entry = VersionedHead { head, revision };
@@ -268,9 +269,9 @@
         let revision = end::write_head(node, id, &head, entry.revision).await?;
         node.jobs.update_head(id, VersionedHead { head: head.clone(), revision });
         observed::query(node);
-        let listed = part::read_listed(node, id).await?;
+        let listed = load::read_listed(node, id).await?;
         let known = Known { finished: listed.finished.clone(), ..Known::default() };
-        let part = part::try_load(node, id, &head, known).await?;
+        let part = load::try_load(node, id, &head, known).await?;
         let entry = VersionedHead { head: head.clone(), revision };
         let count = listed.first + listed.results.len();
         let (node, id) = (node.clone(), id.clone());
@@ -329,7 +330,7 @@
     guard: StartGuard,
 ) {
     let known = || Known { finished: listed.finished.clone(), ..Known::default() };
-    let restored = match part::load(&node, &id, &entry.head, known).await {
+    let restored = match load::load(&node, &id, &entry.head, known).await {
         Ok(Some(part)) => restore(&node, &id, entry, listed, part, guard).await,
         Ok(None) => Ok(()),
         Err(error) => Err(error),
--- a/crates/tamarackdock_gateway/src/batch/tests/part.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/part.rs
@@ -35,7 +35,8 @@
     let memory = Memory::new(32 * MB);
     assert_eq!(memory.allowance(MB), Some(32 * MB));
     assert_eq!(memory.allowance(200 * MB), Some(28 * MB));
-    let mut reservation = memory.reserve_for_tests(27 * MB);
+    let mut reservation = memory.reservation();
+    assert!(reservation.grow(27 * MB));
     assert_eq!(memory.allowance(200 * MB), None);
     assert!(memory.is_scarce());
     assert_eq!(memory.allowance(MB), Some(5 * MB));
