--- a/crates/tamarackdock_gateway/src/batch/end.rs
+++ b/crates/tamarackdock_gateway/src/batch/end.rs
@@ -26,7 +26,7 @@
 /// Most tries to write the end of a job.
 const MAX_TRIES: usize = 3;
 /// Most bytes of values in a transaction of several rows.
-pub(crate) const MAX_COMMIT_BYTES: usize = 400 * 1024;
+const MAX_COMMIT_BYTES: usize = 400 * 1024;
 /// Most rows in one transaction.
 const MAX_COMMIT_ROWS: usize = 90;
 /// Interval of the checks whether all jobs have been handed over.
@@ -84,17 +84,23 @@
 
 /// Splits writes into transactions of bounded size, in order.
 pub(crate) fn split_writes(writes: Vec<Write>) -> Vec<Vec<Write>> {
-    let mut batches: Vec<Vec<Write>> = Vec::new();
+    split(writes, |write| write.value.as_ref().map_or(0, String::len))
+}
+
+/// Splits what is written in one row each into transactions of bounded size, in order. `bytes`
+/// returns the size of a row's value.
+pub(crate) fn split<T>(rows: Vec<T>, bytes: impl Fn(&T) -> usize) -> Vec<Vec<T>> {
+    let mut batches: Vec<Vec<T>> = Vec::new();
     let mut size = 0;
-    for write in writes {
-        let bytes = write.value.as_ref().map_or(0, String::len);
+    for row in rows {
+        let bytes = bytes(&row);
         let full = batches.last().is_none_or(|batch| batch.len() >= MAX_COMMIT_ROWS);
         if full || size + bytes > MAX_COMMIT_BYTES {
             batches.push(Vec::new());
             size = 0;
         }
         size += bytes;
-        batches.last_mut().expect("a batch was pushed").push(write);
+        batches.last_mut().expect("a batch was pushed").push(row);
     }
     batches
 }
--- a/crates/tamarackdock_gateway/src/batch/submit.rs
+++ b/crates/tamarackdock_gateway/src/batch/submit.rs
@@ -234,20 +234,21 @@
 /// Returns the revision of the head.
 async fn write_job(node: &Node, id: &str, head: &JobHead, chunks: &[&str]) -> Result<u64, Error> {
     let key = rows::head_key(id);
-    // One transaction is prepared at a time, as a job can be large.
-    let mut last = Vec::new();
-    let mut bytes = 0;
-    for (chunk, text) in chunks.iter().enumerate() {
-        bytes += text.len();
-        if !last.is_empty() && bytes > end::MAX_COMMIT_BYTES {
-            // Without the head there is no job, whether or not these rows were written. So
-            // any error means that the job was not accepted.
-            let writes = std::mem::take(&mut last);
-            node.commit(Vec::new(), writes).await.map_err(|_| Error::Unreachable)?;
-            bytes = text.len();
-        }
-        let key = rows::submission_key(id, Some(chunk));
-        last.push(Write { key, value: Some((*text).into()) });
+    let to_writes = |chunks: Vec<(usize, &&str)>| {
+        let writes = chunks.into_iter().map(|(chunk, text)| Write {
+            key: rows::submission_key(id, Some(chunk)),
+            value: Some((**text).into()),
+        });
+        writes.collect::<Vec<_>>()
+    };
+    let mut batches = end::split(chunks.iter().enumerate().collect(), |(_, text)| text.len());
+    let mut last = to_writes(batches.pop().unwrap_or_default());
+    // The text is copied for one transaction at a time, as a job can be large.
+    for batch in batches {
+        // Without the head there is no job, whether or not these rows were written. So
+        // any error means that the job was not accepted.
+        let writes = to_writes(batch);
+        node.commit(Vec::new(), writes).await.map_err(|_| Error::Unreachable)?;
     }
     last.push(Write { key: key.clone(), value: Some(head.encode()) });
     let conditions = vec![Condition { key, revision: 0 }];
--- a/crates/tamarackdock_gateway/src/batch/tests/rows.rs
+++ b/crates/tamarackdock_gateway/src/batch/tests/rows.rs
@@ -5,6 +5,7 @@
 use crate::batch::{
     ItemOutcome, ItemResult,
     commit::join_rows,
+    end,
     rows::{self, JobHead, Terms},
 };
 
@@ -95,3 +96,16 @@
     assert_eq!(age(3_500_000, Some(3_499_000)), 0);
     assert_eq!(age(3_500_000, Some(3_600_000)), 100_000);
 }
+
+/// Guards against transactions that the store refuses: of a job in many small rows or few large ones.
+#[test]
+fn transactions_are_bounded_by_rows_and_bytes() {
+    let sizes = |rows: usize, bytes: usize| {
+        let batches = end::split(vec![bytes; rows], |bytes| *bytes);
+        batches.iter().map(Vec::len).collect::<Vec<_>>()
+    };
+    assert_eq!(sizes(200, 512), [90, 90, 20]);
+    assert_eq!(sizes(30, 32 * 1024), [12, 12, 6]);
+    assert_eq!(sizes(2, 1024 * 1024), [1, 1]);
+    assert_eq!(sizes(0, 1), [0; 0]);
+}
