--- a/crates/tamarackdock_gateway/src/batch/load.rs
+++ b/crates/tamarackdock_gateway/src/batch/load.rs
@@ -76,15 +76,14 @@
     node: &Node,
     id: &str,
     head: &JobHead,
-    known: Known,
+    known: &Known,
     allowance: usize,
 ) -> Result<Part, Error> {
-    let Known { outline, skipped, finished } = known;
     let mut reader = node.wire_format.submission_reader();
-    reader.skip(skipped);
-    let mut collector = Collector::new(&node.job_memory, allowance, skipped, finished);
+    reader.skip(known.skipped);
+    let mut collector =
+        Collector::new(&node.job_memory, allowance, known.skipped, known.finished.clone());
     let mut turn = Turn::default();
-    let has_outline = outline.is_some();
     read_rows(node, id, head, async |text| {
         read_text(text.as_bytes(), &mut turn, |piece| {
             if collector.is_full() {
@@ -95,11 +94,11 @@
             taken.map_err(|_| Error::Malformed)
         })
         .await?;
-        Ok(!(has_outline && collector.is_full()))
+        Ok(known.outline.is_none() || !collector.is_full())
     })
     .await?;
-    let outline = match outline {
-        Some(outline) => outline,
+    let outline = match &known.outline {
+        Some(outline) => outline.clone(),
         None => reader.finish().map_err(|_| Error::Malformed)?,
     };
     Ok(collector.finish(outline))
@@ -121,7 +120,7 @@
     node: &Node,
     id: &Name,
     head: &JobHead,
-    known: Known,
+    known: &Known,
 ) -> Result<Option<Part>, Error> {
     let Some(allowance) = node.job_memory.allowance(estimate(node, head)) else { return Ok(None) };
     let part = read_part(node, id, head, known, allowance).await?;
@@ -140,7 +139,7 @@
     node: &Rc<Node>,
     id: &Name,
     head: &JobHead,
-    known: impl Fn() -> Known,
+    known: &Known,
 ) -> Result<Option<Part>, Error> {
     let is_owned = || {
         let entry = node.jobs.entry(id);
@@ -149,7 +148,7 @@
     };
     let mut has_waited = false;
     while is_owned() {
-        if let Some(part) = try_load(node, id, head, known()).await? {
+        if let Some(part) = try_load(node, id, head, known).await? {
             return Ok(Some(part));
         }
         if !has_waited {
@@ -212,13 +211,13 @@
     node.jobs.remove(&job);
     // The memory of this part is needed for the next one.
     drop(job);
-    let known = || Known {
-        outline: Some(before.outline.clone()),
+    let known = Known {
+        outline: Some(before.outline),
         skipped: before.next_item,
         finished: BTreeSet::new(),
     };
     loop {
-        match load(&node, &before.id, &before.head, known).await {
+        match load(&node, &before.id, &before.head, &known).await {
             Ok(Some(part)) => {
                 let entry = node.jobs.entry(&before.id).unwrap_or(VersionedHead {
                     head: before.head.clone(),
--- a/crates/tamarackdock_gateway/src/batch/takeover.rs
+++ b/crates/tamarackdock_gateway/src/batch/takeover.rs
@@ -242,7 +242,7 @@
 /// Starts a job that another node has accepted with this node as its owner.
 pub(crate) async fn receive(node: Rc<Node>, id: Name, entry: VersionedHead, guard: StartGuard) {
     let (head, revision) = (entry.head, entry.revision);
-    match load::load(&node, &id, &head, Known::default).await {
+    match load::load(&node, &id, &head, &Known::default()).await {
         Ok(Some(part)) => {
             slog::info!(node.log, "job: received"; "job" => &*id, "revision" => revision);
             let entry = VersionedHead { head, revision };
@@ -271,7 +271,7 @@
         observed::query(node);
         let listed = load::read_listed(node, id).await?;
         let known = Known { finished: listed.finished.clone(), ..Known::default() };
-        let part = load::try_load(node, id, &head, known).await?;
+        let part = load::try_load(node, id, &head, &known).await?;
         let entry = VersionedHead { head: head.clone(), revision };
         let count = listed.first + listed.results.len();
         let (node, id) = (node.clone(), id.clone());
@@ -329,8 +329,8 @@
     listed: Listed,
     guard: StartGuard,
 ) {
-    let known = || Known { finished: listed.finished.clone(), ..Known::default() };
-    let restored = match load::load(&node, &id, &entry.head, known).await {
+    let known = Known { finished: listed.finished.clone(), ..Known::default() };
+    let restored = match load::load(&node, &id, &entry.head, &known).await {
         Ok(Some(part)) => restore(&node, &id, entry, listed, part, guard).await,
         Ok(None) => Ok(()),
         Err(error) => Err(error),
--- a/crates/tamarackdock_node/tests/gateway/ownership.rs
+++ b/crates/tamarackdock_node/tests/gateway/ownership.rs
@@ -17,12 +17,12 @@
 /// Time in which a log line that must come has come.
 const LOG_BOUND: Duration = Duration::from_secs(20);
 
-fn trainer(cluster: &Cluster, violations: &Violations) -> Trainer {
+pub(crate) fn trainer(cluster: &Cluster, violations: &Violations) -> Trainer {
     Trainer::new("t", cluster.addresses(), cluster.store.clone(), violations.clone())
 }
 
 /// Starts three nodes with a changed value in their settings.
-fn start(name: &str, section: &str, setting: &str, value: impl Into<Value>) -> Cluster {
+pub(crate) fn start(name: &str, section: &str, setting: &str, value: impl Into<Value>) -> Cluster {
     let mut cluster = Cluster::start(name, 3, 0);
     let value = value.into();
     for node in &mut cluster.nodes {
--- a/crates/tamarackdock_node/tests/gateway/parts.rs
+++ b/crates/tamarackdock_node/tests/gateway/parts.rs
@@ -8,12 +8,12 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::{Client, Node, expected_events, raw};
+use platform_standin::{Client, expected_events, raw};
 use serde_json::Value;
 
 use crate::{
-    cluster::{Cluster, KEY},
-    ownership::{others, owner},
+    cluster::KEY,
+    ownership::{others, owner, start},
 };
 
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -59,13 +59,7 @@
 /// some are those of another owner, and against results that change their positions.
 #[test]
 fn a_job_that_exceeds_the_memory_completes_across_a_take_over() {
-    let mut cluster = Cluster::start("parts", 3, 0);
-    for node in &mut cluster.nodes {
-        node.kill();
-        node.set("limits", "memory_mb", MEMORY_MB);
-    }
-    cluster.nodes.iter_mut().for_each(Node::restart);
-    cluster.wait_until_served();
+    let mut cluster = start("parts", "limits", "memory_mb", MEMORY_MB);
     cluster.store.publish(1);
     cluster.store.allow_bodies(8 * 1024 * 1024);
     cluster.configure(true);
--- a/crates/tamarackdock_node/tests/gateway/replaced_hosts.rs
+++ b/crates/tamarackdock_node/tests/gateway/replaced_hosts.rs
@@ -5,11 +5,9 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::Node;
-
 use crate::{
     cluster::{Cluster, Trainer, Violations},
-    ownership::{others, owner, slow_down},
+    ownership::{self, others, owner, slow_down, trainer},
 };
 
 /// Hosts that are replaced in three days of the largest deployment, 220 on each.
@@ -22,10 +20,6 @@
 /// the delivery time and a load, twice.
 const DUTIES_BOUND: Duration = Duration::from_secs(15);
 
-fn trainer(cluster: &Cluster, violations: &Violations) -> Trainer {
-    Trainer::new("t", cluster.addresses(), cluster.store.clone(), violations.clone())
-}
-
 /// Starts three nodes that know each other, beside the rows of replaced hosts.
 fn start(name: &str, violations: &Violations) -> (Cluster, Trainer) {
     let cluster = Cluster::start(name, 3, 0);
@@ -85,13 +79,7 @@
 /// a pause in which its row was removed: it writes its row again, and runs no job for a second time.
 #[test]
 fn rows_of_replaced_hosts_are_removed() {
-    let mut cluster = Cluster::start("replaced-removed", 3, 0);
-    for node in &mut cluster.nodes {
-        node.kill();
-        node.set("bounds", "keep_results_s", KEEP_S);
-    }
-    cluster.nodes.iter_mut().for_each(Node::restart);
-    cluster.wait_until_served();
+    let cluster = ownership::start("replaced-removed", "bounds", "keep_results_s", KEEP_S);
     let violations = Violations::default();
     let mut trainer = trainer(&cluster, &violations);
     let mut first = trainer.submit(0, 4);
